--- /dev/null
+++ b/examples/amman.cpp
@@ -0,0 +1,16 @@
+#include "deployments.hpp"
+
+#include <iostream>
+
+/// Prints the Amman deployment for `tarragonsill apply`.
+int
+main()
+{
+  auto const text = tarragonsill::Examples::AmmanDeployment().Print();
+  if (!text) {
+    std::cerr << text.LastReason().mText << '\n';
+    return 1;
+  }
+  std::cout << *text;
+  return 0;
+}
--- /dev/null
+++ b/examples/deployments.hpp
@@ -0,0 +1,17 @@
+#ifndef TARRAGONSILL_EXAMPLE_DEPLOYMENTS_HPP_INCLUDED
+#define TARRAGONSILL_EXAMPLE_DEPLOYMENTS_HPP_INCLUDED
+
+#include "tarragonsill/declare/tarragonsill_declare.hpp"
+
+/// The deployments of the first two operators.
+namespace tarragonsill::Examples {
+
+/// Mjólkurbú Áskrift, Reykjavík: the subscription app and the label service.
+Declare::DeploymentSpec ReykjavikDeployment();
+
+/// Badia Livestock Transport Cooperative, Amman: bookings and route sheets.
+Declare::DeploymentSpec AmmanDeployment();
+
+} // namespace tarragonsill::Examples
+
+#endif // TARRAGONSILL_EXAMPLE_DEPLOYMENTS_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_control_plane.cpp
@@ -0,0 +1,340 @@
+#include "tarragonsill/coordination/tarragonsill_control_plane.hpp"
+
+namespace tarragonsill {
+
+namespace {
+
+constexpr milliseconds kJoinPeriod{ 200 };
+
+bool
+HasUpstream(Configuration const* aConfiguration, Endpoint aAddress)
+{
+  if (aConfiguration == nullptr) {
+    return true;
+  }
+  for (auto const& service : aConfiguration->mServices) {
+    for (auto const& upstream : service.mUpstreams) {
+      if (upstream.mAddress == aAddress) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+/// The things of a zone that have one owner at a time.
+std::vector<OwnedThing>
+ThingsOf(Configuration const& aNext,
+         Configuration const* aCurrent,
+         std::string const& aZone)
+{
+  std::vector<OwnedThing> things;
+  for (auto const& service : aNext.mServices) {
+    for (auto const& upstream : service.mUpstreams) {
+      if (upstream.mZone != aZone) {
+        continue;
+      }
+      bool const isNew = !HasUpstream(aCurrent, upstream.mAddress);
+      things.push_back({ upstream.mAddress, upstream.mLimit, isNew });
+    }
+  }
+  for (std::uint16_t range = 0; range < ControlPlane::kCallRanges; ++range) {
+    things.push_back({ ControlPlane::CallRangeKey(range), {}, false });
+  }
+  return things;
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(Options aOptions,
+                           Member aSelf,
+                           std::vector<Endpoint> aSeeds,
+                           Counters& aCounters)
+  : mOptions(aOptions)
+  , mCounters(aCounters)
+  , mMembership(aOptions.mMembership, aSelf, aCounters)
+  , mOwnership(aOptions.mOwnership, aSelf.mName, aCounters)
+  , mSeeds(std::move(aSeeds))
+{
+}
+
+void
+ControlPlane::Tick(TimePoint aNow, Outbox& aOutbox)
+{
+  mMembership.Tick(aNow, aOutbox);
+  if (mMembership.DeclaredGone()) {
+    Restart(aNow);
+  }
+  if (mMembership.Self().mStage == MemberStage::Joining) {
+    AdvanceJoin(aNow, aOutbox);
+  }
+  RefreshOwnership();
+  mOwnership.Tick(aNow, aOutbox);
+  mSender.Tick(
+    aNow,
+    [&](std::string const& aName) { return mMembership.Find(aName); },
+    aOutbox);
+}
+
+void
+ControlPlane::Restart(TimePoint aNow)
+{
+  mOwnership.DropAll();
+  mOwnership.Forget();
+  mMembership.Rejoin(mMembership.Self().mIncarnation + 1);
+  mJoinAcks.clear();
+  mJoinStarted = aNow;
+  mZoneHasHistory = true;
+}
+
+bool
+ControlPlane::IsZonePeer(Member const& aMember) const
+{
+  return aMember.mZone == mMembership.Self().mZone &&
+         aMember.mName != mMembership.Self().mName;
+}
+
+bool
+ControlPlane::AllAcknowledged() const
+{
+  for (auto const& member : mMembership.Members()) {
+    bool const needed = IsZonePeer(member) &&
+                        member.mHealth != MemberHealth::Gone &&
+                        member.mStage != MemberStage::Leaving;
+    if (needed && mJoinAcks.count(member.mName) == 0) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+ControlPlane::AdvanceJoin(TimePoint aNow, Outbox& aOutbox)
+{
+  if (mJoinStarted == TimePoint{}) {
+    mJoinStarted = aNow;
+  }
+  if (aNow < mNextJoin) {
+    return;
+  }
+  mNextJoin = aNow + kJoinPeriod;
+  for (auto const& seed : mSeeds) {
+    mMembership.Contact(seed, aOutbox);
+  }
+  for (auto const& member : mMembership.Members()) {
+    if (!IsZonePeer(member) || member.mHealth == MemberHealth::Gone) {
+      continue;
+    }
+    if (member.mStage != MemberStage::Joining) {
+      mZoneHasHistory = true;
+    }
+    if (mJoinAcks.count(member.mName) == 0) {
+      AddMessage(aOutbox, member.mControl).mutable_join_request();
+    }
+  }
+  // An earlier process at this address may have granted leases that it can
+  // no longer remember; they have run out after this time.
+  auto const quiet = mOptions.mOwnership.mLease + mOptions.mOwnership.mMargin;
+  bool const ready = mConfiguration && mPeersKnown &&
+                     aNow - mJoinStarted > quiet && AllAcknowledged();
+  if (!ready) {
+    return;
+  }
+  mMembership.SetSelfStage(MemberStage::Serving);
+  if (!mZoneHasHistory) {
+    mOwnership.Bootstrap();
+  }
+}
+
+void
+ControlPlane::Handle(TimePoint aNow,
+                     wire::PeerMessage const& aMessage,
+                     Outbox& aOutbox)
+{
+  if (!mMembership.Handle(aNow, aMessage, aOutbox)) {
+    return;
+  }
+  mPeersKnown = true;
+  auto const* const found = mMembership.Find(aMessage.sender().name());
+  if (found == nullptr) {
+    return;
+  }
+  Member const from = *found;
+  auto const version = mConfiguration ? mConfiguration->mVersion : 0;
+  if (aMessage.configuration_version() > version) {
+    mAnnouncers.insert(from.mName);
+  }
+  if (aMessage.has_join_request()) {
+    auto* ack = AddMessage(aOutbox, from.mControl).mutable_join_ack();
+    for (auto const& member : mMembership.Members()) {
+      if (IsZonePeer(member) && member.mName != from.mName) {
+        *ack->add_members() = mMembership.UpdateOf(member.mName);
+      }
+    }
+  }
+  if (aMessage.has_join_ack() && !aMessage.join_ack().refused()) {
+    mJoinAcks.insert(from.mName);
+  }
+  RefreshOwnership();
+  bool const serving = mMembership.Self().mStage == MemberStage::Serving;
+  if (aMessage.has_lease_ask() && serving) {
+    mOwnership.HandleAsk(aNow, from, aMessage.lease_ask(), aOutbox);
+  }
+  if (aMessage.has_lease_grant() && serving) {
+    mOwnership.HandleGrant(aNow, from, aMessage.lease_grant());
+  }
+  if (aMessage.has_exception_batch()) {
+    ReceiveExceptions(from, aMessage.exception_batch(), aOutbox);
+  }
+  if (aMessage.has_exception_ack()) {
+    mSender.HandleAck(from.mName, aMessage.exception_ack());
+  }
+}
+
+void
+ControlPlane::ReceiveExceptions(Member const& aFrom,
+                                wire::ExceptionBatch const& aBatch,
+                                Outbox& aOutbox)
+{
+  Endpoint const service{ { aBatch.service_address() },
+                          static_cast<std::uint16_t>(aBatch.service_port()) };
+  for (auto const& item : aBatch.exceptions()) {
+    Endpoint const upstream{ { item.upstream_address() },
+                             static_cast<std::uint16_t>(item.upstream_port()) };
+    mReceived.push_back({ aFrom.mName, service, item.flow(), upstream });
+  }
+  AddMessage(aOutbox, aFrom.mControl)
+    .mutable_exception_ack()
+    ->set_sequence(aBatch.sequence());
+}
+
+void
+ControlPlane::HandleVmList(TimePoint aNow,
+                           std::vector<PlatformVm> const& aVms,
+                           Outbox& aOutbox)
+{
+  mPeersKnown = true;
+  for (auto const& vm : aVms) {
+    bool const sameZone = vm.mZone == mMembership.Self().mZone;
+    if (vm.mName == mMembership.Self().mName) {
+      if (vm.mState == PlatformVm::State::Live) {
+        mOwnership.ConfirmAlone();
+      }
+      continue;
+    }
+    if (sameZone && vm.mState == PlatformVm::State::Removed) {
+      mZoneHasHistory = true;
+    }
+  }
+  mMembership.HandleVmList(aNow, aVms, aOutbox);
+  RefreshOwnership();
+}
+
+void
+ControlPlane::SetConfiguration(
+  std::shared_ptr<Configuration const> aConfiguration)
+{
+  auto const version = mConfiguration ? mConfiguration->mVersion : 0;
+  if (aConfiguration->mVersion <= version) {
+    return; // A configuration in force never reverts.
+  }
+  mOwnership.Configure(ThingsOf(
+    *aConfiguration, mConfiguration.get(), mMembership.Self().mZone));
+  mConfiguration = std::move(aConfiguration);
+  mMembership.SetConfigurationVersion(mConfiguration->mVersion);
+  mAnnouncers.clear();
+  mSnapshotGeneration = 0;
+  mCounters.Add(Counter::ConfigurationsApplied);
+}
+
+void
+ControlPlane::SetUsage(std::vector<UpstreamUsage> const& aUsage,
+                       std::uint64_t aRightsRevision)
+{
+  mOwnership.SetUsage(aUsage, aRightsRevision);
+}
+
+void
+ControlPlane::RefreshOwnership()
+{
+  if (mOwnershipGeneration == mMembership.Generation()) {
+    return;
+  }
+  mOwnershipGeneration = mMembership.Generation();
+  std::vector<Member> zone;
+  for (auto& member : mMembership.Members()) {
+    if (member.mZone == mMembership.Self().mZone) {
+      zone.push_back(member);
+    }
+  }
+  mOwnership.SetMembers(zone);
+}
+
+void
+ControlPlane::SendExceptions(std::vector<ExceptionTransfer> aTransfers)
+{
+  mSender.Queue(std::move(aTransfers));
+}
+
+std::vector<ExceptionTransfer>
+ControlPlane::TakeReceivedExceptions()
+{
+  return std::exchange(mReceived, {});
+}
+
+void
+ControlPlane::BeginLeaving()
+{
+  mOwnership.DropAll();
+  mMembership.SetSelfStage(MemberStage::Leaving);
+}
+
+bool
+ControlPlane::HandedOver() const
+{
+  return mMembership.Self().mStage == MemberStage::Leaving && mSender.Idle();
+}
+
+void
+ControlPlane::Decorate(Outbox& aOutbox)
+{
+  for (auto& outgoing : aOutbox) {
+    mMembership.Decorate(outgoing.mMessage);
+  }
+}
+
+std::shared_ptr<SteeringSnapshot const>
+ControlPlane::Snapshot()
+{
+  if (!mConfiguration || mSnapshotGeneration == mMembership.Generation()) {
+    return mSnapshot;
+  }
+  mSnapshotGeneration = mMembership.Generation();
+  mSnapshot = SteeringSnapshot::Build(*mConfiguration,
+                                      mMembership.Members(),
+                                      mMembership.Self().mName,
+                                      mSnapshot.get());
+  return mSnapshot;
+}
+
+AdmissionRights
+ControlPlane::Rights(TimePoint aNow) const
+{
+  return mOwnership.Rights(aNow);
+}
+
+std::optional<Member>
+ControlPlane::PeerWithNewerConfiguration()
+{
+  while (!mAnnouncers.empty()) {
+    auto const name = *mAnnouncers.begin();
+    mAnnouncers.erase(mAnnouncers.begin());
+    auto const* const member = mMembership.Find(name);
+    if (member != nullptr) {
+      return *member;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_control_plane.hpp
@@ -0,0 +1,103 @@
+#ifndef TARRAGONSILL_CONTROL_PLANE_HPP_INCLUDED
+#define TARRAGONSILL_CONTROL_PLANE_HPP_INCLUDED
+
+#include "tarragonsill/coordination/tarragonsill_exception_sender.hpp"
+#include "tarragonsill/coordination/tarragonsill_membership.hpp"
+#include "tarragonsill/coordination/tarragonsill_ownership.hpp"
+#include "tarragonsill/state/tarragonsill_steering_snapshot.hpp"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+/// The coordination of one entry VM: membership, ownership, joining, leaving
+/// and the hand-over of exceptions. Sans I/O and single-threaded.
+namespace tarragonsill {
+
+class ControlPlane
+{
+public:
+  struct Options
+  {
+    Membership::Options mMembership;
+    Ownership::Options mOwnership;
+  };
+
+  /// The number of ranges into which the call identities of a zone fall.
+  static constexpr std::uint16_t kCallRanges = 32;
+  /// The key under which a range of call identities is owned.
+  static Endpoint CallRangeKey(std::uint16_t aRange) { return { {}, aRange }; }
+
+  ControlPlane(Options aOptions,
+               Member aSelf,
+               std::vector<Endpoint> aSeeds,
+               Counters& aCounters);
+
+  /// Advances timers; to be called at least every 50 ms.
+  void Tick(TimePoint aNow, Outbox& aOutbox);
+  void Handle(TimePoint aNow,
+              wire::PeerMessage const& aMessage,
+              Outbox& aOutbox);
+  void HandleVmList(TimePoint aNow,
+                    std::vector<PlatformVm> const& aVms,
+                    Outbox& aOutbox);
+  /// Takes a configuration with a higher version into use.
+  void SetConfiguration(std::shared_ptr<Configuration const> aConfiguration);
+  void SetUsage(std::vector<UpstreamUsage> const& aUsage,
+                std::uint64_t aRightsRevision);
+  void SendExceptions(std::vector<ExceptionTransfer> aTransfers);
+  std::vector<ExceptionTransfer> TakeReceivedExceptions();
+
+  /// Stops deciding and starts to hand over.
+  void BeginLeaving();
+  /// Set once everything that only this VM knew has been handed over.
+  bool HandedOver() const;
+  /// Prepares outgoing messages; to be called once for each before sending.
+  void Decorate(Outbox& aOutbox);
+
+  /// The current view; null until there is a configuration.
+  std::shared_ptr<SteeringSnapshot const> Snapshot();
+  AdmissionRights Rights(TimePoint aNow) const;
+  std::uint64_t RightsRevision() const { return mOwnership.Revision(); }
+  Membership const& Members() const { return mMembership; }
+  std::shared_ptr<Configuration const> const& Current() const
+  {
+    return mConfiguration;
+  }
+  /// A peer that announced a newer configuration than the one in force.
+  std::optional<Member> PeerWithNewerConfiguration();
+
+private:
+  void AdvanceJoin(TimePoint aNow, Outbox& aOutbox);
+  bool AllAcknowledged() const;
+  void Restart(TimePoint aNow);
+  void RefreshOwnership();
+  void ReceiveExceptions(Member const& aFrom,
+                         wire::ExceptionBatch const& aBatch,
+                         Outbox& aOutbox);
+  bool IsZonePeer(Member const& aMember) const;
+
+  Options mOptions;
+  Counters& mCounters;
+  Membership mMembership;
+  Ownership mOwnership;
+  ExceptionSender mSender;
+  std::vector<Endpoint> mSeeds;
+  std::shared_ptr<Configuration const> mConfiguration;
+  std::shared_ptr<SteeringSnapshot const> mSnapshot;
+  std::uint64_t mSnapshotGeneration = 0;
+  std::uint64_t mOwnershipGeneration = 0;
+  std::vector<ExceptionTransfer> mReceived;
+  std::set<std::string> mJoinAcks;
+  std::set<std::string> mAnnouncers; ///< Of newer configurations.
+  bool mPeersKnown = false; ///< A list or a peer has told who is there.
+  bool mZoneHasHistory = false;
+  TimePoint mJoinStarted{};
+  TimePoint mNextJoin{};
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_CONTROL_PLANE_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_decision.hpp
@@ -0,0 +1,38 @@
+#ifndef TARRAGONSILL_DECISION_HPP_INCLUDED
+#define TARRAGONSILL_DECISION_HPP_INCLUDED
+
+#include "tarragonsill/state/tarragonsill_address.hpp"
+
+#include <cstdint>
+#include <string>
+
+/// A record of one steering or admission decision, for the log.
+namespace tarragonsill {
+
+enum class DecisionKind : std::uint8_t
+{
+  AdmittedPureChoice,
+  AdmittedException,
+  RefusedFull,
+  RefusedCold,
+  RefusedNoLease,
+  NoCapacity,
+  ExceptionRecorded,
+  FlowFound,
+  FlowGuessed,
+  FlowUnknown,
+};
+
+struct DecisionRecord
+{
+  DecisionKind mKind = DecisionKind::FlowUnknown;
+  FlowKey mFlow;
+  Endpoint mUpstream;
+};
+
+/// One log line: a short sentence with the prefix of its part.
+std::string ToLogLine(DecisionRecord const& aRecord);
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_DECISION_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_membership.cpp
@@ -0,0 +1,471 @@
+#include "tarragonsill/coordination/tarragonsill_membership.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace tarragonsill {
+
+namespace {
+
+constexpr std::size_t kIndirectProbes = 2;
+constexpr std::size_t kMaxUpdatesPerMessage = 4;
+/// One probe in this many goes to a member that has failed, to notice that a
+/// cut has healed.
+constexpr std::uint64_t kFailedProbeShare = 4;
+constexpr unsigned kRumourSendFactor = 3;
+
+unsigned
+HealthRank(MemberHealth aHealth)
+{
+  return static_cast<unsigned>(aHealth);
+}
+
+} // namespace
+
+Membership::Membership(Options aOptions, Member aSelf, Counters& aCounters)
+  : mOptions(aOptions)
+  , mSelf(std::move(aSelf))
+  , mCounters(aCounters)
+  , mRandom(MixHash(aOptions.mSeed, mSelf.NameHash()))
+{
+}
+
+void
+Membership::Tick(TimePoint aNow, Outbox& aOutbox)
+{
+  CheckProbe(aNow, aOutbox);
+  ExpireSuspicions(aNow);
+  if (aNow < mNextProbe) {
+    return;
+  }
+  mNextProbe = aNow + mOptions.mProbePeriod;
+  StartProbe(aNow, aOutbox);
+}
+
+std::optional<std::string>
+Membership::NextTarget()
+{
+  ++mProbeCount;
+  bool const wantFailed = mProbeCount % kFailedProbeShare == 0;
+  std::vector<std::string> failed;
+  for (auto const& [name, peer] : mPeers) {
+    if (peer.mMember.mHealth == MemberHealth::Failed) {
+      failed.push_back(name);
+    }
+  }
+  if (wantFailed && !failed.empty()) {
+    return failed[mRandom() % failed.size()];
+  }
+  for (int round = 0; round < 2; ++round) {
+    while (!mProbeOrder.empty()) {
+      auto name = std::move(mProbeOrder.back());
+      mProbeOrder.pop_back();
+      auto const found = mPeers.find(name);
+      if (found == mPeers.end() ||
+          found->second.mMember.mHealth > MemberHealth::Suspect) {
+        continue;
+      }
+      return name;
+    }
+    for (auto const& [name, peer] : mPeers) {
+      mProbeOrder.push_back(name);
+    }
+    std::shuffle(mProbeOrder.begin(), mProbeOrder.end(), mRandom);
+  }
+  return failed.empty() ? std::nullopt
+                        : std::optional(failed[mRandom() % failed.size()]);
+}
+
+void
+Membership::StartProbe(TimePoint aNow, Outbox& aOutbox)
+{
+  if (mProbe) {
+    // The probe of the last period went unanswered.
+    auto const found = mPeers.find(mProbe->mTarget);
+    if (found != mPeers.end() &&
+        found->second.mMember.mHealth == MemberHealth::Alive) {
+      mCounters.Add(Counter::MembersSuspected);
+      SetHealth(aNow, found->second, MemberHealth::Suspect);
+    }
+    mProbe.reset();
+  }
+  auto target = NextTarget();
+  if (!target) {
+    return;
+  }
+  mProbe = Probe{ *target, ++mSequence, aNow, false };
+  auto const& peer = mPeers.at(*target);
+  SendPing(peer.mMember.mControl, mProbe->mSequence, aOutbox);
+  if (peer.mMember.mHealth != MemberHealth::Alive) {
+    // Lets the accused refute with a higher revision.
+    *aOutbox.back().mMessage.add_updates() =
+      ToUpdate(peer.mMember, peer.mRevision);
+  }
+}
+
+void
+Membership::SendPing(Endpoint aTo, std::uint32_t aSequence, Outbox& aOutbox)
+{
+  AddMessage(aOutbox, aTo).mutable_ping()->set_sequence(aSequence);
+}
+
+void
+Membership::CheckProbe(TimePoint aNow, Outbox& aOutbox)
+{
+  bool const waiting = mProbe && !mProbe->mIndirect &&
+                       aNow - mProbe->mSentAt > mOptions.mProbeTimeout;
+  if (!waiting) {
+    return;
+  }
+  mProbe->mIndirect = true;
+  auto const target = mPeers.find(mProbe->mTarget);
+  if (target == mPeers.end()) {
+    return;
+  }
+  std::vector<Endpoint> helpers;
+  for (auto const& [name, peer] : mPeers) {
+    if (name == mProbe->mTarget ||
+        peer.mMember.mHealth != MemberHealth::Alive) {
+      continue;
+    }
+    helpers.push_back(peer.mMember.mControl);
+  }
+  std::shuffle(helpers.begin(), helpers.end(), mRandom);
+  helpers.resize(std::min(helpers.size(), kIndirectProbes));
+  for (auto const& helper : helpers) {
+    auto* request = AddMessage(aOutbox, helper).mutable_ping_request();
+    request->set_sequence(mProbe->mSequence);
+    request->set_target_address(target->second.mMember.mControl.mAddress.mValue);
+    request->set_target_port(target->second.mMember.mControl.mPort);
+  }
+}
+
+Duration
+Membership::SuspicionTimeout() const
+{
+  auto const size = static_cast<double>(mPeers.size() + 1);
+  auto const factor = std::max(1.0, std::log10(size));
+  return std::chrono::duration_cast<Duration>(mOptions.mSuspicionTimeout *
+                                              factor);
+}
+
+void
+Membership::ExpireSuspicions(TimePoint aNow)
+{
+  auto const timeout = SuspicionTimeout();
+  for (auto& [name, peer] : mPeers) {
+    bool const expired = peer.mMember.mHealth == MemberHealth::Suspect &&
+                         aNow - peer.mSuspectSince > timeout;
+    if (!expired) {
+      continue;
+    }
+    mCounters.Add(Counter::MembersFailed);
+    SetHealth(aNow, peer, MemberHealth::Failed);
+  }
+}
+
+bool
+Membership::Handle(TimePoint aNow,
+                   wire::PeerMessage const& aMessage,
+                   Outbox& aOutbox)
+{
+  auto const& sender = aMessage.sender();
+  if (sender.name().empty() || sender.name() == mSelf.mName) {
+    return false;
+  }
+  auto const known = mPeers.find(sender.name());
+  if (known != mPeers.end()) {
+    auto const& member = known->second.mMember;
+    bool const outdated = sender.incarnation() < member.mIncarnation ||
+                          (sender.incarnation() == member.mIncarnation &&
+                           member.mHealth == MemberHealth::Gone);
+    if (outdated) {
+      AddMessage(aOutbox, member.mControl)
+        .mutable_join_ack()
+        ->set_refused(true);
+      return false;
+    }
+  }
+  Apply(aNow, sender, true);
+  for (auto const& update : aMessage.updates()) {
+    Apply(aNow, update, false);
+  }
+  HandleBody(aNow, aMessage, aOutbox);
+  return true;
+}
+
+void
+Membership::HandleBody(TimePoint aNow,
+                       wire::PeerMessage const& aMessage,
+                       Outbox& aOutbox)
+{
+  auto const& sender = mPeers.at(aMessage.sender().name()).mMember;
+  if (aMessage.has_ping()) {
+    auto const& ping = aMessage.ping();
+    auto* ack = AddMessage(aOutbox, sender.mControl).mutable_ping_ack();
+    ack->set_sequence(ping.sequence());
+    if (ping.origin_port() != 0) {
+      Endpoint const origin{ { ping.origin_address() },
+                             static_cast<std::uint16_t>(ping.origin_port()) };
+      AddMessage(aOutbox, origin)
+        .mutable_ping_ack()
+        ->set_sequence(ping.origin_sequence());
+    }
+  }
+  if (aMessage.has_ping_ack() && mProbe &&
+      mProbe->mSequence == aMessage.ping_ack().sequence()) {
+    mProbe.reset();
+  }
+  if (aMessage.has_ping_request()) {
+    auto const& request = aMessage.ping_request();
+    Endpoint const target{ { request.target_address() },
+                           static_cast<std::uint16_t>(request.target_port()) };
+    auto* ping = AddMessage(aOutbox, target).mutable_ping();
+    ping->set_sequence(++mSequence);
+    ping->set_origin_address(sender.mControl.mAddress.mValue);
+    ping->set_origin_port(sender.mControl.mPort);
+    ping->set_origin_sequence(request.sequence());
+  }
+  if (aMessage.has_join_ack()) {
+    mDeclaredGone = mDeclaredGone || aMessage.join_ack().refused();
+    for (auto const& update : aMessage.join_ack().members()) {
+      Apply(aNow, update, false);
+    }
+  }
+}
+
+void
+Membership::Apply(TimePoint aNow,
+                  wire::MemberUpdate const& aUpdate,
+                  bool aDirect)
+{
+  if (aUpdate.name().empty()) {
+    return;
+  }
+  if (aUpdate.name() == mSelf.mName) {
+    ApplyAboutSelf(aUpdate);
+    return;
+  }
+  auto const health = static_cast<MemberHealth>(
+    std::min(aUpdate.health(), HealthRank(MemberHealth::Gone)));
+  auto const [entry, added] = mPeers.try_emplace(aUpdate.name());
+  auto& peer = entry->second;
+  auto const offered =
+    std::tuple(aUpdate.incarnation(),
+               health == MemberHealth::Gone ? 1U : 0U,
+               aUpdate.revision(),
+               HealthRank(health));
+  auto const held =
+    std::tuple(peer.mMember.mIncarnation,
+               peer.mMember.mHealth == MemberHealth::Gone ? 1U : 0U,
+               peer.mRevision,
+               HealthRank(peer.mMember.mHealth));
+  if (aDirect) {
+    peer.mLastHeard = aNow;
+  }
+  // A packet straight from a member proves that it is alive.
+  bool const revived =
+    aDirect && peer.mMember.mHealth != MemberHealth::Alive &&
+    aUpdate.incarnation() == peer.mMember.mIncarnation &&
+    peer.mMember.mHealth != MemberHealth::Gone;
+  if (!added && offered <= held && !revived) {
+    return;
+  }
+  auto const ip = Ipv4Address{ aUpdate.address() };
+  auto const port = [](std::uint32_t aPort) {
+    return static_cast<std::uint16_t>(aPort);
+  };
+  auto& member = peer.mMember;
+  member.mName = aUpdate.name();
+  member.mZone = aUpdate.zone();
+  member.mControl = { ip, port(aUpdate.control_port()) };
+  member.mData = { ip, port(aUpdate.data_port()) };
+  member.mCalls = { ip, port(aUpdate.calls_port()) };
+  member.mIncarnation = aUpdate.incarnation();
+  member.mStage = static_cast<MemberStage>(std::clamp(
+    aUpdate.stage(), 1U, static_cast<unsigned>(MemberStage::Leaving)));
+  peer.mRevision = aUpdate.revision();
+  SetHealth(aNow, peer, aDirect ? MemberHealth::Alive : health);
+}
+
+void
+Membership::ApplyAboutSelf(wire::MemberUpdate const& aUpdate)
+{
+  if (aUpdate.incarnation() != mSelf.mIncarnation) {
+    return;
+  }
+  if (aUpdate.health() == HealthRank(MemberHealth::Gone)) {
+    mDeclaredGone = true;
+    return;
+  }
+  bool const accused = aUpdate.health() != HealthRank(MemberHealth::Alive) &&
+                       aUpdate.revision() >= mSelfRevision;
+  if (accused) {
+    mSelfRevision = aUpdate.revision() + 1;
+    Spread(mSelf.mName);
+  }
+}
+
+void
+Membership::SetHealth(TimePoint aNow, Peer& aPeer, MemberHealth aHealth)
+{
+  if (aHealth == MemberHealth::Suspect &&
+      aPeer.mMember.mHealth != MemberHealth::Suspect) {
+    aPeer.mSuspectSince = aNow;
+  }
+  aPeer.mMember.mHealth = aHealth;
+  ++mGeneration;
+  Spread(aPeer.mMember.mName);
+}
+
+void
+Membership::Spread(std::string const& aName)
+{
+  auto const size = static_cast<double>(mPeers.size() + 2);
+  auto const sends =
+    kRumourSendFactor * static_cast<unsigned>(std::ceil(std::log2(size)));
+  std::erase_if(mRumours,
+                [&](Rumour const& aRumour) { return aRumour.mName == aName; });
+  mRumours.push_front({ aName, sends });
+}
+
+void
+Membership::HandleVmList(TimePoint aNow,
+                         std::vector<PlatformVm> const& aVms,
+                         Outbox& aOutbox)
+{
+  for (auto const& vm : aVms) {
+    if (vm.mName == mSelf.mName) {
+      continue;
+    }
+    auto const found = mPeers.find(vm.mName);
+    if (found == mPeers.end()) {
+      if (vm.mState == PlatformVm::State::Live) {
+        Contact(vm.mControl, aOutbox);
+      }
+      continue;
+    }
+    auto& peer = found->second;
+    bool const removed = vm.mState == PlatformVm::State::Removed &&
+                         peer.mMember.mHealth == MemberHealth::Failed;
+    if (removed) {
+      SetHealth(aNow, peer, MemberHealth::Gone);
+    }
+  }
+}
+
+void
+Membership::Contact(Endpoint aControl, Outbox& aOutbox)
+{
+  if (aControl == mSelf.mControl || NameAt(aControl)) {
+    return;
+  }
+  SendPing(aControl, ++mSequence, aOutbox);
+}
+
+void
+Membership::SetSelfStage(MemberStage aStage)
+{
+  if (mSelf.mStage == aStage) {
+    return;
+  }
+  mSelf.mStage = aStage;
+  ++mSelfRevision;
+  ++mGeneration;
+  Spread(mSelf.mName);
+}
+
+void
+Membership::Rejoin(std::uint64_t aIncarnation)
+{
+  mSelf.mIncarnation = aIncarnation;
+  mSelf.mStage = MemberStage::Joining;
+  mSelfRevision = 1;
+  mDeclaredGone = false;
+  ++mGeneration;
+}
+
+std::vector<Member>
+Membership::Members() const
+{
+  std::vector<Member> members;
+  for (auto const& [name, peer] : mPeers) {
+    members.push_back(peer.mMember);
+  }
+  auto const position = std::lower_bound(
+    members.begin(), members.end(), mSelf, [](auto& aLeft, auto& aRight) {
+      return aLeft.mName < aRight.mName;
+    });
+  members.insert(position, mSelf);
+  return members;
+}
+
+Member const*
+Membership::Find(std::string const& aName) const
+{
+  if (aName == mSelf.mName) {
+    return &mSelf;
+  }
+  auto const found = mPeers.find(aName);
+  return found == mPeers.end() ? nullptr : &found->second.mMember;
+}
+
+std::optional<std::string>
+Membership::NameAt(Endpoint aControl) const
+{
+  for (auto const& [name, peer] : mPeers) {
+    if (peer.mMember.mControl == aControl) {
+      return name;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+Membership::Decorate(wire::PeerMessage& aMessage)
+{
+  *aMessage.mutable_sender() = ToUpdate(mSelf, mSelfRevision);
+  aMessage.set_configuration_version(mConfigurationVersion);
+  std::size_t const most = std::min(kMaxUpdatesPerMessage, mRumours.size());
+  for (std::size_t count = 0; count < most; ++count) {
+    auto rumour = mRumours.front();
+    mRumours.pop_front();
+    auto const found = mPeers.find(rumour.mName);
+    if (found != mPeers.end()) {
+      *aMessage.add_updates() =
+        ToUpdate(found->second.mMember, found->second.mRevision);
+    }
+    if (--rumour.mSendsLeft > 0) {
+      mRumours.push_back(std::move(rumour));
+    }
+  }
+}
+
+wire::MemberUpdate
+Membership::UpdateOf(std::string const& aName) const
+{
+  auto const found = mPeers.find(aName);
+  return found == mPeers.end()
+           ? wire::MemberUpdate{}
+           : ToUpdate(found->second.mMember, found->second.mRevision);
+}
+
+wire::MemberUpdate
+Membership::ToUpdate(Member const& aMember, std::uint32_t aRevision) const
+{
+  wire::MemberUpdate update;
+  update.set_name(aMember.mName);
+  update.set_zone(aMember.mZone);
+  update.set_address(aMember.mControl.mAddress.mValue);
+  update.set_control_port(aMember.mControl.mPort);
+  update.set_data_port(aMember.mData.mPort);
+  update.set_calls_port(aMember.mCalls.mPort);
+  update.set_incarnation(aMember.mIncarnation);
+  update.set_revision(aRevision);
+  update.set_stage(static_cast<std::uint32_t>(aMember.mStage));
+  update.set_health(HealthRank(aMember.mHealth));
+  return update;
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_outbox.hpp
@@ -0,0 +1,31 @@
+#ifndef TARRAGONSILL_OUTBOX_HPP_INCLUDED
+#define TARRAGONSILL_OUTBOX_HPP_INCLUDED
+
+#include "tarragonsill/state/tarragonsill_address.hpp"
+
+#include <vector>
+
+#include <tarragonsill_peer.pb.h>
+
+/// Control messages that a part wants sent; the driver empties the box.
+namespace tarragonsill {
+
+struct OutgoingMessage
+{
+  Endpoint mTo;
+  wire::PeerMessage mMessage;
+};
+
+using Outbox = std::vector<OutgoingMessage>;
+
+/// Adds an empty message and returns it to be filled in.
+inline wire::PeerMessage&
+AddMessage(Outbox& aOutbox, Endpoint aTo)
+{
+  aOutbox.push_back({ aTo, {} });
+  return aOutbox.back().mMessage;
+}
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_OUTBOX_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_ownership.cpp
@@ -0,0 +1,421 @@
+#include "tarragonsill/coordination/tarragonsill_ownership.hpp"
+
+#include "tarragonsill/state/tarragonsill_placement.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tarragonsill {
+
+namespace {
+
+/// Room above the open work that an owner asks for, so that it need not wait
+/// for the next grant: a share of the limit, at least a few.
+constexpr std::uint32_t kHeadroomShare = 4;
+constexpr std::uint32_t kHeadroomMinimum = 64;
+
+wire::LeaseItem
+MakeItem(Endpoint aKey, WorkLimit aLimit, std::uint64_t aTerm, bool aKnown)
+{
+  wire::LeaseItem item;
+  item.set_address(aKey.mAddress.mValue);
+  item.set_port(aKey.mPort);
+  item.set_connections(aLimit.mConnections);
+  item.set_slots(aLimit.mSlots);
+  item.set_term(aTerm);
+  item.set_known(aKnown);
+  return item;
+}
+
+Endpoint
+KeyOf(wire::LeaseItem const& aItem)
+{
+  return { { aItem.address() }, static_cast<std::uint16_t>(aItem.port()) };
+}
+
+WorkLimit
+LimitOf(wire::LeaseItem const& aItem)
+{
+  return { aItem.connections(), aItem.slots() };
+}
+
+} // namespace
+
+Ownership::Ownership(Options aOptions, std::string aSelf, Counters& aCounters)
+  : mOptions(aOptions)
+  , mSelf(std::move(aSelf))
+  , mCounters(aCounters)
+{
+}
+
+void
+Ownership::Configure(std::vector<OwnedThing> aThings)
+{
+  std::map<Endpoint, Seat> seats;
+  for (auto& thing : aThings) {
+    auto const key = thing.mKey;
+    auto const held = mSeats.find(key);
+    auto& seat = seats[key];
+    if (held != mSeats.end()) {
+      seat = std::move(held->second);
+    } else if (thing.mIsNew) {
+      seat.mKnowledge = Knowledge{};
+    }
+    seat.mThing = std::move(thing);
+  }
+  mSeats = std::move(seats);
+  for (auto& [key, seat] : mSeats) {
+    Rank(seat);
+  }
+  ++mRevision;
+}
+
+void
+Ownership::SetMembers(std::vector<Member> const& aZoneMembers)
+{
+  mMembers.clear();
+  for (auto const& member : aZoneMembers) {
+    bool const counts = member.mStage == MemberStage::Serving &&
+                        member.mHealth != MemberHealth::Gone;
+    if (counts) {
+      mMembers.push_back(member);
+    }
+  }
+  for (auto& [key, seat] : mSeats) {
+    Rank(seat);
+  }
+}
+
+void
+Ownership::Rank(Seat& aSeat)
+{
+  std::vector<std::uint64_t> hashes;
+  for (auto const& member : mMembers) {
+    hashes.push_back(member.NameHash());
+  }
+  auto const order = RankCandidates(PlacementKey(aSeat.mThing.mKey), hashes);
+  std::string const first =
+    order.empty() ? std::string() : mMembers[order[0]].mName;
+  std::string const second =
+    order.size() < 2 ? std::string() : mMembers[order[1]].mName;
+  if (first == aSeat.mFirst && second == aSeat.mSecond) {
+    return;
+  }
+  bool const stays = first == mSelf && aSeat.mFirst == mSelf;
+  aSeat.mFirst = first;
+  aSeat.mSecond = second;
+  if (!stays) {
+    StopActing(aSeat);
+  }
+}
+
+void
+Ownership::StopActing(Seat& aSeat)
+{
+  if (!aSeat.Holds()) {
+    return;
+  }
+  aSeat.mTerm = 0;
+  aSeat.mUntil = TimePoint{};
+  aSeat.mStoppedAt = ++mRevision;
+}
+
+void
+Ownership::DropAll()
+{
+  for (auto& [key, seat] : mSeats) {
+    StopActing(seat);
+  }
+}
+
+void
+Ownership::Forget()
+{
+  for (auto& [key, seat] : mSeats) {
+    seat.mKnowledge.reset();
+    seat.mStoppedAt = 0;
+  }
+}
+
+void
+Ownership::SetUsage(std::vector<UpstreamUsage> const& aUsage,
+                    std::uint64_t aRevision)
+{
+  for (auto const& usage : aUsage) {
+    auto const found = mSeats.find(usage.mUpstream);
+    if (found != mSeats.end()) {
+      found->second.mUsed = usage.mUsed;
+    }
+  }
+  for (auto& [key, seat] : mSeats) {
+    bool const settled = !seat.Holds() && seat.mStoppedAt != 0 &&
+                         aRevision >= seat.mStoppedAt;
+    if (!settled) {
+      continue;
+    }
+    // Admission has stopped, so the count can only fall from here.
+    seat.mStoppedAt = 0;
+    if (seat.mKnowledge) {
+      seat.mKnowledge->mOpen = seat.mUsed;
+    }
+  }
+}
+
+void
+Ownership::Bootstrap()
+{
+  for (auto& [key, seat] : mSeats) {
+    if (!seat.mKnowledge) {
+      seat.mKnowledge = Knowledge{};
+    }
+  }
+}
+
+bool
+Ownership::Tick(TimePoint aNow, Outbox& aOutbox)
+{
+  bool const paused =
+    mLastTick != TimePoint{} && aNow - mLastTick > mOptions.mPauseLimit;
+  mLastTick = aNow;
+  if (paused) {
+    DropAll();
+    mPending.clear();
+    mAloneConfirmed = false;
+  }
+  std::map<std::string, PendingAsk> asks;
+  for (auto& [key, seat] : mSeats) {
+    if (seat.mFirst != mSelf) {
+      continue;
+    }
+    if (seat.mSecond.empty()) {
+      RenewAlone(aNow, seat);
+      continue;
+    }
+    asks[seat.mSecond].mCeilings[key] = ProposedCeiling(seat);
+  }
+  if (aNow < mNextAsk) {
+    return paused;
+  }
+  mNextAsk = aNow + mOptions.mAskPeriod;
+  LowerCeilings(asks);
+  for (auto& [name, ask] : asks) {
+    auto const control = ControlOf(name);
+    if (!control) {
+      continue;
+    }
+    ask.mTo = name;
+    ask.mSequence = ++mSequence;
+    ask.mSentAt = aNow;
+    auto* message = AddMessage(aOutbox, *control).mutable_lease_ask();
+    message->set_sequence(ask.mSequence);
+    for (auto const& [key, ceiling] : ask.mCeilings) {
+      *message->add_items() =
+        MakeItem(key, ceiling, mSeats.at(key).mTerm, true);
+    }
+    mCounters.Add(Counter::LeaseAsks);
+    mPending[name] = std::move(ask);
+  }
+  return paused;
+}
+
+void
+Ownership::LowerCeilings(std::map<std::string, PendingAsk> const& aAsks)
+{
+  for (auto const& [name, ask] : aAsks) {
+    for (auto const& [key, proposed] : ask.mCeilings) {
+      auto& seat = mSeats.at(key);
+      if (proposed.mConnections >= seat.mCeiling.mConnections) {
+        continue;
+      }
+      seat.mCeiling.mConnections = proposed.mConnections;
+      ++mRevision;
+    }
+  }
+}
+
+WorkLimit
+Ownership::ProposedCeiling(Seat const& aSeat) const
+{
+  auto const& limit = aSeat.mThing.mLimit;
+  auto const headroom =
+    std::max(kHeadroomMinimum, limit.mConnections / kHeadroomShare);
+  return { std::min(limit.mConnections, aSeat.mUsed.mConnections + headroom),
+           limit.mSlots };
+}
+
+void
+Ownership::RenewAlone(TimePoint aNow, Seat& aSeat)
+{
+  bool const promised =
+    aSeat.mPromise.mTo != mSelf && aNow < aSeat.mPromise.mUntil;
+  if (promised || !mAloneConfirmed) {
+    return;
+  }
+  bool const begins = !aSeat.Holds();
+  Begin(aSeat, aNow + mOptions.mLease);
+  auto const raised = aSeat.mThing.mLimit;
+  if (begins || raised != aSeat.mCeiling) {
+    aSeat.mCeiling = raised;
+    ++mRevision;
+  }
+}
+
+bool
+Ownership::MayGrant(TimePoint aNow,
+                    Seat const& aSeat,
+                    Member const& aFrom) const
+{
+  if (aSeat.mFirst != aFrom.mName || aSeat.mSecond != mSelf) {
+    return false;
+  }
+  // What this VM admitted itself must be counted in full before.
+  if (aSeat.Holds() || aSeat.mStoppedAt != 0) {
+    return false;
+  }
+  return aSeat.mPromise.mTo == aFrom.mName || aNow >= aSeat.mPromise.mUntil;
+}
+
+void
+Ownership::HandleAsk(TimePoint aNow,
+                     Member const& aFrom,
+                     wire::LeaseAsk const& aAsk,
+                     Outbox& aOutbox)
+{
+  auto& last = mLastAsks[aFrom.mName];
+  auto const position = std::pair(aFrom.mIncarnation, aAsk.sequence());
+  if (position <= last) {
+    return; // A late or repeated datagram.
+  }
+  last = position;
+  wire::LeaseGrant grant;
+  grant.set_sequence(aAsk.sequence());
+  for (auto const& item : aAsk.items()) {
+    auto const found = mSeats.find(KeyOf(item));
+    if (found == mSeats.end() || !MayGrant(aNow, found->second, aFrom)) {
+      continue;
+    }
+    auto& seat = found->second;
+    auto const before = seat.mKnowledge;
+    seat.mPromise = { aFrom.mName, aNow + mOptions.mLease + mOptions.mMargin };
+    if (item.term() != 0) {
+      StoreCeiling(seat, { item.term(), LimitOf(item) });
+    }
+    auto const reported = before.value_or(Knowledge{});
+    *grant.add_items() = MakeItem(
+      KeyOf(item), reported.mOpen, reported.mTerm, before.has_value());
+    mCounters.Add(Counter::LeaseGrants);
+  }
+  if (grant.items_size() > 0) {
+    *AddMessage(aOutbox, aFrom.mControl).mutable_lease_grant() = grant;
+  }
+}
+
+void
+Ownership::StoreCeiling(Seat& aSeat, Knowledge aAsked)
+{
+  bool const sameTerm =
+    aSeat.mKnowledge && aSeat.mKnowledge->mTerm == aAsked.mTerm;
+  // The owner may use the ceiling of its previous ask until it has applied
+  // this one, so the higher of the two counts.
+  auto const previous = sameTerm ? aSeat.mLastAsked : WorkLimit{};
+  aSeat.mLastAsked = aAsked.mOpen;
+  aAsked.mOpen.mConnections =
+    std::max(aAsked.mOpen.mConnections, previous.mConnections);
+  aAsked.mOpen.mSlots = std::max(aAsked.mOpen.mSlots, previous.mSlots);
+  Learn(aSeat, aAsked);
+}
+
+void
+Ownership::Learn(Seat& aSeat, Knowledge aKnowledge)
+{
+  if (!aSeat.mKnowledge || aKnowledge.mTerm >= aSeat.mKnowledge->mTerm) {
+    aSeat.mKnowledge = aKnowledge;
+  }
+}
+
+void
+Ownership::HandleGrant(TimePoint aNow,
+                       Member const& aFrom,
+                       wire::LeaseGrant const& aGrant)
+{
+  auto const pending = mPending.find(aFrom.mName);
+  if (pending == mPending.end() ||
+      pending->second.mSequence != aGrant.sequence()) {
+    return;
+  }
+  auto const ask = std::move(pending->second);
+  mPending.erase(pending);
+  for (auto const& item : aGrant.items()) {
+    auto const found = mSeats.find(KeyOf(item));
+    auto const ceiling = ask.mCeilings.find(KeyOf(item));
+    if (found == mSeats.end() || ceiling == ask.mCeilings.end()) {
+      continue;
+    }
+    auto& seat = found->second;
+    bool const current = seat.mFirst == mSelf && seat.mSecond == aFrom.mName;
+    bool const promised =
+      seat.mPromise.mTo != mSelf && aNow < seat.mPromise.mUntil;
+    if (!current || promised) {
+      continue;
+    }
+    if (seat.Holds()) {
+      seat.mUntil = std::max(seat.mUntil, ask.mSentAt + mOptions.mLease);
+      // Only a ceiling that the second one stored may be used.
+      seat.mCeiling = ceiling->second;
+      ++mRevision;
+      continue;
+    }
+    if (item.known()) {
+      Learn(seat, { item.term(), LimitOf(item) });
+    }
+    Begin(seat, ask.mSentAt + mOptions.mLease);
+    // The second one has not stored a ceiling of this term yet.
+    seat.mCeiling = {};
+    mNextAsk = aNow;
+    ++mRevision;
+  }
+}
+
+void
+Ownership::Begin(Seat& aSeat, TimePoint aUntil)
+{
+  aSeat.mUntil = aUntil;
+  if (aSeat.Holds()) {
+    return;
+  }
+  // Without any word of an earlier owner the whole limit may be in use.
+  auto const knowledge =
+    aSeat.mKnowledge.value_or(Knowledge{ 0, aSeat.mThing.mLimit });
+  aSeat.mTerm = knowledge.mTerm + 1;
+  aSeat.mAdopted = knowledge.mOpen;
+  aSeat.mStoppedAt = 0;
+  aSeat.mKnowledge = Knowledge{ aSeat.mTerm, knowledge.mOpen };
+  mCounters.Add(Counter::LeaseTakeovers);
+}
+
+AdmissionRights
+Ownership::Rights(TimePoint aNow) const
+{
+  AdmissionRights rights;
+  for (auto const& [key, seat] : mSeats) {
+    if (!seat.Holds() || seat.mUntil <= aNow) {
+      continue;
+    }
+    rights.push_back(
+      { key, seat.mUntil, seat.mCeiling, seat.mTerm, seat.mAdopted });
+  }
+  return rights;
+}
+
+std::optional<Endpoint>
+Ownership::ControlOf(std::string const& aName) const
+{
+  for (auto const& member : mMembers) {
+    if (member.mName == aName) {
+      return member.mControl;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_packet_engine.hpp
@@ -0,0 +1,181 @@
+#ifndef TARRAGONSILL_PACKET_ENGINE_HPP_INCLUDED
+#define TARRAGONSILL_PACKET_ENGINE_HPP_INCLUDED
+
+#include "tarragonsill/coordination/tarragonsill_decision.hpp"
+#include "tarragonsill/protocol/tarragonsill_geneve.hpp"
+#include "tarragonsill/protocol/tarragonsill_packet.hpp"
+#include "tarragonsill/state/tarragonsill_admission_right.hpp"
+#include "tarragonsill/state/tarragonsill_answer_cache.hpp"
+#include "tarragonsill/state/tarragonsill_counters.hpp"
+#include "tarragonsill/state/tarragonsill_flow_ledger.hpp"
+#include "tarragonsill/state/tarragonsill_steering_snapshot.hpp"
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+/// Steering and flow admission on the packet path. Sans I/O: each packet gives
+/// exactly one action. Not thread-safe; one packet worker owns an engine.
+namespace tarragonsill {
+
+enum class ActionKind : std::uint8_t
+{
+  Drop,
+  ToFabric,
+  ToPeer,
+};
+
+/// What to do with a packet. The packet's bytes are rewritten in place.
+struct PacketAction
+{
+  ActionKind mKind = ActionKind::Drop;
+  Counter mCause = Counter::DropUnknownService; ///< For `Drop`.
+  Endpoint mPeer;                               ///< For `ToPeer`.
+  Route mRoute;                                 ///< For `ToPeer`.
+};
+
+/// An exception that another home should hold too.
+struct ExceptionTransfer
+{
+  std::string mPeer; ///< Name of the entry VM.
+  Endpoint mService;
+  std::uint64_t mFlow = 0;
+  Endpoint mUpstream;
+};
+
+/// Why a flow goes where it goes, for the `explain` command.
+struct SteeringExplanation
+{
+  std::string mService;
+  std::string mPureChoice;          ///< Upstream name, or its address.
+  std::vector<std::string> mHomes;  ///< Entry VMs, the deciding one first.
+  std::string mOwner;               ///< Admission owner of the pure choice.
+  std::vector<std::string> mCandidates; ///< Upstreams in order of preference.
+};
+
+/// Explains a flow on a snapshot; the reason is `NotFound`.
+Result<SteeringExplanation> Explain(SteeringSnapshot const& aSnapshot,
+                                    std::string const& aService,
+                                    FlowKey aFlow);
+
+namespace Detail {
+
+struct ExceptionEntry
+{
+  std::uint64_t mKey = 0;
+  std::uint32_t mAddress = 0;
+  std::uint16_t mPort = 0;
+  CoarseTime mSeen;
+
+  Endpoint Upstream() const { return { { mAddress }, mPort }; }
+};
+static_assert(sizeof(ExceptionEntry) == 16);
+
+} // namespace Detail
+
+class PacketEngine
+{
+public:
+  struct Options
+  {
+    std::size_t mAnswerCachePlaces = 65536;
+  };
+
+  PacketEngine(Options aOptions, Counters& aCounters);
+
+  /// Takes a newer view into use. Exceptions whose homes changed are queued
+  /// for transfer to the new homes.
+  void ApplySnapshot(std::shared_ptr<SteeringSnapshot const> aSnapshot);
+  /// Takes the rights held at present into use.
+  void ApplyRights(TimePoint aNow,
+                   std::shared_ptr<AdmissionRights const> aRights);
+  /// Stores an exception that another home sent.
+  void StoreException(TimePoint aNow, ExceptionTransfer const& aException);
+
+  /// Decides on a packet from the fabric.
+  PacketAction HandleFabric(TimePoint aNow, PacketView& aPacket);
+  /// Decides on a packet that a peer passed on.
+  PacketAction HandlePeer(TimePoint aNow,
+                          Route const& aRoute,
+                          PacketView& aPacket);
+  /// Expires idle state; to be called about once a second.
+  void Sweep(TimePoint aNow);
+
+  std::vector<UpstreamUsage> Usage() const;
+  std::vector<ExceptionTransfer> TakeTransfers();
+  std::vector<DecisionRecord> TakeDecisions();
+  std::size_t ExceptionCount() const;
+  std::size_t MemoryBytes() const;
+
+private:
+  using ExceptionEntry = Detail::ExceptionEntry;
+  using ExceptionTable = FlowTable<ExceptionEntry>;
+
+  /// A packet from a caller with everything that was looked up for it.
+  struct Flow
+  {
+    PacketView& mPacket;
+    FlowKey mKey;
+    std::uint64_t mHash = 0;
+    std::size_t mService = 0;
+    std::size_t mShare = 0;
+    bool mIsNew = false;
+  };
+
+  std::optional<Flow> MakeFlow(PacketView& aPacket) const;
+  BaseView const& BaseOf(Flow const& aFlow) const;
+  std::optional<std::size_t> PositionInChain(BaseView const& aBase) const;
+
+  PacketAction HandleAnswer(TimePoint aNow,
+                            PacketView& aPacket,
+                            bool aAtOwner);
+  PacketAction HandleCaller(TimePoint aNow, Flow& aFlow);
+  PacketAction DecideAtHome(TimePoint aNow, Flow& aFlow, std::uint8_t aHops);
+  PacketAction ResumeLookup(TimePoint aNow, Flow& aFlow, Route const& aRoute);
+  PacketAction PassLookup(TimePoint aNow, Flow& aFlow, Route aRoute);
+  PacketAction AdmitFrom(TimePoint aNow, Flow& aFlow, Route aRoute);
+  PacketAction FinishAdmission(TimePoint aNow,
+                               Flow& aFlow,
+                               Route aRoute,
+                               std::size_t aUpstream,
+                               bool aRepeated);
+  PacketAction HandleRecord(TimePoint aNow, Flow& aFlow, Route aRoute);
+  PacketAction HandleTouch(TimePoint aNow, Flow& aFlow, Route const& aRoute);
+  PacketAction DeliverException(TimePoint aNow,
+                                Flow& aFlow,
+                                ExceptionEntry& aEntry,
+                                std::uint8_t aHops);
+  PacketAction Deliver(Flow& aFlow, Endpoint aUpstream);
+  PacketAction ToEntry(EntryIndex aEntry, Route aRoute);
+  PacketAction Drop(Counter aCause);
+
+  bool TryAdmit(TimePoint aNow,
+                Flow const& aFlow,
+                std::size_t aUpstream,
+                bool& aRepeated);
+  void StoreRecord(TimePoint aNow, Flow const& aFlow, Endpoint aUpstream);
+  FlowLedger* LedgerOf(Endpoint aUpstream);
+  AdmissionRight const* RightOf(Endpoint aUpstream) const;
+  Endpoint SelfData() const;
+  void Note(DecisionKind aKind, Flow const& aFlow, Endpoint aUpstream);
+  void QueueTransfers(SteeringSnapshot const& aOld,
+                      SteeringSnapshot const& aNew,
+                      std::size_t aService,
+                      ExceptionTable& aTable);
+
+  Options mOptions;
+  Counters& mCounters;
+  std::shared_ptr<SteeringSnapshot const> mSnapshot;
+  std::shared_ptr<AdmissionRights const> mRights;
+  std::vector<ExceptionTable> mExceptions; ///< By service index.
+  std::unordered_map<Endpoint, FlowLedger, EndpointHash> mLedgers;
+  std::unordered_map<Endpoint, std::uint64_t, EndpointHash> mTerms;
+  AnswerCache mAnswers;
+  std::vector<ExceptionTransfer> mTransfers;
+  std::vector<DecisionRecord> mDecisions;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_PACKET_ENGINE_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/protocol/tarragonsill_packet.cpp
@@ -0,0 +1,134 @@
+#include "tarragonsill/protocol/tarragonsill_packet.hpp"
+
+#include "tarragonsill/protocol/tarragonsill_byte_order.hpp"
+#include "tarragonsill/protocol/tarragonsill_checksum.hpp"
+
+namespace tarragonsill {
+
+namespace {
+
+constexpr std::size_t kIpHeaderBytes = 20;
+constexpr std::size_t kTcpHeaderBytes = 20;
+constexpr std::size_t kUdpHeaderBytes = 8;
+constexpr std::size_t kTotalLengthOffset = 2;
+constexpr std::size_t kFragmentOffset = 6;
+constexpr std::size_t kProtocolOffset = 9;
+constexpr std::size_t kIpChecksumOffset = 10;
+constexpr std::size_t kSourceOffset = 12;
+constexpr std::size_t kDestinationOffset = 16;
+constexpr std::size_t kTcpFlagsOffset = kIpHeaderBytes + 13;
+constexpr std::size_t kTcpChecksumOffset = kIpHeaderBytes + 16;
+constexpr std::size_t kUdpChecksumOffset = kIpHeaderBytes + 6;
+constexpr std::uint16_t kMoreFragmentsOrOffset = 0x3FFF;
+
+void
+ReplaceWord(std::span<std::byte> aBytes,
+            std::size_t aChecksumOffset,
+            std::uint16_t aOld,
+            std::uint16_t aNew)
+{
+  auto const checksum = LoadU16(aBytes, aChecksumOffset);
+  StoreU16(aBytes, aChecksumOffset, UpdateChecksum(checksum, aOld, aNew));
+}
+
+PacketFault
+CheckIpHeader(std::span<std::byte const> aBytes)
+{
+  if (aBytes.empty()) {
+    return PacketFault::Truncated;
+  }
+  auto const first = std::to_integer<unsigned>(aBytes[0]);
+  if (first >> 4 != 4) {
+    return PacketFault::Version;
+  }
+  if (aBytes.size() < kIpHeaderBytes) {
+    return PacketFault::Truncated;
+  }
+  if ((first & 15) > 5) {
+    return PacketFault::IpOptions;
+  }
+  auto const total = LoadU16(aBytes, kTotalLengthOffset);
+  if ((first & 15) < 5 || total < kIpHeaderBytes || total > aBytes.size()) {
+    return PacketFault::Truncated;
+  }
+  if ((LoadU16(aBytes, kFragmentOffset) & kMoreFragmentsOrOffset) != 0) {
+    return PacketFault::Fragment;
+  }
+  return PacketFault::None;
+}
+
+} // namespace
+
+Result<PacketView, PacketFault>
+PacketView::Parse(std::span<std::byte> aBytes)
+{
+  auto const fault = CheckIpHeader(aBytes);
+  if (fault != PacketFault::None) {
+    return fault;
+  }
+  PacketView view;
+  view.mBytes = aBytes.first(LoadU16(aBytes, kTotalLengthOffset));
+  auto const protocol = std::to_integer<unsigned>(aBytes[kProtocolOffset]);
+  bool const tcp = protocol == static_cast<unsigned>(TransportProtocol::Tcp);
+  bool const udp = protocol == static_cast<unsigned>(TransportProtocol::Udp);
+  if (!tcp && !udp) {
+    return PacketFault::Protocol;
+  }
+  auto const transportBytes = tcp ? kTcpHeaderBytes : kUdpHeaderBytes;
+  if (view.mBytes.size() < kIpHeaderBytes + transportBytes) {
+    return PacketFault::Truncated;
+  }
+  view.mProtocol = tcp ? TransportProtocol::Tcp : TransportProtocol::Udp;
+  view.mSource = { { LoadU32(aBytes, kSourceOffset) },
+                   LoadU16(aBytes, kIpHeaderBytes) };
+  view.mDestination = { { LoadU32(aBytes, kDestinationOffset) },
+                        LoadU16(aBytes, kIpHeaderBytes + 2) };
+  if (tcp) {
+    view.mFlags = std::to_integer<std::uint8_t>(aBytes[kTcpFlagsOffset]);
+  }
+  return view;
+}
+
+void
+PacketView::RewriteSource(Endpoint aSource)
+{
+  Rewrite(kSourceOffset, kIpHeaderBytes, mSource, aSource);
+  mSource = aSource;
+}
+
+void
+PacketView::RewriteDestination(Endpoint aDestination)
+{
+  Rewrite(kDestinationOffset, kIpHeaderBytes + 2, mDestination, aDestination);
+  mDestination = aDestination;
+}
+
+void
+PacketView::Rewrite(std::size_t aAddressOffset,
+                    std::size_t aPortOffset,
+                    Endpoint aOld,
+                    Endpoint aNew)
+{
+  auto const oldHigh = static_cast<std::uint16_t>(aOld.mAddress.mValue >> 16);
+  auto const oldLow = static_cast<std::uint16_t>(aOld.mAddress.mValue & 0xFFFF);
+  auto const newHigh = static_cast<std::uint16_t>(aNew.mAddress.mValue >> 16);
+  auto const newLow = static_cast<std::uint16_t>(aNew.mAddress.mValue & 0xFFFF);
+  StoreU32(mBytes, aAddressOffset, aNew.mAddress.mValue);
+  StoreU16(mBytes, aPortOffset, aNew.mPort);
+  ReplaceWord(mBytes, kIpChecksumOffset, oldHigh, newHigh);
+  ReplaceWord(mBytes, kIpChecksumOffset, oldLow, newLow);
+
+  bool const tcp = mProtocol == TransportProtocol::Tcp;
+  auto const offset = tcp ? kTcpChecksumOffset : kUdpChecksumOffset;
+  if (!tcp && LoadU16(mBytes, offset) == 0) {
+    return; // A UDP sender may leave the checksum out (RFC 768).
+  }
+  ReplaceWord(mBytes, offset, oldHigh, newHigh);
+  ReplaceWord(mBytes, offset, oldLow, newLow);
+  ReplaceWord(mBytes, offset, aOld.mPort, aNew.mPort);
+  if (!tcp && LoadU16(mBytes, offset) == 0) {
+    StoreU16(mBytes, offset, 0xFFFF);
+  }
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/protocol/tarragonsill_yaml_reader.cpp
@@ -0,0 +1,252 @@
+#include "tarragonsill/protocol/tarragonsill_yaml_reader.hpp"
+
+#include <charconv>
+
+namespace tarragonsill {
+
+namespace {
+
+std::optional<std::uint64_t>
+ParseUnsigned(std::string_view aText)
+{
+  std::uint64_t value = 0;
+  auto const* const end = aText.data() + aText.size();
+  auto const [stop, error] = std::from_chars(aText.data(), end, value);
+  if (aText.empty() || error != std::errc{} || stop != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::optional<milliseconds>
+ParseTime(std::string_view aText)
+{
+  constexpr std::uint64_t kMost = 1'000'000'000;
+  bool const inMilliseconds = aText.ends_with("ms");
+  if (!inMilliseconds && !aText.ends_with("s")) {
+    return std::nullopt;
+  }
+  auto const number =
+    ParseUnsigned(aText.substr(0, aText.size() - (inMilliseconds ? 2 : 1)));
+  if (!number || *number > kMost) {
+    return std::nullopt;
+  }
+  return milliseconds{ *number * (inMilliseconds ? 1 : 1000) };
+}
+
+} // namespace
+
+std::string
+YamlFault::ToText() const
+{
+  auto text = mFile;
+  if (mLine > 0) {
+    text += ":" + std::to_string(mLine);
+  }
+  return text + ": " + (mKey.empty() ? "document" : mKey) + ": " + mExpected;
+}
+
+void
+YamlFaults::Add(YAML::Node const& aNode,
+                std::string aKey,
+                std::string aExpected)
+{
+  int const line = aNode.IsDefined() ? aNode.Mark().line + 1 : 0;
+  AddAtLine(line, std::move(aKey), std::move(aExpected));
+}
+
+void
+YamlFaults::AddAtLine(int aLine, std::string aKey, std::string aExpected)
+{
+  mFaults.push_back({ mFile, aLine, std::move(aKey), std::move(aExpected) });
+}
+
+std::optional<YAML::Node>
+LoadYaml(std::string const& aText, YamlFaults& aFaults)
+{
+  try {
+    return YAML::Load(aText);
+  } catch (YAML::Exception const& error) {
+    // The library reports by exception; here it becomes a value.
+    aFaults.AddAtLine(error.mark.line + 1, "", error.msg);
+    return std::nullopt;
+  }
+}
+
+YamlMapping::YamlMapping(YAML::Node aNode,
+                         std::string aKey,
+                         YamlFaults& aFaults)
+  : mNode(std::move(aNode))
+  , mKey(std::move(aKey))
+  , mFaults(aFaults)
+{
+  if (!mNode.IsMap()) {
+    mFaults.Add(mNode, mKey, "a mapping is expected");
+    mNode = YAML::Node(YAML::NodeType::Map);
+  }
+}
+
+std::string
+YamlMapping::Path(std::string const& aName) const
+{
+  return mKey.empty() ? aName : mKey + "." + aName;
+}
+
+YAML::Node
+YamlMapping::Take(std::string const& aName, bool aRequired)
+{
+  mRead.insert(aName);
+  YAML::Node const& constant = mNode;
+  auto child = constant[aName];
+  bool const absent = !child.IsDefined() || child.IsNull();
+  if (absent && aRequired) {
+    mFaults.Add(mNode, Path(aName), "this key is required");
+  }
+  return absent ? YAML::Node(YAML::NodeType::Undefined) : child;
+}
+
+std::optional<std::string>
+YamlMapping::Scalar(std::string const& aName, bool aRequired)
+{
+  auto const node = Take(aName, aRequired);
+  if (!node.IsDefined()) {
+    return std::nullopt;
+  }
+  if (!node.IsScalar()) {
+    mFaults.Add(node, Path(aName), "a single value is expected");
+    return std::nullopt;
+  }
+  return node.Scalar();
+}
+
+std::string
+YamlMapping::Text(std::string const& aName)
+{
+  auto const text = Scalar(aName, true);
+  if (text && text->empty()) {
+    Fault(aName, "a text that is not empty is expected");
+  }
+  return text.value_or("");
+}
+
+std::string
+YamlMapping::Text(std::string const& aName, std::string const& aDefault)
+{
+  return Scalar(aName, false).value_or(aDefault);
+}
+
+std::uint32_t
+YamlMapping::Number(std::string const& aName,
+                    std::uint32_t aLeast,
+                    std::uint32_t aMost,
+                    std::optional<std::uint32_t> aDefault)
+{
+  auto const text = Scalar(aName, !aDefault);
+  if (!text) {
+    return aDefault.value_or(aLeast);
+  }
+  auto const number = ParseUnsigned(*text);
+  if (!number || *number < aLeast || *number > aMost) {
+    Fault(aName,
+          "a whole number from " + std::to_string(aLeast) + " to " +
+            std::to_string(aMost) + " is expected, found '" + *text + "'");
+    return aLeast;
+  }
+  return static_cast<std::uint32_t>(*number);
+}
+
+milliseconds
+YamlMapping::Time(std::string const& aName,
+                  milliseconds aLeast,
+                  milliseconds aMost,
+                  std::optional<milliseconds> aDefault)
+{
+  auto const text = Scalar(aName, !aDefault);
+  if (!text) {
+    return aDefault.value_or(aLeast);
+  }
+  auto const time = ParseTime(*text);
+  if (!time || *time < aLeast || *time > aMost) {
+    Fault(aName,
+          "a time from " + std::to_string(aLeast.count()) + "ms to " +
+            std::to_string(aMost.count()) + "ms is expected, found '" + *text +
+            "'");
+    return aLeast;
+  }
+  return *time;
+}
+
+Endpoint
+YamlMapping::Address(std::string const& aName)
+{
+  auto const address = OptionalAddress(aName);
+  if (!address && !mNode[aName].IsDefined()) {
+    mFaults.Add(mNode, Path(aName), "this key is required");
+  }
+  return address.value_or(Endpoint{});
+}
+
+std::optional<Endpoint>
+YamlMapping::OptionalAddress(std::string const& aName)
+{
+  auto const text = Scalar(aName, false);
+  if (!text) {
+    return std::nullopt;
+  }
+  auto const endpoint = ParseEndpoint(*text);
+  if (!endpoint || endpoint->mPort == 0) {
+    Fault(aName, "ADDRESS:PORT is expected, found '" + *text + "'");
+    return std::nullopt;
+  }
+  return *endpoint;
+}
+
+std::vector<YAML::Node>
+YamlMapping::Items(std::string const& aName, bool aRequired)
+{
+  auto const node = Take(aName, aRequired);
+  std::vector<YAML::Node> items;
+  if (!node.IsDefined()) {
+    return items;
+  }
+  if (!node.IsSequence()) {
+    mFaults.Add(node, Path(aName), "a list is expected");
+    return items;
+  }
+  for (auto const& item : node) {
+    items.push_back(item);
+  }
+  return items;
+}
+
+std::optional<YamlMapping>
+YamlMapping::Nested(std::string const& aName, bool aRequired)
+{
+  auto const node = Take(aName, aRequired);
+  if (!node.IsDefined()) {
+    return std::nullopt;
+  }
+  return YamlMapping(node, Path(aName), mFaults);
+}
+
+void
+YamlMapping::Fault(std::string const& aName, std::string aExpected)
+{
+  YAML::Node const& constant = mNode;
+  auto const child = constant[aName];
+  mFaults.Add(child.IsDefined() ? child : mNode, Path(aName), aExpected);
+}
+
+void
+YamlMapping::Finish()
+{
+  for (auto const& entry : mNode) {
+    auto const name = entry.first.IsScalar() ? entry.first.Scalar() : "?";
+    if (mRead.count(name) > 0) {
+      continue;
+    }
+    mFaults.Add(entry.first, Path(name), "this key is not known");
+  }
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/protocol/tarragonsill_yaml_reader.hpp
@@ -0,0 +1,92 @@
+#ifndef TARRAGONSILL_YAML_READER_HPP_INCLUDED
+#define TARRAGONSILL_YAML_READER_HPP_INCLUDED
+
+#include "tarragonsill/state/tarragonsill_address.hpp"
+#include "tarragonsill/state/tarragonsill_time.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <yaml-cpp/yaml.h>
+
+/// Checked reading of YAML: every fault is collected with file, line and key.
+namespace tarragonsill {
+
+/// One fault in a YAML file.
+struct YamlFault
+{
+  std::string mFile;
+  int mLine = 0; ///< Counted from 1; 0 where no line can be named.
+  std::string mKey;
+  std::string mExpected;
+
+  std::string ToText() const;
+};
+
+/// Collects the faults of one file.
+class YamlFaults
+{
+public:
+  explicit YamlFaults(std::string aFile)
+    : mFile(std::move(aFile))
+  {
+  }
+  void Add(YAML::Node const& aNode, std::string aKey, std::string aExpected);
+  void AddAtLine(int aLine, std::string aKey, std::string aExpected);
+  std::vector<YamlFault> const& All() const { return mFaults; }
+
+private:
+  std::string mFile;
+  std::vector<YamlFault> mFaults;
+};
+
+/// Parses a document; a syntax error is added to the faults.
+std::optional<YAML::Node> LoadYaml(std::string const& aText,
+                                   YamlFaults& aFaults);
+
+/// Reads the keys of one mapping. A key that was not read is a fault.
+class YamlMapping
+{
+public:
+  YamlMapping(YAML::Node aNode, std::string aKey, YamlFaults& aFaults);
+
+  std::string Text(std::string const& aName);
+  std::string Text(std::string const& aName, std::string const& aDefault);
+  std::uint32_t Number(std::string const& aName,
+                       std::uint32_t aLeast,
+                       std::uint32_t aMost,
+                       std::optional<std::uint32_t> aDefault = std::nullopt);
+  /// Reads a time with its unit: `250ms` or `30s`.
+  milliseconds Time(std::string const& aName,
+                    milliseconds aLeast,
+                    milliseconds aMost,
+                    std::optional<milliseconds> aDefault = std::nullopt);
+  Endpoint Address(std::string const& aName);
+  std::optional<Endpoint> OptionalAddress(std::string const& aName);
+  /// The items of a sequence; empty if the key is absent and not required.
+  std::vector<YAML::Node> Items(std::string const& aName, bool aRequired);
+  /// A nested mapping; null if the key is absent and not required.
+  std::optional<YamlMapping> Nested(std::string const& aName, bool aRequired);
+  /// Adds a fault at a key of this mapping.
+  void Fault(std::string const& aName, std::string aExpected);
+  /// Reports every key that was not read.
+  void Finish();
+  std::string const& Key() const { return mKey; }
+
+private:
+  YAML::Node Take(std::string const& aName, bool aRequired);
+  std::optional<std::string> Scalar(std::string const& aName, bool aRequired);
+  std::string Path(std::string const& aName) const;
+
+  YAML::Node mNode;
+  std::string mKey;
+  YamlFaults& mFaults;
+  std::set<std::string> mRead;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_YAML_READER_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/state/tarragonsill_admission_right.hpp
@@ -0,0 +1,41 @@
+#ifndef TARRAGONSILL_ADMISSION_RIGHT_HPP_INCLUDED
+#define TARRAGONSILL_ADMISSION_RIGHT_HPP_INCLUDED
+
+#include "tarragonsill/state/tarragonsill_address.hpp"
+#include "tarragonsill/state/tarragonsill_configuration.hpp"
+#include "tarragonsill/state/tarragonsill_time.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+/// The leased right of this entry VM to admit work to an upstream.
+namespace tarragonsill {
+
+struct AdmissionRight
+{
+  Endpoint mUpstream;
+  /// Admission is allowed strictly before this monotonic time.
+  TimePoint mUntil{};
+  /// The most work that may be open; the other party of the lease knows it.
+  WorkLimit mCeiling;
+  /// Rises whenever the right is acquired anew.
+  std::uint64_t mTerm = 0;
+  /// Work that earlier owners may have left open when the term began.
+  WorkLimit mAdopted;
+};
+
+/// The rights held at present, one for each owned upstream.
+using AdmissionRights = std::vector<AdmissionRight>;
+
+/// Open work of one upstream as its owner counts it.
+struct UpstreamUsage
+{
+  Endpoint mUpstream;
+  WorkLimit mUsed;
+  bool mCold = true;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_ADMISSION_RIGHT_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/state/tarragonsill_flow_ledger.cpp
@@ -0,0 +1,145 @@
+#include "tarragonsill/state/tarragonsill_flow_ledger.hpp"
+
+#include "tarragonsill/state/tarragonsill_tcp_flags.hpp"
+
+#include <algorithm>
+
+namespace tarragonsill {
+
+namespace {
+
+constexpr std::uint32_t kFlowAnswersPerStep = 1;
+/// How long an ended flow stays counted, so that its last packets arrive.
+constexpr seconds kLinger{ 2 };
+/// How long a flow may wait for its first answer.
+constexpr seconds kFirstAnswerTimeout{ 10 };
+
+} // namespace
+
+FlowLedger::FlowLedger(Upstream const& aUpstream)
+  : mLimit(aUpstream.mLimit)
+  , mColdStart(aUpstream.mColdLimit.mConnections,
+               aUpstream.mLimit.mConnections,
+               kFlowAnswersPerStep)
+{
+}
+
+void
+FlowLedger::Configure(Upstream const& aUpstream)
+{
+  mLimit = aUpstream.mLimit;
+  mColdStart.Configure(aUpstream.mColdLimit.mConnections,
+                       aUpstream.mLimit.mConnections);
+}
+
+Admission
+FlowLedger::Admit(TimePoint aNow, std::uint64_t aFlow, std::uint32_t aCeiling)
+{
+  if (auto* known = mFlows.Find(aFlow)) {
+    known->mSeen = CoarseTime(aNow);
+    known->mMarks &= ~(kCallerEnded | kUpstreamEnded);
+    return Admission::AlreadyKnown;
+  }
+  if (Used() >= std::min(mLimit.mConnections, aCeiling)) {
+    return Admission::Full;
+  }
+  if (!mColdStart.HasRoom()) {
+    return Admission::Cold;
+  }
+  auto& entry = mFlows.FindOrInsert(aFlow);
+  entry.mSeen = CoarseTime(aNow);
+  entry.mMarks = kSinceCold;
+  mColdStart.Start();
+  return Admission::Admitted;
+}
+
+bool
+FlowLedger::NoteCaller(TimePoint aNow, std::uint64_t aFlow, std::uint8_t aFlags)
+{
+  auto* const entry = mFlows.Find(aFlow);
+  if (entry == nullptr) {
+    return false;
+  }
+  entry->mSeen = CoarseTime(aNow);
+  MarkEnd(*entry, aFlags, kCallerEnded);
+  return true;
+}
+
+void
+FlowLedger::NoteAnswer(TimePoint aNow, std::uint64_t aFlow, std::uint8_t aFlags)
+{
+  auto* const entry = mFlows.Find(aFlow);
+  if (entry == nullptr) {
+    Claim(aNow, aFlow);
+    return;
+  }
+  entry->mSeen = CoarseTime(aNow);
+  bool const established = (entry->mMarks & kEstablished) != 0;
+  if (!established && (aFlags & TcpFlags::kRst) != 0) {
+    mFlows.Erase(aFlow);
+    mColdStart.TurnCold();
+    mFlows.ForEach([](Entry& aEntry) { aEntry.mMarks &= ~kSinceCold; });
+    return;
+  }
+  if (!established) {
+    entry->mMarks |= kEstablished;
+    mColdStart.Answered();
+  }
+  MarkEnd(*entry, aFlags, kUpstreamEnded);
+}
+
+void
+FlowLedger::Adopt(TimePoint aNow, std::uint32_t aTotal)
+{
+  auto const known = static_cast<std::uint32_t>(mFlows.Size());
+  mUnknown = aTotal > known ? aTotal - known : 0;
+  mAdoptedAt = aNow;
+  mColdStart.TurnCold();
+  mFlows.ForEach([](Entry& aEntry) { aEntry.mMarks &= ~kSinceCold; });
+}
+
+bool
+FlowLedger::Claim(TimePoint aNow, std::uint64_t aFlow)
+{
+  if (mUnknown == 0) {
+    return false;
+  }
+  --mUnknown;
+  auto& entry = mFlows.FindOrInsert(aFlow);
+  entry.mSeen = CoarseTime(aNow);
+  entry.mMarks = kEstablished;
+  return true;
+}
+
+void
+FlowLedger::Sweep(TimePoint aNow, Duration aIdleTimeout)
+{
+  if (mUnknown > 0 && aNow - mAdoptedAt > aIdleTimeout) {
+    mUnknown = 0;
+  }
+  constexpr auto kBothEnded = kCallerEnded | kUpstreamEnded;
+  mFlows.EraseIf([&](Entry const& aEntry) {
+    auto const age = aEntry.mSeen.AgeAt(aNow);
+    bool const ended = (aEntry.mMarks & kBothEnded) == kBothEnded;
+    bool const established = (aEntry.mMarks & kEstablished) != 0;
+    bool const expired = age > aIdleTimeout || (ended && age > kLinger) ||
+                         (!established && age > kFirstAnswerTimeout);
+    if (expired && (aEntry.mMarks & kSinceCold) != 0) {
+      mColdStart.End();
+    }
+    return expired;
+  });
+}
+
+void
+FlowLedger::MarkEnd(Entry& aEntry, std::uint8_t aFlags, Mark aSide)
+{
+  if ((aFlags & TcpFlags::kRst) != 0) {
+    aEntry.mMarks |= kCallerEnded | kUpstreamEnded;
+  }
+  if ((aFlags & TcpFlags::kFin) != 0) {
+    aEntry.mMarks |= aSide;
+  }
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/state/tarragonsill_flow_ledger.hpp
@@ -0,0 +1,93 @@
+#ifndef TARRAGONSILL_FLOW_LEDGER_HPP_INCLUDED
+#define TARRAGONSILL_FLOW_LEDGER_HPP_INCLUDED
+
+#include "tarragonsill/state/tarragonsill_coarse_time.hpp"
+#include "tarragonsill/state/tarragonsill_cold_start.hpp"
+#include "tarragonsill/state/tarragonsill_configuration.hpp"
+#include "tarragonsill/state/tarragonsill_flow_table.hpp"
+
+/// The admission owner's account of the flows of one upstream.
+namespace tarragonsill {
+
+enum class Admission : std::uint8_t
+{
+  Admitted,
+  AlreadyKnown, ///< A repeated first packet of an admitted flow.
+  Full,         ///< The connection limit or the lease's ceiling is reached.
+  Cold,         ///< The upstream is warming up and bears no more as yet.
+};
+
+namespace Detail {
+
+struct LedgerEntry
+{
+  std::uint64_t mKey = 0;
+  CoarseTime mSeen;
+  std::uint8_t mMarks = 0;
+};
+static_assert(sizeof(LedgerEntry) == 16);
+
+} // namespace Detail
+
+/// Counts the flows of one upstream exactly. Flows that an earlier owner
+/// admitted are first held as a number only ("unknown") and become known as
+/// their packets pass.
+class FlowLedger
+{
+public:
+  explicit FlowLedger(Upstream const& aUpstream);
+
+  /// Takes over limits from a newer configuration.
+  void Configure(Upstream const& aUpstream);
+
+  /// Admits a new flow if the limits and the ceiling leave room.
+  Admission Admit(TimePoint aNow, std::uint64_t aFlow, std::uint32_t aCeiling);
+
+  /// Notes a packet of a flow from its caller; false if the flow is not known.
+  bool NoteCaller(TimePoint aNow, std::uint64_t aFlow, std::uint8_t aFlags);
+  /// Notes an answer; a reset before the flow was established counts as a
+  /// refusal by the upstream.
+  void NoteAnswer(TimePoint aNow, std::uint64_t aFlow, std::uint8_t aFlags);
+
+  /// Takes over from an earlier owner that had admitted `aTotal` flows.
+  void Adopt(TimePoint aNow, std::uint32_t aTotal);
+  /// Treats a flow as one that an earlier owner admitted; false if there are
+  /// no such flows left to account for.
+  bool Claim(TimePoint aNow, std::uint64_t aFlow);
+  /// Says whether every open flow of the upstream is known here.
+  bool Complete() const { return mUnknown == 0; }
+  bool Contains(std::uint64_t aFlow) { return mFlows.Find(aFlow) != nullptr; }
+
+  /// Drops flows that ended or fell idle.
+  void Sweep(TimePoint aNow, Duration aIdleTimeout);
+
+  /// Open flows, with those of earlier owners.
+  std::uint32_t Used() const
+  {
+    return static_cast<std::uint32_t>(mFlows.Size()) + mUnknown;
+  }
+  bool IsCold() const { return mColdStart.IsCold(); }
+  std::size_t MemoryBytes() const { return mFlows.MemoryBytes(); }
+
+private:
+  enum Mark : std::uint8_t
+  {
+    kEstablished = 1,
+    kCallerEnded = 2,
+    kUpstreamEnded = 4,
+    kSinceCold = 8,
+  };
+  using Entry = Detail::LedgerEntry;
+
+  static void MarkEnd(Entry& aEntry, std::uint8_t aFlags, Mark aSide);
+
+  WorkLimit mLimit;
+  ColdStart mColdStart;
+  FlowTable<Entry> mFlows;
+  std::uint32_t mUnknown = 0;
+  TimePoint mAdoptedAt{};
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_FLOW_LEDGER_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/state/tarragonsill_steering_snapshot.cpp
@@ -0,0 +1,226 @@
+#include "tarragonsill/state/tarragonsill_steering_snapshot.hpp"
+
+#include "tarragonsill/state/tarragonsill_placement.hpp"
+
+#include <algorithm>
+
+namespace tarragonsill {
+
+namespace {
+
+constexpr std::size_t kHomesInZone = 2;
+
+/// Builds one snapshot step by step.
+class Builder
+{
+public:
+  Builder(Configuration const& aConfiguration,
+          std::vector<Member> aEntries,
+          std::string const& aSelf,
+          SteeringSnapshot const* aPrevious)
+    : mConfiguration(aConfiguration)
+    , mPrevious(aPrevious)
+    , mSnapshot(std::make_shared<SteeringSnapshot>())
+  {
+    mSnapshot->mVersion = aConfiguration.mVersion;
+    mSnapshot->mZones = aConfiguration.mZones;
+    mSnapshot->mEntries = std::move(aEntries);
+    for (std::size_t index = 0; index < mSnapshot->mEntries.size(); ++index) {
+      auto const& entry = mSnapshot->mEntries[index];
+      mHashes.push_back(entry.NameHash());
+      if (entry.mName == aSelf) {
+        mSnapshot->mSelf = static_cast<EntryIndex>(index);
+      }
+    }
+  }
+
+  std::shared_ptr<SteeringSnapshot const> Run()
+  {
+    for (auto const& service : mConfiguration.mServices) {
+      AddService(service);
+    }
+    return mSnapshot;
+  }
+
+private:
+  bool ZoneIn(std::string const& aZone) const
+  {
+    auto const* zone = mConfiguration.FindZone(aZone);
+    return zone != nullptr && zone->mState == ZoneState::In;
+  }
+
+  /// The serving entry VMs of a zone, best placement first.
+  std::vector<EntryIndex> RankZone(std::uint64_t aKey,
+                                   std::string const& aZone,
+                                   std::size_t aMost) const
+  {
+    std::vector<std::pair<std::uint64_t, EntryIndex>> scored;
+    for (std::size_t index = 0; index < mSnapshot->mEntries.size(); ++index) {
+      auto const& entry = mSnapshot->mEntries[index];
+      if (entry.mZone != aZone || !entry.IsServing()) {
+        continue;
+      }
+      scored.emplace_back(PlacementScore(aKey, mHashes[index]),
+                          static_cast<EntryIndex>(index));
+    }
+    std::sort(scored.rbegin(), scored.rend());
+    std::vector<EntryIndex> ranked;
+    for (auto const& [score, entry] : scored) {
+      if (ranked.size() == aMost) {
+        break;
+      }
+      ranked.push_back(entry);
+    }
+    return ranked;
+  }
+
+  /// The zones in service other than the given one, in the key's own order.
+  std::vector<std::string> OtherZones(std::uint64_t aKey,
+                                      std::string const& aZone) const
+  {
+    std::vector<std::string> names;
+    std::vector<std::uint64_t> hashes;
+    for (auto const& zone : mConfiguration.mZones) {
+      if (zone.mName == aZone || zone.mState == ZoneState::Out) {
+        continue;
+      }
+      names.push_back(zone.mName);
+      hashes.push_back(HashText(zone.mName));
+    }
+    std::vector<std::string> ordered;
+    for (auto const index : RankCandidates(aKey, hashes)) {
+      ordered.push_back(names[index]);
+    }
+    return ordered;
+  }
+
+  BaseView MakeBase(BaseShare const& aShare) const
+  {
+    BaseView view;
+    view.mAddress = aShare.mAddress;
+    view.mZoneIn = ZoneIn(aShare.mZone);
+    auto const key = PlacementKey(aShare.mAddress);
+    if (view.mZoneIn) {
+      view.mChain = RankZone(key, aShare.mZone, kHomesInZone);
+      view.mHomeInZone = !view.mChain.empty();
+    }
+    for (auto const& zone : OtherZones(key, aShare.mZone)) {
+      auto const ranked = RankZone(key, zone, 1);
+      view.mChain.insert(view.mChain.end(), ranked.begin(), ranked.end());
+    }
+    auto const found = mSnapshot->mUpstreamByAddress.find(aShare.mAddress);
+    if (found != mSnapshot->mUpstreamByAddress.end()) {
+      view.mUpstream = found->second;
+    }
+    return view;
+  }
+
+  SteeringTable MakeTable(Service const& aService) const
+  {
+    if (mPrevious != nullptr) {
+      for (auto const& previous : mPrevious->mServices) {
+        bool const same = previous.mService.mName == aService.mName &&
+                          previous.mService.mBase == aService.mBase;
+        if (same) {
+          return previous.mTable;
+        }
+      }
+    }
+    return SteeringTable::Build(aService.mBase);
+  }
+
+  void AddUpstream(ServiceView& aService,
+                   std::size_t aServiceIndex,
+                   Upstream const& aUpstream)
+  {
+    UpstreamView view;
+    view.mUpstream = aUpstream;
+    view.mService = aServiceIndex;
+    view.mZoneIn = ZoneIn(aUpstream.mZone);
+    view.mKey = PlacementKey(aUpstream.mAddress);
+    auto const ranked = RankZone(view.mKey, aUpstream.mZone, 1);
+    if (!ranked.empty()) {
+      view.mOwner = ranked.front();
+    }
+    auto const index = mSnapshot->mUpstreams.size();
+    mSnapshot->mUpstreamByAddress[aUpstream.mAddress] = index;
+    aService.mUpstreams.push_back(index);
+    mSnapshot->mUpstreams.push_back(std::move(view));
+  }
+
+  void AddService(Service const& aService)
+  {
+    auto const index = mSnapshot->mServices.size();
+    ServiceView view;
+    view.mService = aService;
+    view.mTable = MakeTable(aService);
+    for (auto const& upstream : aService.mUpstreams) {
+      AddUpstream(view, index, upstream);
+    }
+    for (auto const& share : aService.mBase) {
+      view.mBase.push_back(MakeBase(share));
+    }
+    for (auto const& retired : aService.mRetired) {
+      mSnapshot->mRetired[retired] = index;
+    }
+    mSnapshot->mServiceByAddress[aService.mAddress] = index;
+    mSnapshot->mServices.push_back(std::move(view));
+  }
+
+  Configuration const& mConfiguration;
+  SteeringSnapshot const* mPrevious;
+  std::shared_ptr<SteeringSnapshot> mSnapshot;
+  std::vector<std::uint64_t> mHashes;
+};
+
+} // namespace
+
+std::shared_ptr<SteeringSnapshot const>
+SteeringSnapshot::Build(Configuration const& aConfiguration,
+                        std::vector<Member> aEntries,
+                        std::string const& aSelf,
+                        SteeringSnapshot const* aPrevious)
+{
+  return Builder(aConfiguration, std::move(aEntries), aSelf, aPrevious).Run();
+}
+
+std::vector<std::size_t>
+SteeringSnapshot::Candidates(std::size_t aService, std::uint64_t aFlow) const
+{
+  auto const& service = mServices[aService];
+  std::string zone;
+  std::optional<std::size_t> first;
+  if (!service.mTable.Empty()) {
+    auto const share = service.mTable.Pick(aFlow);
+    first = service.mBase[share].mUpstream;
+    zone = service.mService.mBase[share].mZone;
+  }
+  struct Scored
+  {
+    unsigned mTier;
+    std::uint64_t mScore;
+    std::size_t mUpstream;
+  };
+  std::vector<Scored> scored;
+  for (auto const index : service.mUpstreams) {
+    auto const& view = mUpstreams[index];
+    if (!view.TakesNewWork()) {
+      continue;
+    }
+    unsigned const tier = first == index                   ? 0
+                          : view.mUpstream.mZone == zone ? 1
+                                                           : 2;
+    scored.push_back({ tier, PlacementScore(aFlow, view.mKey), index });
+  }
+  std::sort(scored.begin(), scored.end(), [](auto& aLeft, auto& aRight) {
+    return aLeft.mTier != aRight.mTier ? aLeft.mTier < aRight.mTier
+                                       : aLeft.mScore > aRight.mScore;
+  });
+  std::vector<std::size_t> ordered;
+  for (auto const& candidate : scored) {
+    ordered.push_back(candidate.mUpstream);
+  }
+  return ordered;
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/state/tarragonsill_time.hpp
@@ -0,0 +1,20 @@
+#ifndef TARRAGONSILL_TIME_HPP_INCLUDED
+#define TARRAGONSILL_TIME_HPP_INCLUDED
+
+#include <chrono>
+
+/// The time types of the core. The core never reads a clock: every function
+/// that depends on the time takes a `TimePoint` from its caller.
+namespace tarragonsill {
+
+/// Names the monotonic time base; used for its types only.
+using Clock = std::chrono::steady_clock;
+using TimePoint = Clock::time_point;
+using Duration = Clock::duration;
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_TIME_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/state/tarragonsill_token_bucket.hpp
@@ -0,0 +1,56 @@
+#ifndef TARRAGONSILL_TOKEN_BUCKET_HPP_INCLUDED
+#define TARRAGONSILL_TOKEN_BUCKET_HPP_INCLUDED
+
+#include "tarragonsill/state/tarragonsill_time.hpp"
+
+#include <algorithm>
+
+/// A token bucket for budgets.
+namespace tarragonsill {
+
+class TokenBucket
+{
+public:
+  /// Starts full. With a rate of 0 tokens come from `Deposit` only.
+  TokenBucket(double aPerSecond, double aBurst)
+    : mPerSecond(aPerSecond)
+    , mBurst(aBurst)
+    , mTokens(aBurst)
+  {
+  }
+
+  /// Takes a token; false if there is none.
+  bool Take(TimePoint aNow)
+  {
+    Refill(aNow);
+    if (mTokens < 1.0) {
+      return false;
+    }
+    mTokens -= 1.0;
+    return true;
+  }
+
+  void Deposit(double aTokens)
+  {
+    mTokens = std::min(mBurst, mTokens + aTokens);
+  }
+
+private:
+  void Refill(TimePoint aNow)
+  {
+    if (mLast != TimePoint{} && aNow > mLast) {
+      std::chrono::duration<double> const elapsed = aNow - mLast;
+      Deposit(elapsed.count() * mPerSecond);
+    }
+    mLast = std::max(mLast, aNow);
+  }
+
+  double mPerSecond;
+  double mBurst;
+  double mTokens;
+  TimePoint mLast{};
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_TOKEN_BUCKET_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_actor_messages.hpp
@@ -0,0 +1,144 @@
+#ifndef TARRAGONSILL_ACTOR_MESSAGES_HPP_INCLUDED
+#define TARRAGONSILL_ACTOR_MESSAGES_HPP_INCLUDED
+
+#include "tarragonsill/coordination/tarragonsill_call_ledger.hpp"
+#include "tarragonsill/coordination/tarragonsill_control_plane.hpp"
+#include "tarragonsill/coordination/tarragonsill_slot_ledger.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <caf/all.hpp>
+
+/// Messages between the actors of one entry VM. They stay inside the process.
+namespace tarragonsill {
+
+/// A control datagram that has been parsed.
+struct DatagramReceived
+{
+  std::shared_ptr<wire::PeerMessage const> mMessage;
+};
+
+/// A configuration from the platform or a peer.
+struct ConfigurationReceived
+{
+  std::shared_ptr<Configuration const> mConfiguration;
+  std::string mText;
+  std::string mSource;
+};
+
+struct VmListReceived
+{
+  std::vector<PlatformVm> mVms;
+};
+
+/// What the call part needs to decide.
+struct CallView
+{
+  std::shared_ptr<SteeringSnapshot const> mSnapshot;
+  std::shared_ptr<Configuration const> mConfiguration;
+  std::shared_ptr<AdmissionRights const> mRights;
+};
+
+struct BeginCall
+{
+  std::string mCallId;
+  std::uint32_t mAttempt = 1;
+};
+
+struct CallDecision
+{
+  CallVerdict mVerdict = CallVerdict::Uncertain;
+  /// Set if this entry VM is not the call's home at present.
+  bool mNotHome = false;
+  std::shared_ptr<CallResult const> mResult;
+};
+
+/// Asks for the outcome of a call without changing its record.
+struct PeekCall
+{
+  std::string mCallId;
+};
+
+struct PeekDecision
+{
+  bool mRunning = false;
+  std::shared_ptr<CallResult const> mResult;
+};
+
+struct FinishCall
+{
+  std::string mCallId;
+  std::shared_ptr<CallResult const> mResult;
+};
+
+struct QueryCall
+{
+  std::string mCallId;
+};
+
+struct QueryDecision
+{
+  CallLedger::QueryVerdict mVerdict = CallLedger::QueryVerdict::Uncertain;
+  std::shared_ptr<CallResult const> mResult;
+};
+
+struct AdmitSlot
+{
+  Endpoint mUpstream;
+};
+
+enum class SlotEnd : std::uint8_t
+{
+  Answered,
+  Refused,
+  Abandoned,
+  Cancelled,
+};
+
+struct EndSlot
+{
+  Endpoint mUpstream;
+  SlotEnd mEnd = SlotEnd::Abandoned;
+};
+
+} // namespace tarragonsill
+
+CAF_BEGIN_TYPE_ID_BLOCK(tarragonsill, first_custom_type_id)
+CAF_ADD_TYPE_ID(tarragonsill, (tarragonsill::DatagramReceived))
+CAF_ADD_TYPE_ID(tarragonsill, (tarragonsill::ConfigurationReceived))
+CAF_ADD_TYPE_ID(tarragonsill, (tarragonsill::VmListReceived))
+CAF_ADD_TYPE_ID(tarragonsill, (tarragonsill::CallView))
+CAF_ADD_TYPE_ID(tarragonsill, (tarragonsill::BeginCall))
+CAF_ADD_TYPE_ID(tarragonsill, (tarragonsill::CallDecision))
+CAF_ADD_TYPE_ID(tarragonsill, (tarragonsill::PeekCall))
+CAF_ADD_TYPE_ID(tarragonsill, (tarragonsill::PeekDecision))
+CAF_ADD_TYPE_ID(tarragonsill, (tarragonsill::FinishCall))
+CAF_ADD_TYPE_ID(tarragonsill, (tarragonsill::QueryCall))
+CAF_ADD_TYPE_ID(tarragonsill, (tarragonsill::QueryDecision))
+CAF_ADD_TYPE_ID(tarragonsill, (tarragonsill::AdmitSlot))
+CAF_ADD_TYPE_ID(tarragonsill, (tarragonsill::SlotAdmission))
+CAF_ADD_TYPE_ID(tarragonsill, (tarragonsill::EndSlot))
+CAF_ADD_TYPE_ID(tarragonsill, (tarragonsill::Member))
+CAF_ADD_ATOM(tarragonsill, tarragonsill, TickAtom, "tick")
+CAF_ADD_ATOM(tarragonsill, tarragonsill, LeaveAtom, "leave")
+CAF_END_TYPE_ID_BLOCK(tarragonsill)
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::DatagramReceived)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::ConfigurationReceived)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::VmListReceived)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::CallView)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::BeginCall)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::CallDecision)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::PeekCall)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::PeekDecision)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::FinishCall)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::QueryCall)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::QueryDecision)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::AdmitSlot)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::SlotAdmission)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::EndSlot)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::Member)
+
+#endif // TARRAGONSILL_ACTOR_MESSAGES_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_configuration_actor.cpp
@@ -0,0 +1,184 @@
+#include "tarragonsill/transport/tarragonsill_configuration_actor.hpp"
+
+#include "tarragonsill/protocol/tarragonsill_configuration_yaml.hpp"
+#include "tarragonsill/transport/tarragonsill_log.hpp"
+
+#include <algorithm>
+
+namespace tarragonsill {
+
+namespace {
+
+constexpr milliseconds kWatchWait{ 1000 };
+constexpr milliseconds kIdlePeriod{ 300 };
+constexpr milliseconds kListPeriod{ 1000 };
+constexpr milliseconds kPeerTimeout{ 1000 };
+
+/// Counts failures in a row and logs the first and the last one.
+class FailureLog
+{
+public:
+  explicit FailureLog(std::string aPart)
+    : mPart(std::move(aPart))
+  {
+  }
+
+  void Failed(Reason const& aReason)
+  {
+    if (mFailures++ == 0) {
+      LogWarn(mPart + "platform is not available: " + aReason.mText);
+    }
+  }
+  void Succeeded()
+  {
+    if (mFailures > 0) {
+      LogInfo(mPart + "platform is available again");
+    }
+    mFailures = 0;
+  }
+  unsigned Failures() const { return mFailures; }
+
+private:
+  std::string mPart;
+  unsigned mFailures = 0;
+};
+
+void
+Accept(caf::event_based_actor* aSelf,
+       caf::actor const& aControl,
+       EntryState& aState,
+       std::string const& aText,
+       std::uint64_t aVersion,
+       std::string const& aSource)
+{
+  auto configuration = ParseConfigurationText(aText, aVersion);
+  if (!configuration) {
+    aState.mCounters.Add(Counter::ConfigurationsRefused);
+    LogError("config: version " + std::to_string(aVersion) +
+             " is refused: " + configuration.LastReason().mText);
+    return;
+  }
+  aSelf->send(aControl,
+              ConfigurationReceived{ configuration.Take(), aText, aSource });
+}
+
+} // namespace
+
+std::string
+ConfigurationObject(std::string const& aDeployment)
+{
+  return aDeployment + "-configuration";
+}
+
+Result<std::shared_ptr<Configuration const>>
+ParseConfigurationText(std::string const& aText, std::uint64_t aVersion)
+{
+  YamlFaults faults("configuration");
+  auto configuration = ReadConfiguration(aText, faults);
+  if (!configuration) {
+    return Reason{ ReasonCode::Invalid, faults.All().front().ToText() };
+  }
+  configuration->mVersion = aVersion;
+  return std::shared_ptr<Configuration const>(
+    std::make_shared<Configuration>(std::move(*configuration)));
+}
+
+caf::behavior
+PeerFetchActor(caf::event_based_actor* aSelf,
+               std::shared_ptr<EntryState> aState,
+               std::shared_ptr<CallChannels> aChannels)
+{
+  return {
+    [=](Member const& aPeer) {
+      auto const control = caf::actor_cast<caf::actor>(aSelf->current_sender());
+      if (!aChannels->Connect(aPeer.mCalls, kPeerTimeout)) {
+        return;
+      }
+      auto const held = aState->mConfigurationText.Value().mVersion;
+      auto const stub = wire::Entry::NewStub(aChannels->To(aPeer.mCalls));
+      grpc::ClientContext context;
+      context.set_deadline(std::chrono::system_clock::now() + kPeerTimeout);
+      wire::ConfigurationRequest request;
+      request.set_newer_than(held);
+      wire::ConfigurationReply reply;
+      auto const status = stub->FetchConfiguration(&context, request, &reply);
+      if (!status.ok() || reply.version() <= held) {
+        return;
+      }
+      Accept(aSelf,
+             control,
+             *aState,
+             reply.text(),
+             reply.version(),
+             "peer:" + aPeer.mName);
+    },
+  };
+}
+
+caf::behavior
+WatchActor(caf::event_based_actor* aSelf,
+           PlatformActorArguments aArguments,
+           caf::actor aControl)
+{
+  auto const failures = std::make_shared<FailureLog>("config: ");
+  aSelf->send(aSelf, TickAtom::value);
+  return {
+    [=](TickAtom) {
+      auto& state = *aArguments.mState;
+      auto const status = state.mStatus.Value();
+      bool const asks = status.mIsWatcher || status.mVersion == 0;
+      if (!asks) {
+        aSelf->delayed_send(aSelf, kIdlePeriod, TickAtom::value);
+        return;
+      }
+      auto const object = aArguments.mClient->Watch(
+        ConfigurationObject(state.mSettings.mDeployment),
+        state.mConfigurationText.Value().mVersion,
+        kWatchWait);
+      if (object) {
+        failures->Succeeded();
+        Accept(aSelf,
+               aControl,
+               state,
+               object->mText,
+               object->mVersion,
+               "platform");
+        aSelf->delayed_send(aSelf, kIdlePeriod, TickAtom::value);
+        return;
+      }
+      auto const code = object.LastReason().mCode;
+      if (code == ReasonCode::Timeout) {
+        failures->Succeeded();
+        aSelf->send(aSelf, TickAtom::value);
+        return;
+      }
+      failures->Failed(object.LastReason());
+      aSelf->delayed_send(aSelf,
+                          aArguments.mClient->Backoff(failures->Failures()),
+                          TickAtom::value);
+    },
+  };
+}
+
+caf::behavior
+VmListActor(caf::event_based_actor* aSelf,
+            PlatformActorArguments aArguments,
+            caf::actor aControl)
+{
+  aSelf->send(aSelf, TickAtom::value);
+  return {
+    [=](TickAtom) {
+      aSelf->delayed_send(aSelf, kListPeriod, TickAtom::value);
+      auto const status = aArguments.mState->mStatus.Value();
+      if (!status.mIsWatcher && status.mVersion != 0) {
+        return;
+      }
+      auto vms = aArguments.mClient->ListVms();
+      if (vms) {
+        aSelf->send(aControl, VmListReceived{ vms.Take() });
+      }
+    },
+  };
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_control_actor.cpp
@@ -0,0 +1,238 @@
+#include "tarragonsill/transport/tarragonsill_control_actor.hpp"
+
+#include "tarragonsill/state/tarragonsill_placement.hpp"
+#include "tarragonsill/transport/tarragonsill_log.hpp"
+
+#include <algorithm>
+
+namespace tarragonsill {
+
+namespace {
+
+constexpr milliseconds kTick{ 20 };
+/// Rights are passed on at least this often, to carry renewed leases.
+constexpr milliseconds kRightsPeriod{ 100 };
+constexpr std::size_t kWatchersPerZone = 2;
+
+Member
+SelfOf(ControlActorArguments const& aArguments)
+{
+  auto const& settings = aArguments.mState->mSettings;
+  Member self;
+  self.mName = settings.mEntry;
+  self.mZone = settings.mZone;
+  self.mControl = settings.mControl;
+  self.mData = settings.mData;
+  self.mCalls = settings.mCalls;
+  self.mIncarnation = aArguments.mIncarnation;
+  return self;
+}
+
+char const*
+StageText(MemberStage aStage)
+{
+  switch (aStage) {
+    case MemberStage::Joining:
+      return "joining";
+    case MemberStage::Serving:
+      return "serving";
+    case MemberStage::Leaving:
+      return "leaving";
+  }
+  return "undefined";
+}
+
+/// Says whether this member is one of the few of its zone that ask the
+/// platform; the others hear from them.
+bool
+IsWatcher(std::vector<Member> const& aMembers, Member const& aSelf)
+{
+  if (aSelf.mStage == MemberStage::Joining) {
+    return true;
+  }
+  std::size_t ahead = 0;
+  for (auto const& member : aMembers) {
+    bool const outranks = member.mZone == aSelf.mZone && member.IsServing() &&
+                          member.NameHash() > aSelf.NameHash();
+    ahead += outranks ? 1 : 0;
+  }
+  return ahead < kWatchersPerZone;
+}
+
+/// Holds the control plane and its connections to the other parts.
+class ControlDriver
+{
+public:
+  ControlDriver(caf::event_based_actor* aSelf, ControlActorArguments aArguments)
+    : mSelf(aSelf)
+    , mArguments(std::move(aArguments))
+    , mPlane(ControlPlane::Options{},
+             SelfOf(mArguments),
+             mArguments.mState->mSettings.mSeeds,
+             mArguments.mState->mCounters)
+  {
+  }
+
+  void Tick()
+  {
+    auto const now = Clock::now();
+    TakeWorkerReport();
+    Outbox outbox;
+    mPlane.Tick(now, outbox);
+    Send(outbox);
+    Publish(now);
+  }
+
+  void Receive(DatagramReceived const& aReceived)
+  {
+    Outbox outbox;
+    mPlane.Handle(Clock::now(), *aReceived.mMessage, outbox);
+    Send(outbox);
+    auto const newer = mPlane.PeerWithNewerConfiguration();
+    if (newer) {
+      mSelf->send(mArguments.mConfiguration, *newer);
+    }
+  }
+
+  void Receive(VmListReceived const& aReceived)
+  {
+    Outbox outbox;
+    mPlane.HandleVmList(Clock::now(), aReceived.mVms, outbox);
+    Send(outbox);
+  }
+
+  void Receive(ConfigurationReceived const& aReceived)
+  {
+    auto const version = aReceived.mConfiguration->mVersion;
+    auto const current = mPlane.Current() ? mPlane.Current()->mVersion : 0;
+    if (version <= current) {
+      return;
+    }
+    mPlane.SetConfiguration(aReceived.mConfiguration);
+    mArguments.mState->mConfigurationText.Set({ version, aReceived.mText });
+    LogInfo("config: version " + std::to_string(version) +
+            " is in force source=" + aReceived.mSource);
+  }
+
+  void Leave()
+  {
+    LogInfo("member: leaving and handing over");
+    mPlane.BeginLeaving();
+  }
+
+private:
+  void TakeWorkerReport()
+  {
+    auto report = mArguments.mWorker->TakeReport();
+    for (auto const& decision : report.mDecisions) {
+      LogInfo(ToLogLine(decision));
+    }
+    mPlane.SetUsage(report.mUsage, report.mRightsRevision);
+    mPlane.SendExceptions(std::move(report.mTransfers));
+    mUsage = std::move(report.mUsage);
+    mExceptions = report.mExceptions;
+    mMemoryBytes = report.mMemoryBytes;
+    mReportNumber = report.mNumber;
+  }
+
+  void Send(Outbox& aOutbox)
+  {
+    mPlane.Decorate(aOutbox);
+    auto& counters = mArguments.mState->mCounters;
+    for (auto const& outgoing : aOutbox) {
+      auto const bytes = outgoing.mMessage.SerializeAsString();
+      counters.Add(Counter::ControlMessagesSent);
+      counters.Add(Counter::ControlBytesSent, bytes.size());
+      mArguments.mSend(outgoing.mTo, bytes);
+    }
+  }
+
+  void Publish(TimePoint aNow)
+  {
+    WorkerOrders orders;
+    orders.mExceptions = mPlane.TakeReceivedExceptions();
+    auto const snapshot = mPlane.Snapshot();
+    bool const newSnapshot = snapshot != mSnapshot;
+    if (newSnapshot) {
+      mSnapshot = snapshot;
+      mSnapshotReport = mReportNumber;
+      orders.mSnapshot = snapshot;
+    }
+    bool const rightsDue = mRightsRevision != mPlane.RightsRevision() ||
+                           aNow >= mNextRights;
+    if (rightsDue) {
+      mNextRights = aNow + kRightsPeriod;
+      mRightsRevision = mPlane.RightsRevision();
+      mRights = std::make_shared<AdmissionRights const>(mPlane.Rights(aNow));
+      orders.mRights = mRights;
+      orders.mRightsRevision = mRightsRevision;
+    }
+    if (newSnapshot || rightsDue) {
+      CallView const view{ mSnapshot, mPlane.Current(), mRights };
+      mArguments.mState->mView.Set(view);
+      mSelf->send(mArguments.mCalls, view);
+      PublishStatus();
+    }
+    if (newSnapshot || rightsDue || !orders.mExceptions.empty()) {
+      mArguments.mWorker->Post(std::move(orders));
+    }
+  }
+
+  void PublishStatus()
+  {
+    EntryStatus status;
+    status.mSelf = mPlane.Members().Self();
+    status.mMembers = mPlane.Members().Members();
+    status.mVersion = mPlane.Current() ? mPlane.Current()->mVersion : 0;
+    status.mRights = mRights ? *mRights : AdmissionRights{};
+    status.mUsage = mUsage;
+    status.mExceptions = mExceptions;
+    status.mWorkerMemoryBytes = mMemoryBytes;
+    status.mIsWatcher = IsWatcher(status.mMembers, status.mSelf);
+    // The worker queues its transfers when it applies the snapshot, which
+    // shows in the reports after that.
+    status.mHandedOver =
+      mPlane.HandedOver() && mReportNumber > mSnapshotReport + 2;
+    if (status.mSelf.mStage != mStage) {
+      mStage = status.mSelf.mStage;
+      LogInfo(std::string("member: this entry VM is now ") +
+              StageText(mStage));
+    }
+    mArguments.mState->mStatus.Set(std::move(status));
+  }
+
+  caf::event_based_actor* mSelf;
+  ControlActorArguments mArguments;
+  ControlPlane mPlane;
+  std::shared_ptr<SteeringSnapshot const> mSnapshot;
+  std::shared_ptr<AdmissionRights const> mRights;
+  std::uint64_t mRightsRevision = 0;
+  TimePoint mNextRights{};
+  std::vector<UpstreamUsage> mUsage;
+  std::size_t mExceptions = 0;
+  std::size_t mMemoryBytes = 0;
+  std::uint64_t mReportNumber = 0;
+  std::uint64_t mSnapshotReport = 0;
+  MemberStage mStage = MemberStage::Joining;
+};
+
+} // namespace
+
+caf::behavior
+ControlActor(caf::event_based_actor* aSelf, ControlActorArguments aArguments)
+{
+  auto driver = std::make_shared<ControlDriver>(aSelf, std::move(aArguments));
+  aSelf->send(aSelf, TickAtom::value);
+  return {
+    [=](TickAtom) {
+      aSelf->delayed_send(aSelf, kTick, TickAtom::value);
+      driver->Tick();
+    },
+    [=](DatagramReceived const& aReceived) { driver->Receive(aReceived); },
+    [=](VmListReceived const& aReceived) { driver->Receive(aReceived); },
+    [=](ConfigurationReceived const& aReceived) { driver->Receive(aReceived); },
+    [=](LeaveAtom) { driver->Leave(); },
+  };
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_control_actor.hpp
@@ -0,0 +1,28 @@
+#ifndef TARRAGONSILL_CONTROL_ACTOR_HPP_INCLUDED
+#define TARRAGONSILL_CONTROL_ACTOR_HPP_INCLUDED
+
+#include "tarragonsill/transport/tarragonsill_entry_state.hpp"
+
+#include <functional>
+
+/// The actor that drives the coordination of one entry VM.
+namespace tarragonsill {
+
+struct ControlActorArguments
+{
+  std::shared_ptr<EntryState> mState;
+  PacketWorker* mWorker = nullptr; ///< Outlives the actor system.
+  /// Sends a control datagram.
+  std::function<void(Endpoint, std::string const&)> mSend;
+  caf::actor mCalls;
+  caf::actor mConfiguration;
+  std::uint64_t mIncarnation = 1;
+};
+
+/// The behavior of the control actor.
+caf::behavior ControlActor(caf::event_based_actor* aSelf,
+                           ControlActorArguments aArguments);
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_CONTROL_ACTOR_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_entry_daemon.cpp
@@ -0,0 +1,259 @@
+#include "tarragonsill/transport/tarragonsill_entry_daemon.hpp"
+
+#include "tarragonsill/transport/tarragonsill_call_actor.hpp"
+#include "tarragonsill/transport/tarragonsill_call_service.hpp"
+#include "tarragonsill/transport/tarragonsill_configuration_actor.hpp"
+#include "tarragonsill/transport/tarragonsill_control_actor.hpp"
+#include "tarragonsill/transport/tarragonsill_log.hpp"
+#include "tarragonsill/transport/tarragonsill_status_server.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+
+namespace tarragonsill {
+
+namespace {
+
+constexpr milliseconds kReceiveTimeout{ 50 };
+constexpr milliseconds kLeavePoll{ 20 };
+/// Peers need this long to hear of the leave; packets on their way are still
+/// passed on.
+constexpr milliseconds kLeaveSettle{ 1500 };
+constexpr int kSchedulerThreads = 2;
+
+/// The control socket with its receiving thread. Sending is safe from any
+/// thread.
+class ControlLink
+{
+public:
+  ControlLink(UdpSocket aSocket, std::shared_ptr<EntryState> aState)
+    : mSocket(std::move(aSocket))
+    , mState(std::move(aState))
+  {
+  }
+  ~ControlLink()
+  {
+    mStop = true;
+    if (mThread.joinable()) {
+      mThread.join();
+    }
+  }
+
+  void Start(caf::actor aControl)
+  {
+    mThread = std::thread([this, aControl] { Run(aControl); });
+  }
+
+  void Send(Endpoint aTo, std::string const& aBytes)
+  {
+    if (!mState->IsDenied(aTo)) {
+      (void)mSocket.Send(aTo, std::as_bytes(std::span(aBytes)));
+    }
+  }
+
+private:
+  void Run(caf::actor const& aControl)
+  {
+    while (!mStop) {
+      for (auto const& datagram : mSocket.Receive(kReceiveTimeout)) {
+        Handle(datagram, aControl);
+      }
+    }
+  }
+
+  void Handle(Datagram const& aDatagram, caf::actor const& aControl)
+  {
+    auto& counters = mState->mCounters;
+    counters.Add(Counter::ControlMessagesReceived);
+    counters.Add(Counter::ControlBytesReceived, aDatagram.mBytes.size());
+    bool const known =
+      AnyContains(mState->mSettings.mPeers, aDatagram.mFrom.mAddress) &&
+      !mState->IsDenied(aDatagram.mFrom);
+    auto message = std::make_shared<wire::PeerMessage>();
+    bool const valid =
+      known && message->ParseFromArray(
+                 aDatagram.mBytes.data(),
+                 static_cast<int>(aDatagram.mBytes.size()));
+    if (!valid) {
+      counters.Add(Counter::ControlMessagesRejected);
+      return;
+    }
+    caf::anon_send(aControl, DatagramReceived{ std::move(message) });
+  }
+
+  UdpSocket mSocket;
+  std::shared_ptr<EntryState> mState;
+  std::atomic<bool> mStop{ false };
+  std::thread mThread;
+};
+
+caf::actor_system_config&
+PrepareConfig(caf::actor_system_config& aConfig)
+{
+  aConfig.add_message_types<caf::id_block::tarragonsill>();
+  aConfig.set("scheduler.max-threads", kSchedulerThreads);
+  return aConfig;
+}
+
+/// A number that rises with every start of a VM's process. VMs keep nothing,
+/// so the wall clock is the only source; only the order at one VM matters.
+std::uint64_t
+NewIncarnation()
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count());
+}
+
+} // namespace
+
+struct EntryDaemon::Impl
+{
+  explicit Impl(Settings aSettings)
+    : mState(std::make_shared<EntryState>())
+    , mChannels(std::make_shared<CallChannels>([state = mState](
+        Endpoint aAddress) { return state->IsDenied(aAddress); }))
+    , mSystem(PrepareConfig(mConfig))
+  {
+    mState->mDenied.Set(aSettings.mDenied);
+    mState->mSettings = std::move(aSettings);
+  }
+  ~Impl()
+  {
+    mCallServer.reset();
+    mStatusServer.reset();
+    for (auto const& actor : mActors) {
+      caf::anon_send_exit(actor, caf::exit_reason::kill);
+    }
+    mActors.clear();
+    mControl = caf::actor{};
+    mService.reset();
+    mSystem.await_all_actors_done();
+  }
+
+  void StartActors();
+
+  std::shared_ptr<EntryState> mState;
+  std::shared_ptr<CallChannels> mChannels;
+  std::unique_ptr<PacketWorker> mWorker;
+  std::unique_ptr<ControlLink> mLink;
+  caf::actor_system_config mConfig;
+  caf::actor_system mSystem;
+  caf::actor mControl;
+  std::vector<caf::actor> mActors;
+  std::shared_ptr<CallService> mService;
+  std::unique_ptr<CallServer> mCallServer;
+  std::unique_ptr<StatusServer> mStatusServer;
+};
+
+void
+EntryDaemon::Impl::StartActors()
+{
+  auto const& settings = mState->mSettings;
+  PlatformClient::Options options;
+  options.mAddress = settings.mPlatform;
+  options.mCallsPerSecond = settings.mPlatformCallsPerSecond;
+  options.mSeed = HashText(settings.mEntry);
+  options.mIsDenied = [state = mState](Endpoint aAddress) {
+    return state->IsDenied(aAddress);
+  };
+  PlatformActorArguments const platform{
+    mState, std::make_shared<PlatformClient>(options, mState->mCounters)
+  };
+  auto const calls = mSystem.spawn(CallActor);
+  auto const fetch =
+    mSystem.spawn<caf::detached>(PeerFetchActor, mState, mChannels);
+  ControlActorArguments arguments;
+  arguments.mState = mState;
+  arguments.mWorker = mWorker.get();
+  arguments.mSend = [link = mLink.get()](Endpoint aTo,
+                                         std::string const& aBytes) {
+    link->Send(aTo, aBytes);
+  };
+  arguments.mCalls = calls;
+  arguments.mConfiguration = fetch;
+  arguments.mIncarnation = NewIncarnation();
+  mControl = mSystem.spawn(ControlActor, std::move(arguments));
+  auto const watch =
+    mSystem.spawn<caf::detached>(WatchActor, platform, mControl);
+  auto const list =
+    mSystem.spawn<caf::detached>(VmListActor, platform, mControl);
+  mActors = { watch, list, fetch, mControl, calls };
+  mService =
+    std::make_shared<CallService>(mState, mChannels, mSystem, calls);
+}
+
+EntryDaemon::EntryDaemon(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+EntryDaemon::~EntryDaemon() = default;
+
+Result<std::unique_ptr<EntryDaemon>>
+EntryDaemon::Start(Settings aSettings)
+{
+  auto impl = std::make_unique<Impl>(std::move(aSettings));
+  auto const& settings = impl->mState->mSettings;
+  auto control = UdpSocket::Bind(settings.mControl);
+  if (!control) {
+    return control.LastReason();
+  }
+  impl->mLink = std::make_unique<ControlLink>(control.Take(), impl->mState);
+  auto worker = PacketWorker::Start(settings, impl->mState->mCounters);
+  if (!worker) {
+    return worker.LastReason();
+  }
+  impl->mWorker = worker.Take();
+  impl->StartActors();
+  impl->mLink->Start(impl->mControl);
+  auto callServer =
+    CallServer::Start(settings.mCalls, impl->mService, impl->mState);
+  if (!callServer) {
+    return callServer.LastReason();
+  }
+  impl->mCallServer = callServer.Take();
+  auto statusServer = StatusServer::Start(impl->mState);
+  if (!statusServer) {
+    return statusServer.LastReason();
+  }
+  impl->mStatusServer = statusServer.Take();
+  LogInfo("entry: started entry=" + settings.mEntry +
+          " zone=" + settings.mZone + " data=" + ToText(settings.mData));
+  return std::unique_ptr<EntryDaemon>(new EntryDaemon(std::move(impl)));
+}
+
+void
+EntryDaemon::Reload(Settings const& aSettings)
+{
+  mImpl->mState->mDenied.Set(aSettings.mDenied);
+  WorkerOrders orders;
+  orders.mDenied = aSettings.mDenied;
+  mImpl->mWorker->Post(std::move(orders));
+  LogInfo("entry: reloaded settings, fenced off " +
+          std::to_string(aSettings.mDenied.size()) + " networks");
+}
+
+bool
+EntryDaemon::Leave(milliseconds aMost)
+{
+  auto const end = Clock::now() + aMost;
+  mImpl->mService->StopAdmitting();
+  while (mImpl->mService->InProgress() > 0 && Clock::now() < end) {
+    std::this_thread::sleep_for(kLeavePoll);
+  }
+  caf::anon_send(mImpl->mControl, LeaveAtom::value);
+  bool handedOver = false;
+  while (!handedOver && Clock::now() < end) {
+    std::this_thread::sleep_for(kLeavePoll);
+    handedOver = mImpl->mState->mStatus.Value().mHandedOver;
+  }
+  std::this_thread::sleep_for(kLeaveSettle);
+  LogInfo(handedOver ? "entry: handed over and stopped"
+                     : "entry: stopped before everything was handed over");
+  return handedOver;
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_packet_worker.cpp
@@ -0,0 +1,245 @@
+#include "tarragonsill/transport/tarragonsill_packet_worker.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace tarragonsill {
+
+namespace {
+
+constexpr milliseconds kReceiveTimeout{ 5 };
+constexpr milliseconds kReportPeriod{ 20 };
+constexpr milliseconds kSweepPeriod{ 1000 };
+
+Counter
+CounterOf(PacketFault aFault)
+{
+  switch (aFault) {
+    case PacketFault::OuterVersion:
+      return Counter::DropOuterVersion;
+    case PacketFault::OuterProtocol:
+      return Counter::DropOuterProtocol;
+    case PacketFault::OuterCriticalOption:
+      return Counter::DropOuterCriticalOption;
+    case PacketFault::Truncated:
+      return Counter::DropTruncated;
+    case PacketFault::Version:
+      return Counter::DropVersion;
+    case PacketFault::IpOptions:
+      return Counter::DropIpOptions;
+    case PacketFault::Fragment:
+      return Counter::DropFragment;
+    case PacketFault::Protocol:
+      return Counter::DropProtocol;
+    default:
+      return Counter::DropOuterTruncated;
+  }
+}
+
+template<typename T>
+void
+Append(std::vector<T>& aTo, std::vector<T> aFrom)
+{
+  aTo.insert(aTo.end(),
+             std::make_move_iterator(aFrom.begin()),
+             std::make_move_iterator(aFrom.end()));
+}
+
+} // namespace
+
+Result<std::unique_ptr<PacketWorker>>
+PacketWorker::Start(Settings const& aSettings, Counters& aCounters)
+{
+  auto socket = UdpSocket::Bind(aSettings.mData);
+  if (!socket) {
+    return socket.LastReason();
+  }
+  std::unique_ptr<PacketWorker> worker(
+    new PacketWorker(aSettings, aCounters, socket.Take()));
+  worker->mThread = std::thread([raw = worker.get()] { raw->Run(); });
+  return worker;
+}
+
+PacketWorker::PacketWorker(Settings const& aSettings,
+                           Counters& aCounters,
+                           UdpSocket aSocket)
+  : mSettings(aSettings)
+  , mCounters(aCounters)
+  , mSocket(std::move(aSocket))
+  , mEngine(PacketEngine::Options{}, aCounters)
+{
+}
+
+PacketWorker::~PacketWorker()
+{
+  mStop = true;
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+void
+PacketWorker::Post(WorkerOrders aOrders)
+{
+  std::lock_guard const lock(mMutex);
+  if (aOrders.mSnapshot) {
+    mOrders.mSnapshot = std::move(aOrders.mSnapshot);
+  }
+  if (aOrders.mRights) {
+    mOrders.mRights = std::move(aOrders.mRights);
+    mOrders.mRightsRevision = aOrders.mRightsRevision;
+  }
+  if (aOrders.mDenied) {
+    mOrders.mDenied = std::move(aOrders.mDenied);
+  }
+  Append(mOrders.mExceptions, std::move(aOrders.mExceptions));
+  mHasOrders = true;
+}
+
+WorkerReport
+PacketWorker::TakeReport()
+{
+  std::lock_guard const lock(mMutex);
+  auto report = mReport;
+  mReport.mTransfers.clear();
+  mReport.mDecisions.clear();
+  return report;
+}
+
+void
+PacketWorker::TakeOrders(TimePoint aNow)
+{
+  if (!mHasOrders) {
+    return;
+  }
+  std::unique_lock lock(mMutex, std::try_to_lock);
+  if (!lock.owns_lock()) {
+    return; // The coordination is writing; the next round will do.
+  }
+  auto orders = std::exchange(mOrders, {});
+  mHasOrders = false;
+  lock.unlock();
+  if (orders.mDenied) {
+    mSettings.mDenied = std::move(*orders.mDenied);
+  }
+  if (orders.mSnapshot) {
+    mEngine.ApplySnapshot(std::move(orders.mSnapshot));
+  }
+  for (auto const& exception : orders.mExceptions) {
+    mEngine.StoreException(aNow, exception);
+  }
+  if (orders.mRights) {
+    mEngine.ApplyRights(aNow, std::move(orders.mRights));
+    mAppliedRevision = orders.mRightsRevision;
+  }
+}
+
+void
+PacketWorker::Report()
+{
+  std::unique_lock lock(mMutex, std::try_to_lock);
+  if (!lock.owns_lock()) {
+    return;
+  }
+  mReport.mUsage = mEngine.Usage();
+  mReport.mRightsRevision = mAppliedRevision;
+  Append(mReport.mTransfers, mEngine.TakeTransfers());
+  Append(mReport.mDecisions, mEngine.TakeDecisions());
+  mReport.mExceptions = mEngine.ExceptionCount();
+  mReport.mMemoryBytes = mEngine.MemoryBytes();
+  ++mReport.mNumber;
+}
+
+void
+PacketWorker::Run()
+{
+  auto nextReport = Clock::now();
+  auto nextSweep = Clock::now();
+  while (!mStop) {
+    auto const batch = mSocket.Receive(kReceiveTimeout);
+    auto const now = Clock::now();
+    TakeOrders(now);
+    HandleBatch(now, batch);
+    if (now >= nextReport) {
+      nextReport = now + kReportPeriod;
+      Report();
+    }
+    if (now >= nextSweep) {
+      nextSweep = now + kSweepPeriod;
+      mEngine.Sweep(now);
+    }
+  }
+}
+
+void
+PacketWorker::HandleBatch(TimePoint aNow, std::span<Datagram const> aBatch)
+{
+  std::array<std::array<std::byte, kMaxGeneveBytes>, UdpSocket::kBatch> headers;
+  std::size_t index = 0;
+  for (auto const& datagram : aBatch) {
+    HandleDatagram(aNow, datagram, headers[index++]);
+  }
+  mCounters.Add(Counter::PacketsReceived, aBatch.size());
+  auto const failed = mSocket.Flush();
+  if (failed > 0) {
+    mCounters.Add(Counter::DropSendFailed, failed);
+  }
+}
+
+void
+PacketWorker::HandleDatagram(TimePoint aNow,
+                             Datagram const& aDatagram,
+                             std::span<std::byte, kMaxGeneveBytes> aHeader)
+{
+  auto const geneve = ParseGeneve(aDatagram.mBytes);
+  if (!geneve) {
+    mCounters.Add(CounterOf(geneve.LastReason()));
+    return;
+  }
+  // Only peers may send a route, and only the fabric may leave it out.
+  bool const trusted = geneve->mRoute ? IsPeer(aDatagram.mFrom)
+                                      : IsFabric(aDatagram.mFrom);
+  bool const denied =
+    AnyContains(mSettings.mDenied, aDatagram.mFrom.mAddress);
+  if (!trusted || denied) {
+    mCounters.Add(Counter::DropForeignSender);
+    return;
+  }
+  auto packet = PacketView::Parse(aDatagram.mBytes.subspan(geneve->mBytes));
+  if (!packet) {
+    mCounters.Add(CounterOf(packet.LastReason()));
+    return;
+  }
+  auto const action = geneve->mRoute
+                        ? mEngine.HandlePeer(aNow, *geneve->mRoute, *packet)
+                        : mEngine.HandleFabric(aNow, *packet);
+  if (action.mKind == ActionKind::Drop) {
+    return;
+  }
+  bool const toPeer = action.mKind == ActionKind::ToPeer;
+  if (toPeer && AnyContains(mSettings.mDenied, action.mPeer.mAddress)) {
+    mCounters.Add(Counter::DropSendFailed);
+    return;
+  }
+  auto const length = WriteGeneve(
+    aHeader, toPeer ? std::optional(action.mRoute) : std::nullopt);
+  mSocket.Queue(toPeer ? action.mPeer : mSettings.mFabric.front(),
+                aHeader.first(length),
+                packet->Bytes());
+}
+
+bool
+PacketWorker::IsFabric(Endpoint aFrom) const
+{
+  return std::find(mSettings.mFabric.begin(),
+                   mSettings.mFabric.end(),
+                   aFrom) != mSettings.mFabric.end();
+}
+
+bool
+PacketWorker::IsPeer(Endpoint aFrom) const
+{
+  return AnyContains(mSettings.mPeers, aFrom.mAddress);
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_packet_worker.hpp
@@ -0,0 +1,85 @@
+#ifndef TARRAGONSILL_PACKET_WORKER_HPP_INCLUDED
+#define TARRAGONSILL_PACKET_WORKER_HPP_INCLUDED
+
+#include "tarragonsill/coordination/tarragonsill_packet_engine.hpp"
+#include "tarragonsill/protocol/tarragonsill_settings.hpp"
+#include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+/// The thread that carries packets. It exchanges state with the coordination
+/// through a mailbox and never waits for it.
+namespace tarragonsill {
+
+/// What the coordination hands to the worker.
+struct WorkerOrders
+{
+  std::shared_ptr<SteeringSnapshot const> mSnapshot; ///< Null: unchanged.
+  std::shared_ptr<AdmissionRights const> mRights;    ///< Null: unchanged.
+  std::uint64_t mRightsRevision = 0;
+  std::vector<ExceptionTransfer> mExceptions;
+  /// The networks that are fenced off; empty: unchanged.
+  std::optional<std::vector<Prefix>> mDenied;
+};
+
+/// What the worker reports back.
+struct WorkerReport
+{
+  std::vector<UpstreamUsage> mUsage;
+  std::uint64_t mRightsRevision = 0;
+  std::vector<ExceptionTransfer> mTransfers;
+  std::vector<DecisionRecord> mDecisions;
+  std::size_t mExceptions = 0;
+  std::size_t mMemoryBytes = 0;
+  /// Rises with every report.
+  std::uint64_t mNumber = 0;
+};
+
+class PacketWorker
+{
+public:
+  /// Binds the data socket and starts the thread.
+  static Result<std::unique_ptr<PacketWorker>> Start(Settings const& aSettings,
+                                                     Counters& aCounters);
+  ~PacketWorker();
+
+  void Post(WorkerOrders aOrders);
+  /// Takes what was reported since the last call; the counts are current ones.
+  WorkerReport TakeReport();
+
+private:
+  PacketWorker(Settings const& aSettings,
+               Counters& aCounters,
+               UdpSocket aSocket);
+
+  void Run();
+  void TakeOrders(TimePoint aNow);
+  void Report();
+  void HandleBatch(TimePoint aNow, std::span<Datagram const> aBatch);
+  void HandleDatagram(TimePoint aNow,
+                      Datagram const& aDatagram,
+                      std::span<std::byte, kMaxGeneveBytes> aHeader);
+  bool IsFabric(Endpoint aFrom) const;
+  bool IsPeer(Endpoint aFrom) const;
+
+  Settings mSettings;
+  Counters& mCounters;
+  UdpSocket mSocket;
+  PacketEngine mEngine;
+
+  std::mutex mMutex;
+  WorkerOrders mOrders;
+  WorkerReport mReport;
+  std::atomic<bool> mHasOrders{ false };
+  std::uint64_t mAppliedRevision = 0;
+  std::atomic<bool> mStop{ false };
+  std::thread mThread;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_PACKET_WORKER_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_platform_client.cpp
@@ -0,0 +1,285 @@
+#include "tarragonsill/transport/tarragonsill_platform_client.hpp"
+
+#include <algorithm>
+#include <thread>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace tarragonsill {
+
+namespace {
+
+constexpr milliseconds kBackoffBase{ 100 };
+constexpr milliseconds kBackoffMost{ 5000 };
+constexpr unsigned kSettleAttempts = 8;
+constexpr std::size_t kKeptChanges = 32;
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotModified = 304;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusPreconditionFailed = 412;
+
+std::string
+ObjectPath(std::string const& aName)
+{
+  return "/v1/objects/" + aName;
+}
+
+Result<PlatformObject>
+ParseObject(std::string const& aBody)
+{
+  auto const json = nlohmann::json::parse(aBody, nullptr, false);
+  bool const valid = json.is_object() && json.contains("version") &&
+                     json["version"].is_number_unsigned() &&
+                     json.value("text", nlohmann::json()).is_string();
+  if (!valid) {
+    return Reason{ ReasonCode::Malformed,
+                   "the platform's answer is not an object with a version" };
+  }
+  PlatformObject object;
+  object.mVersion = json["version"].get<std::uint64_t>();
+  object.mText = json["text"].get<std::string>();
+  for (auto const& change : json.value("changes", nlohmann::json::array())) {
+    object.mChanges.push_back(change.is_string() ? change.get<std::string>()
+                                                 : std::string());
+  }
+  return object;
+}
+
+bool
+Contains(PlatformObject const& aObject, std::string const& aChangeId)
+{
+  return std::find(aObject.mChanges.begin(),
+                   aObject.mChanges.end(),
+                   aChangeId) != aObject.mChanges.end();
+}
+
+Reason
+ReasonOf(httplib::Error aError)
+{
+  bool const timeout =
+    aError == httplib::Error::Read || aError == httplib::Error::Write;
+  return { timeout ? ReasonCode::Timeout : ReasonCode::Unavailable,
+           "the platform did not answer (" + httplib::to_string(aError) + ")" };
+}
+
+Reason
+ReasonOf(int aStatus)
+{
+  auto const text = "the platform answered " + std::to_string(aStatus);
+  return { aStatus == kStatusNotFound ? ReasonCode::NotFound
+                                      : ReasonCode::Unavailable,
+           text };
+}
+
+httplib::Client
+MakeClient(Endpoint aAddress, milliseconds aTimeout)
+{
+  httplib::Client client(ToText(aAddress.mAddress), aAddress.mPort);
+  client.set_connection_timeout(aTimeout);
+  client.set_read_timeout(aTimeout);
+  client.set_write_timeout(aTimeout);
+  return client;
+}
+
+Result<PlatformVm>
+ParseVm(nlohmann::json const& aJson)
+{
+  auto const text = [&](char const* aKey) {
+    auto const value =
+      aJson.is_object() ? aJson.value(aKey, nlohmann::json()) : nlohmann::json();
+    return value.is_string() ? value.get<std::string>() : std::string();
+  };
+  PlatformVm vm;
+  vm.mName = text("name");
+  vm.mZone = text("zone");
+  auto const control = ParseEndpoint(text("control"));
+  if (vm.mName.empty() || !control) {
+    return Reason{ ReasonCode::Malformed, "a VM without name or address" };
+  }
+  vm.mControl = *control;
+  auto const state = text("state");
+  vm.mState = state == "leaving"   ? PlatformVm::State::Leaving
+              : state == "removed" ? PlatformVm::State::Removed
+                                   : PlatformVm::State::Live;
+  return vm;
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(Options aOptions, Counters& aCounters)
+  : mOptions(aOptions)
+  , mCounters(aCounters)
+  , mBudget(aOptions.mCallsPerSecond, aOptions.mCallsPerSecond)
+  , mRandom(aOptions.mSeed)
+{
+}
+
+bool
+PlatformClient::TakeBudget()
+{
+  std::lock_guard const lock(mMutex);
+  if (!mBudget.Take(Clock::now())) {
+    mCounters.Add(Counter::PlatformCallsOverBudget);
+    return false;
+  }
+  mCounters.Add(Counter::PlatformCalls);
+  return true;
+}
+
+Result<PlatformClient::Answer>
+PlatformClient::Get(std::string const& aPath, milliseconds aTimeout)
+{
+  if (mOptions.mIsDenied && mOptions.mIsDenied(mOptions.mAddress)) {
+    return Reason{ ReasonCode::Unavailable, "the platform is fenced off" };
+  }
+  if (!TakeBudget()) {
+    return Reason{ ReasonCode::LimitReached,
+                   "the budget of calls to the platform is used up" };
+  }
+  auto client = MakeClient(mOptions.mAddress, aTimeout);
+  auto const result = client.Get(aPath);
+  if (!result) {
+    mCounters.Add(Counter::PlatformFailures);
+    return ReasonOf(result.error());
+  }
+  return Answer{ result->status, result->body };
+}
+
+Result<PlatformObject>
+PlatformClient::Read(std::string const& aName)
+{
+  auto const answer = Get(ObjectPath(aName), mOptions.mTimeout);
+  if (!answer) {
+    return answer.LastReason();
+  }
+  if (answer->mStatus != kStatusOk) {
+    return ReasonOf(answer->mStatus);
+  }
+  return ParseObject(answer->mBody);
+}
+
+Result<PlatformObject>
+PlatformClient::Watch(std::string const& aName,
+                      std::uint64_t aNewerThan,
+                      milliseconds aWait)
+{
+  auto const path = ObjectPath(aName) +
+                    "?newer_than=" + std::to_string(aNewerThan) +
+                    "&wait_ms=" + std::to_string(aWait.count());
+  auto const answer = Get(path, aWait + mOptions.mTimeout);
+  if (!answer) {
+    return answer.LastReason();
+  }
+  if (answer->mStatus == kStatusNotModified) {
+    return Reason{ ReasonCode::Timeout, "no newer version" };
+  }
+  if (answer->mStatus != kStatusOk) {
+    return ReasonOf(answer->mStatus);
+  }
+  return ParseObject(answer->mBody);
+}
+
+Result<WriteOutcome>
+PlatformClient::Write(std::string const& aName,
+                      PlatformObject const& aExpected,
+                      std::string const& aChangeId,
+                      std::string const& aText)
+{
+  if (!TakeBudget()) {
+    return Reason{ ReasonCode::LimitReached,
+                   "the budget of calls to the platform is used up" };
+  }
+  auto client = MakeClient(mOptions.mAddress, mOptions.mTimeout);
+  httplib::Headers const headers = {
+    { "If-Match", std::to_string(aExpected.mVersion) }
+  };
+  auto changes = aExpected.mChanges;
+  changes.push_back(aChangeId);
+  if (changes.size() > kKeptChanges) {
+    changes.erase(changes.begin());
+  }
+  nlohmann::json const body = { { "changes", changes }, { "text", aText } };
+  auto const result = client.Put(
+    ObjectPath(aName), headers, body.dump(), "application/json");
+  if (!result) {
+    mCounters.Add(Counter::PlatformFailures);
+    if (result.error() == httplib::Error::Connection) {
+      return ReasonOf(result.error()); // The write never left.
+    }
+    return SettleLostAnswer(aName, aExpected.mVersion, aChangeId);
+  }
+  if (result->status >= 500) {
+    return SettleLostAnswer(aName, aExpected.mVersion, aChangeId);
+  }
+  if (result->status != kStatusOk &&
+      result->status != kStatusPreconditionFailed) {
+    return ReasonOf(result->status);
+  }
+  auto current = ParseObject(result->body);
+  if (!current) {
+    return current.LastReason();
+  }
+  bool const won = Contains(*current, aChangeId);
+  return WriteOutcome{ won, current.Take() };
+}
+
+Result<WriteOutcome>
+PlatformClient::SettleLostAnswer(std::string const& aName,
+                                 std::uint64_t aExpected,
+                                 std::string const& aChangeId)
+{
+  for (unsigned attempt = 0; attempt < kSettleAttempts; ++attempt) {
+    std::this_thread::sleep_for(Backoff(attempt));
+    auto current = Read(aName);
+    if (!current) {
+      continue;
+    }
+    if (current->mVersion == aExpected) {
+      continue; // The write may still be under way.
+    }
+    bool const won = Contains(*current, aChangeId);
+    return WriteOutcome{ won, current.Take() };
+  }
+  return Reason{ ReasonCode::Timeout,
+                 "the answer to the write was lost and it has not shown up; "
+                 "change id " +
+                   aChangeId + " may still take effect" };
+}
+
+Result<std::vector<PlatformVm>>
+PlatformClient::ListVms()
+{
+  auto const answer = Get("/v1/vms", mOptions.mTimeout);
+  if (!answer) {
+    return answer.LastReason();
+  }
+  if (answer->mStatus != kStatusOk) {
+    return ReasonOf(answer->mStatus);
+  }
+  auto const json = nlohmann::json::parse(answer->mBody, nullptr, false);
+  if (!json.is_array()) {
+    return Reason{ ReasonCode::Malformed, "the list of VMs is not a list" };
+  }
+  std::vector<PlatformVm> vms;
+  for (auto const& item : json) {
+    auto vm = ParseVm(item);
+    if (!vm) {
+      return vm.LastReason();
+    }
+    vms.push_back(vm.Take());
+  }
+  return vms;
+}
+
+milliseconds
+PlatformClient::Backoff(unsigned aFailures)
+{
+  auto const factor = 1U << std::min(aFailures, 10U);
+  auto const most = std::min(kBackoffMost, kBackoffBase * factor);
+  std::lock_guard const lock(mMutex);
+  std::uniform_int_distribution<milliseconds::rep> draw(1, most.count());
+  return milliseconds{ draw(mRandom) };
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_platform_client.hpp
@@ -0,0 +1,98 @@
+#ifndef TARRAGONSILL_PLATFORM_CLIENT_HPP_INCLUDED
+#define TARRAGONSILL_PLATFORM_CLIENT_HPP_INCLUDED
+
+#include "tarragonsill/coordination/tarragonsill_membership.hpp"
+#include "tarragonsill/state/tarragonsill_counters.hpp"
+#include "tarragonsill/state/tarragonsill_reason.hpp"
+#include "tarragonsill/state/tarragonsill_token_bucket.hpp"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+/// Client of the platform's object API: HTTP and JSON, versions, conditional
+/// writes (`If-Match`) and watches (long polls).
+namespace tarragonsill {
+
+/// A stored object.
+struct PlatformObject
+{
+  std::uint64_t mVersion = 0;
+  /// The writes that led to this version, the latest one last; bounded.
+  std::vector<std::string> mChanges;
+  std::string mText;
+};
+
+/// The outcome of a conditional write.
+struct WriteOutcome
+{
+  /// Whether the write took effect, even if another one followed it.
+  bool mWon = false;
+  /// The object in force afterwards.
+  PlatformObject mCurrent;
+};
+
+class PlatformClient
+{
+public:
+  struct Options
+  {
+    Endpoint mAddress;
+    milliseconds mTimeout{ 1000 };
+    std::uint32_t mCallsPerSecond = 20;
+    std::uint64_t mSeed = 1;
+    /// Says whether the platform is fenced off; may be empty.
+    std::function<bool(Endpoint)> mIsDenied;
+  };
+
+  PlatformClient(Options aOptions, Counters& aCounters);
+
+  /// Reads an object. Reasons: `NotFound`, `Unavailable`, `Timeout`,
+  /// `LimitReached` (the own budget), `Malformed`.
+  Result<PlatformObject> Read(std::string const& aName);
+  /// Waits for a version above `aNewerThan`; `Timeout` if there is none in
+  /// time.
+  Result<PlatformObject> Watch(std::string const& aName,
+                               std::uint64_t aNewerThan,
+                               milliseconds aWait);
+  /// Writes on condition that the object is still at the version of
+  /// `aExpected` (0: absent). A lost answer is settled by reading back the
+  /// change id, never by writing again.
+  Result<WriteOutcome> Write(std::string const& aName,
+                             PlatformObject const& aExpected,
+                             std::string const& aChangeId,
+                             std::string const& aText);
+  /// The lagging list of VMs.
+  Result<std::vector<PlatformVm>> ListVms();
+
+  /// The pause before the next attempt after `aFailures` failures in a row:
+  /// exponential with full jitter.
+  milliseconds Backoff(unsigned aFailures);
+
+private:
+  struct Answer
+  {
+    int mStatus = 0;
+    std::string mBody;
+  };
+
+  Result<Answer> Get(std::string const& aPath, milliseconds aTimeout);
+  bool TakeBudget();
+  Result<WriteOutcome> SettleLostAnswer(std::string const& aName,
+                                        std::uint64_t aExpected,
+                                        std::string const& aChangeId);
+
+  Options mOptions;
+  Counters& mCounters;
+  std::mutex mMutex;
+  TokenBucket mBudget;
+  std::mt19937_64 mRandom;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_PLATFORM_CLIENT_HPP_INCLUDED
--- /dev/null
+++ b/tools/generate-protocol.sh
@@ -0,0 +1,11 @@
+#!/bin/sh
+# Regenerates the committed protobuf and gRPC code. Needs protobuf-compiler and
+# protobuf-compiler-grpc, which the build itself does not need.
+set -eu
+cd "$(dirname "$0")/../src"
+out=tarragonsill/protocol/generated
+protoc -I tarragonsill/protocol --cpp_out="$out" \
+  tarragonsill_peer.proto tarragonsill_calls.proto
+protoc -I tarragonsill/protocol --grpc_out="$out" \
+  --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" \
+  tarragonsill_calls.proto
