--- /dev/null
+++ b/Makefile
@@ -0,0 +1,55 @@
+# Everything a newcomer needs: `make demo` and `make test`.
+BUILD := build
+JOBS := $(shell nproc)
+SEED ?= 1
+
+.PHONY: install build test bench demo soak report format format-check lint \
+  layering clean
+
+# Installs what the build needs, unless it is all there.
+install:
+	@tools/install-packages.sh
+
+$(BUILD)/build.ninja: CMakeLists.txt | install
+	cmake -G Ninja -S . -B $(BUILD)
+
+build: $(BUILD)/build.ninja
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	cd $(BUILD) && ctest --output-on-failure --no-tests=error
+
+demo: build
+	tools/demo.sh $(BUILD)
+
+bench: build
+	tools/bench.sh $(BUILD)
+
+soak: build
+	tools/soak.sh $(BUILD) $(SEED)
+
+report: build
+	tools/report.sh $(BUILD)
+
+format:
+	tools/sources.sh | xargs clang-format -i
+
+format-check:
+	tools/sources.sh | xargs clang-format --dry-run --Werror
+
+lint: $(BUILD)/build.ninja
+	tools/lint.sh $(BUILD) $(JOBS)
+
+layering:
+	tools/check-layering.sh
+
+clean:
+	rm -rf $(BUILD)
+
+.PHONY: examples-check
+# The printed configurations under examples/ must be what the programs print.
+examples-check: build
+	$(BUILD)/example_reykjavik | diff examples/reykjavik.yaml -
+	$(BUILD)/example_amman | diff examples/amman.yaml -
+	$(BUILD)/tarragonsill check examples/reykjavik.yaml
+	$(BUILD)/tarragonsill check examples/amman.yaml
--- a/examples/amman.cpp
+++ b/examples/amman.cpp
@@ -3,8 +3,7 @@
 #include <iostream>
 
 /// Prints the Amman deployment for `tarragonsill apply`.
-int
-main()
+int main()
 {
   auto const text = tarragonsill::Examples::AmmanDeployment().Print();
   if (!text) {
--- a/examples/reykjavik.cpp
+++ b/examples/reykjavik.cpp
@@ -3,8 +3,7 @@
 #include <iostream>
 
 /// Prints the Reykjavik deployment for `tarragonsill apply`.
-int
-main()
+int main()
 {
   auto const text = tarragonsill::Examples::ReykjavikDeployment().Print();
   if (!text) {
--- /dev/null
+++ b/lab/tarragonsill_lab_call_upstreams.cpp
@@ -0,0 +1,221 @@
+#include "tarragonsill_lab_calls.hpp"
+
+#include <grpcpp/grpcpp.h>
+#include <tarragonsill_calls.grpc.pb.h>
+
+namespace tarragonsill::Lab {
+
+namespace {
+
+constexpr std::uint32_t kAnswersPerSlot = 8;
+constexpr milliseconds kShutdownGrace{ 100 };
+constexpr int kLeastServiceMilliseconds = 2;
+constexpr int kMostServiceMilliseconds = 12;
+/// One call in this many is answered very late.
+constexpr std::uint64_t kLateShare = 500;
+constexpr milliseconds kLateBy{ 3500 };
+
+} // namespace
+
+class CallUpstreams::Server final : public wire::Upstream::Service
+{
+public:
+  Server(Upstream aUpstream, RunRecord& aRecord, std::uint64_t aSeed)
+    : mUpstream(std::move(aUpstream))
+    , mRecord(aRecord)
+    , mRandom(aSeed)
+    , mWarmUp(mUpstream.mColdLimit.mSlots,
+              mUpstream.mLimit.mSlots,
+              kAnswersPerSlot)
+  {
+  }
+  ~Server() override
+  {
+    if (mServer) {
+      mServer->Shutdown(std::chrono::system_clock::now() + kShutdownGrace);
+    }
+  }
+
+  bool Listen()
+  {
+    grpc::ServerBuilder builder;
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddListeningPort(ToText(mUpstream.mCallAddress),
+                             grpc::InsecureServerCredentials());
+    builder.RegisterService(this);
+    mServer = builder.BuildAndStart();
+    return mServer != nullptr;
+  }
+
+  grpc::Status Run(grpc::ServerContext* aContext,
+                   wire::CallRequest const* aRequest,
+                   wire::CallReply* aReply) override
+  {
+    milliseconds service{ 0 };
+    if (!Admit(service)) {
+      return { grpc::StatusCode::RESOURCE_EXHAUSTED, "refused before running" };
+    }
+    mRecord.Ran(aRequest->call_id());
+    auto const end = Clock::now() + service;
+    while (Clock::now() < end && !aContext->IsCancelled()) {
+      std::this_thread::sleep_for(milliseconds{ 1 });
+    }
+    Release();
+    aReply->set_call_id(aRequest->call_id());
+    aReply->set_body("answer to " + aRequest->body());
+    return grpc::Status::OK;
+  }
+
+  Upstream const& Declared() const { return mUpstream; }
+  void DrainFrom(TimePoint aAccepted)
+  {
+    std::lock_guard const lock(mMutex);
+    mDrainSince = aAccepted;
+  }
+  void SetZoneOut(std::optional<TimePoint> aAccepted)
+  {
+    std::lock_guard const lock(mMutex);
+    mZoneOutSince = aAccepted;
+  }
+  void TurnCold()
+  {
+    std::lock_guard const lock(mMutex);
+    mWarmUp.TurnCold();
+    for (std::uint32_t call = 0; call < mInProgress; ++call) {
+      mWarmUp.Start();
+    }
+    mUnannounced = true;
+    mFirstShed.reset();
+  }
+  void AddTo(CallReport& aReport)
+  {
+    std::lock_guard const lock(mMutex);
+    aReport.mLimitExceeded += mLimitExceeded;
+    aReport.mNewWorkAfterDrain += mNewWorkAfterDrain;
+    aReport.mToRemovedZoneLate += mToRemovedZoneLate;
+  }
+
+private:
+  bool Admit(milliseconds& aService)
+  {
+    std::lock_guard const lock(mMutex);
+    auto const now = Clock::now();
+    if (mDrainSince && now - *mDrainSince > kChangeAllowance) {
+      ++mNewWorkAfterDrain;
+    }
+    if (mZoneOutSince && now - *mZoneOutSince > kChangeAllowance) {
+      ++mToRemovedZoneLate;
+    }
+    if (mInProgress >= mUpstream.mLimit.mSlots) {
+      ++mLimitExceeded;
+      return false;
+    }
+    if (!mWarmUp.HasRoom()) {
+      bool const signalled =
+        mFirstShed && now - *mFirstShed > kColdSignalAllowance;
+      mLimitExceeded += !mUnannounced || signalled ? 1 : 0;
+      mFirstShed = mFirstShed.value_or(now);
+      return false;
+    }
+    ++mInProgress;
+    mWarmUp.Start();
+    std::uniform_int_distribution<int> draw(kLeastServiceMilliseconds,
+                                            kMostServiceMilliseconds);
+    aService = milliseconds{ draw(mRandom) };
+    if (mRandom() % kLateShare == 0) {
+      aService = kLateBy;
+    }
+    return true;
+  }
+
+  void Release()
+  {
+    std::lock_guard const lock(mMutex);
+    --mInProgress;
+    mWarmUp.End();
+    mWarmUp.Answer();
+  }
+
+  Upstream mUpstream;
+  RunRecord& mRecord;
+  std::mutex mMutex;
+  std::mt19937_64 mRandom;
+  WarmUp mWarmUp;
+  std::uint32_t mInProgress = 0;
+  std::optional<TimePoint> mDrainSince;
+  std::optional<TimePoint> mZoneOutSince;
+  std::optional<TimePoint> mFirstShed;
+  bool mUnannounced = false;
+  std::uint64_t mLimitExceeded = 0;
+  std::uint64_t mNewWorkAfterDrain = 0;
+  std::uint64_t mToRemovedZoneLate = 0;
+  std::unique_ptr<grpc::Server> mServer;
+};
+
+Result<std::unique_ptr<CallUpstreams>> CallUpstreams::Start(
+  Configuration const& aConfiguration,
+  RunRecord& aRecord,
+  std::uint64_t aSeed)
+{
+  std::unique_ptr<CallUpstreams> upstreams(new CallUpstreams());
+  for (auto const& service : aConfiguration.mServices) {
+    for (auto const& upstream : service.mUpstreams) {
+      auto server = std::make_unique<Server>(
+        upstream, aRecord, MixHash(aSeed, HashText(upstream.mName)));
+      if (!server->Listen()) {
+        return Reason{ ReasonCode::SystemFailure,
+                       "cannot serve upstream " + upstream.mName + " at " +
+                         ToText(upstream.mCallAddress) };
+      }
+      upstreams->mServers.push_back(std::move(server));
+    }
+  }
+  return upstreams;
+}
+
+CallUpstreams::~CallUpstreams() = default;
+
+void CallUpstreams::DrainUpstream(std::string const& aName, TimePoint aAccepted)
+{
+  for (auto& server : mServers) {
+    if (server->Declared().mName == aName) {
+      server->DrainFrom(aAccepted);
+    }
+  }
+}
+
+void CallUpstreams::TurnUpstreamCold(std::string const& aName)
+{
+  for (auto& server : mServers) {
+    if (server->Declared().mName == aName) {
+      server->TurnCold();
+    }
+  }
+}
+
+void CallUpstreams::TakeZoneOut(std::string const& aZone, TimePoint aAccepted)
+{
+  for (auto& server : mServers) {
+    if (server->Declared().mZone == aZone) {
+      server->SetZoneOut(aAccepted);
+    }
+  }
+}
+
+void CallUpstreams::BringZoneIn(std::string const& aZone)
+{
+  for (auto& server : mServers) {
+    if (server->Declared().mZone == aZone) {
+      server->SetZoneOut(std::nullopt);
+    }
+  }
+}
+
+void CallUpstreams::AddTo(CallReport& aReport) const
+{
+  for (auto const& server : mServers) {
+    server->AddTo(aReport);
+  }
+}
+
+} // namespace tarragonsill::Lab
--- /dev/null
+++ b/lab/tarragonsill_lab_calls.hpp
@@ -0,0 +1,126 @@
+#ifndef TARRAGONSILL_LAB_CALLS_HPP_INCLUDED
+#define TARRAGONSILL_LAB_CALLS_HPP_INCLUDED
+
+#include "tarragonsill_lab_report.hpp"
+#include "tarragonsill_lab_upstreams.hpp"
+
+#include "tarragonsill/state/tarragonsill_configuration.hpp"
+#include "tarragonsill/state/tarragonsill_reason.hpp"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+/// The call side of the stand-ins: upstreams that run calls, and callers that
+/// submit them through random entry VMs.
+namespace tarragonsill::Lab {
+
+/// What was run, as the upstreams saw it.
+class RunRecord
+{
+public:
+  void Ran(std::string const& aCallId)
+  {
+    std::lock_guard const lock(mMutex);
+    ++mRuns[aCallId];
+  }
+  std::uint32_t Runs(std::string const& aCallId)
+  {
+    std::lock_guard const lock(mMutex);
+    auto const found = mRuns.find(aCallId);
+    return found == mRuns.end() ? 0 : found->second;
+  }
+
+private:
+  std::mutex mMutex;
+  std::map<std::string, std::uint32_t> mRuns;
+};
+
+/// The upstreams that run calls, one gRPC server each.
+class CallUpstreams
+{
+public:
+  /// Starts a server for each upstream; the reason is `SystemFailure`.
+  static Result<std::unique_ptr<CallUpstreams>> Start(
+    Configuration const& aConfiguration,
+    RunRecord& aRecord,
+    std::uint64_t aSeed);
+  ~CallUpstreams();
+
+  void DrainUpstream(std::string const& aName, TimePoint aAccepted);
+  void TurnUpstreamCold(std::string const& aName);
+  void TakeZoneOut(std::string const& aZone, TimePoint aAccepted);
+  void BringZoneIn(std::string const& aZone);
+  void AddTo(CallReport& aReport) const;
+
+private:
+  class Server;
+  CallUpstreams() = default;
+
+  std::vector<std::unique_ptr<Server>> mServers;
+};
+
+/// The callers: calls at a steady rate, some repeated, some not idempotent.
+class CallLoad
+{
+public:
+  struct Options
+  {
+    std::vector<std::string> mServices;
+    double mRate = 100; ///< First attempts a second.
+    std::uint64_t mSeed = 1;
+  };
+
+  CallLoad(Options aOptions, RunRecord& aRecord);
+  ~CallLoad();
+
+  void Start();
+  void SetTargets(std::vector<Endpoint> aTargets);
+  /// Stops sending and waits for the calls in progress.
+  void Stop();
+  /// Compares what callers were told with what upstreams ran.
+  CallReport Report();
+
+private:
+  struct Call
+  {
+    std::string mId;
+    bool mIdempotent = false;
+    bool mToldNotRun = false;
+    bool mAnswered = false;
+    bool mUnknown = false;
+    bool mCrossed = false;
+    Duration mTook{};
+  };
+
+  void Run(unsigned aWorker);
+  void RunCall(Call& aCall, std::mt19937_64& aRandom);
+  /// Submits one attempt; empty if no entry VM could be reached.
+  std::optional<int> Attempt(Call& aCall,
+                             std::string const& aService,
+                             std::uint32_t aAttempt,
+                             std::mt19937_64& aRandom);
+
+  struct Channels;
+
+  Options mOptions;
+  RunRecord& mRecord;
+  std::unique_ptr<Channels> mChannels;
+  std::mutex mMutex;
+  std::vector<Endpoint> mTargets;
+  std::vector<Call> mCalls;
+  std::atomic<bool> mStop{ false };
+  std::atomic<std::uint64_t> mNext{ 0 };
+  TimePoint mStarted{};
+  std::vector<std::thread> mWorkers;
+};
+
+} // namespace tarragonsill::Lab
+
+#endif // TARRAGONSILL_LAB_CALLS_HPP_INCLUDED
--- /dev/null
+++ b/lab/tarragonsill_lab_entries.cpp
@@ -0,0 +1,264 @@
+#include "tarragonsill_lab_entries.hpp"
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+
+#include <fcntl.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace tarragonsill::Lab {
+
+namespace {
+
+constexpr std::uint32_t kLoopback = 127U << 24;
+constexpr std::uint32_t kFirstEntryNetwork = 20;
+constexpr std::uint32_t kFirstCallNetwork = 30;
+constexpr std::uint16_t kDataPort = 6081;
+constexpr std::uint16_t kControlPort = 7946;
+constexpr std::uint16_t kCallsPort = 7947;
+constexpr std::uint16_t kMetricsPort = 9100;
+constexpr std::size_t kMostEntries = 64;
+constexpr milliseconds kPageTimeout{ 500 };
+
+Prefix Network(std::uint32_t aThird)
+{
+  return { { kLoopback | (aThird << 8) }, 24 };
+}
+
+std::string ToText(Prefix const& aPrefix)
+{
+  return tarragonsill::ToText(aPrefix.mAddress) + "/" +
+         std::to_string(aPrefix.mLength);
+}
+
+} // namespace
+
+Prefix EntryNetwork(std::size_t aZone)
+{
+  return Network(kFirstEntryNetwork + static_cast<std::uint32_t>(aZone));
+}
+
+Prefix CallNetwork(std::size_t aZone)
+{
+  return Network(kFirstCallNetwork + static_cast<std::uint32_t>(aZone));
+}
+
+EntryFleet::EntryFleet(Options aOptions)
+  : mOptions(std::move(aOptions))
+{
+  mEntries.reserve(kMostEntries);
+}
+
+EntryFleet::~EntryFleet()
+{
+  for (auto& entry : mEntries) {
+    Kill(entry);
+  }
+}
+
+Result<EntryProcess*> EntryFleet::Add()
+{
+  if (mEntries.size() == kMostEntries) {
+    return Reason{ ReasonCode::LimitReached, "no more entry VMs" };
+  }
+  auto const index = mEntries.size();
+  auto const zone = index % mOptions.mZones.size();
+  EntryProcess entry;
+  auto& settings = entry.mSettings;
+  auto address = EntryNetwork(zone).mAddress;
+  address.mValue += static_cast<std::uint32_t>(index) + 1;
+  settings.mZone = mOptions.mZones[zone];
+  settings.mEntry = settings.mZone + "-entry-" +
+                    std::to_string(index / mOptions.mZones.size() + 1);
+  settings.mData = { address, kDataPort };
+  settings.mControl = { address, kControlPort };
+  settings.mCalls = { address, kCallsPort };
+  settings.mMetrics = { address, kMetricsPort };
+  entry.mSettingsFile = mOptions.mDirectory + "/" + settings.mEntry + ".yaml";
+  for (auto const& other : mEntries) {
+    settings.mSeeds.push_back(other.mSettings.mControl);
+  }
+  WriteSettings(entry);
+  entry.mPid = Spawn({ "entry", "--settings", entry.mSettingsFile }, false);
+  if (entry.mPid <= 0) {
+    return Reason{ ReasonCode::SystemFailure,
+                   "cannot start " + mOptions.mProgram };
+  }
+  mEntries.push_back(std::move(entry));
+  return &mEntries.back();
+}
+
+void EntryFleet::WriteSettings(EntryProcess const& aEntry) const
+{
+  auto const& settings = aEntry.mSettings;
+  using tarragonsill::ToText;
+  std::ofstream out(aEntry.mSettingsFile, std::ios::trunc);
+  out << "entry: " << settings.mEntry << "\nzone: " << settings.mZone
+      << "\ndeployment: " << mOptions.mDeployment
+      << "\ndata: " << ToText(settings.mData)
+      << "\ncontrol: " << ToText(settings.mControl)
+      << "\ncalls: " << ToText(settings.mCalls)
+      << "\nmetrics: " << ToText(settings.mMetrics) << "\nfabric: ["
+      << ToText(mOptions.mFabric) << "]\npeers: [127.0.0.0/16]\nseeds: [";
+  char const* separator = "";
+  for (auto const& seed : settings.mSeeds) {
+    out << separator << ToText(seed);
+    separator = ", ";
+  }
+  out << "]\ndenied: [";
+  separator = "";
+  for (auto const& denied : settings.mDenied) {
+    out << separator << Lab::ToText(denied);
+    separator = ", ";
+  }
+  out << "]\nplatform:\n  address: " << ToText(mOptions.mPlatform)
+      << "\nlog:\n  level: " << mOptions.mLogLevel
+      << "\n  file: " << mOptions.mDirectory << "/" << settings.mEntry
+      << ".log\n";
+}
+
+pid_t EntryFleet::Spawn(std::vector<std::string> const& aArguments,
+                        bool aQuiet) const
+{
+  std::vector<std::string> words = { mOptions.mProgram };
+  words.insert(words.end(), aArguments.begin(), aArguments.end());
+  std::vector<char*> pointers;
+  for (auto& word : words) {
+    pointers.push_back(word.data());
+  }
+  pointers.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  if (aQuiet) {
+    posix_spawn_file_actions_addopen(
+      &actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
+  }
+  pid_t pid = 0;
+  int const status = ::posix_spawn(&pid,
+                                   mOptions.mProgram.c_str(),
+                                   &actions,
+                                   nullptr,
+                                   pointers.data(),
+                                   environ);
+  posix_spawn_file_actions_destroy(&actions);
+  return status == 0 ? pid : 0;
+}
+
+EntryProcess* EntryFleet::Find(std::string const& aName)
+{
+  for (auto& entry : mEntries) {
+    if (entry.mSettings.mEntry == aName) {
+      return &entry;
+    }
+  }
+  return nullptr;
+}
+
+void EntryFleet::Kill(EntryProcess& aEntry)
+{
+  if (aEntry.mPid <= 0) {
+    return;
+  }
+  ::kill(aEntry.mPid, SIGKILL);
+  ::waitpid(aEntry.mPid, nullptr, 0);
+  aEntry.mPid = 0;
+}
+
+void EntryFleet::Stop(EntryProcess& aEntry)
+{
+  if (aEntry.mPid <= 0) {
+    return;
+  }
+  ::kill(aEntry.mPid, SIGTERM);
+  ::waitpid(aEntry.mPid, nullptr, 0);
+  aEntry.mPid = 0;
+}
+
+void EntryFleet::Pause(EntryProcess& aEntry)
+{
+  if (aEntry.mPid > 0) {
+    aEntry.mPaused = true;
+    ::kill(aEntry.mPid, SIGSTOP);
+  }
+}
+
+void EntryFleet::Resume(EntryProcess& aEntry)
+{
+  if (aEntry.mPid > 0) {
+    ::kill(aEntry.mPid, SIGCONT);
+    aEntry.mPaused = false;
+  }
+}
+
+void EntryFleet::ApplyCuts(std::vector<bool> const& aCut)
+{
+  for (std::size_t index = 0; index < mEntries.size(); ++index) {
+    auto& entry = mEntries[index];
+    auto const own = index % mOptions.mZones.size();
+    std::vector<Prefix> denied;
+    for (std::size_t zone = 0; zone < aCut.size(); ++zone) {
+      if (zone == own || (!aCut[own] && !aCut[zone])) {
+        continue;
+      }
+      denied.push_back(EntryNetwork(zone));
+      denied.push_back(CallNetwork(zone));
+    }
+    if (aCut[own]) {
+      denied.push_back({ mOptions.mPlatform.mAddress, 32 });
+    }
+    entry.mSettings.mDenied = denied;
+    WriteSettings(entry);
+    if (entry.mPid > 0) {
+      ::kill(entry.mPid, SIGHUP);
+    }
+  }
+}
+
+std::optional<EntryPage> EntryFleet::ReadPage(EntryProcess const& aEntry)
+{
+  auto const& address = aEntry.mSettings.mMetrics;
+  httplib::Client client(tarragonsill::ToText(address.mAddress), address.mPort);
+  client.set_connection_timeout(kPageTimeout);
+  client.set_read_timeout(kPageTimeout);
+  auto const answer = client.Get("/status");
+  if (!answer) {
+    return std::nullopt;
+  }
+  auto const json = nlohmann::json::parse(answer->body, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  EntryPage page;
+  page.mStage = json.value("stage", "");
+  page.mVersion = json.value("configuration_version", std::uint64_t{ 0 });
+  page.mLeases = json.value("leases", std::uint64_t{ 0 });
+  for (auto const& [name, value] : json["counters"].items()) {
+    if (name == "tarragonsill_control_bytes_sent_total") {
+      page.mControlBytes = value.get<std::uint64_t>();
+    }
+    if (name.starts_with("tarragonsill_drop_")) {
+      page.mDrops += value.get<std::uint64_t>();
+    }
+  }
+  return page;
+}
+
+int EntryFleet::RunCommand(std::vector<std::string> const& aArguments) const
+{
+  auto const pid = Spawn(aArguments, true);
+  if (pid <= 0) {
+    return -1;
+  }
+  int status = 0;
+  ::waitpid(pid, &status, 0);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+} // namespace tarragonsill::Lab
--- /dev/null
+++ b/lab/tarragonsill_lab_entries.hpp
@@ -0,0 +1,90 @@
+#ifndef TARRAGONSILL_LAB_ENTRIES_HPP_INCLUDED
+#define TARRAGONSILL_LAB_ENTRIES_HPP_INCLUDED
+
+#include "tarragonsill/protocol/tarragonsill_settings.hpp"
+#include "tarragonsill/state/tarragonsill_reason.hpp"
+#include "tarragonsill/state/tarragonsill_time.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+/// The entry VMs of a run, as real processes of the shipped program.
+namespace tarragonsill::Lab {
+
+/// One entry VM's process.
+struct EntryProcess
+{
+  Settings mSettings;
+  std::string mSettingsFile;
+  pid_t mPid = 0; ///< 0 once it has ended.
+  bool mPaused = false;
+  bool mInFabric = false; ///< Whether the fabric sprays to it.
+};
+
+/// What an entry VM's status page says.
+struct EntryPage
+{
+  std::string mStage;
+  std::uint64_t mVersion = 0;
+  std::uint64_t mLeases = 0;
+  std::uint64_t mControlBytes = 0;
+  std::uint64_t mDrops = 0;
+};
+
+/// The network of a zone's entry VMs and of its upstreams' call addresses.
+Prefix EntryNetwork(std::size_t aZone);
+Prefix CallNetwork(std::size_t aZone);
+
+class EntryFleet
+{
+public:
+  struct Options
+  {
+    std::string mProgram;   ///< Path of the `tarragonsill` program.
+    std::string mDirectory; ///< For settings and logs.
+    std::string mDeployment;
+    std::vector<std::string> mZones;
+    Endpoint mFabric;
+    Endpoint mPlatform;
+    std::string mLogLevel;
+  };
+
+  explicit EntryFleet(Options aOptions);
+  /// Kills what is still running.
+  ~EntryFleet();
+
+  /// Starts one more entry VM, in the zone whose turn it is.
+  Result<EntryProcess*> Add();
+  std::vector<EntryProcess>& All() { return mEntries; }
+  EntryProcess* Find(std::string const& aName);
+
+  /// Ends a process at once.
+  void Kill(EntryProcess& aEntry);
+  /// Asks a process to leave, and waits until it has ended.
+  void Stop(EntryProcess& aEntry);
+  void Pause(EntryProcess& aEntry);
+  void Resume(EntryProcess& aEntry);
+  /// Fences the zones in `aCut` off from the others and from the platform.
+  void ApplyCuts(std::vector<bool> const& aCut);
+
+  /// Reads an entry VM's status page.
+  static std::optional<EntryPage> ReadPage(EntryProcess const& aEntry);
+
+  /// Runs an operator's command to its end; returns its exit status.
+  int RunCommand(std::vector<std::string> const& aArguments) const;
+
+private:
+  void WriteSettings(EntryProcess const& aEntry) const;
+  pid_t Spawn(std::vector<std::string> const& aArguments, bool aQuiet) const;
+
+  Options mOptions;
+  std::vector<EntryProcess> mEntries;
+};
+
+} // namespace tarragonsill::Lab
+
+#endif // TARRAGONSILL_LAB_ENTRIES_HPP_INCLUDED
--- /dev/null
+++ b/lab/tarragonsill_lab_events.cpp
@@ -0,0 +1,117 @@
+#include "tarragonsill_lab_events.hpp"
+
+#include <array>
+#include <charconv>
+#include <optional>
+#include <string_view>
+
+namespace tarragonsill::Lab {
+
+namespace {
+
+struct NamedKind
+{
+  std::string_view mName;
+  EventKind mKind;
+};
+
+constexpr std::array<NamedKind, 15> kKinds = { {
+  { "kill-entry", EventKind::KillEntry },
+  { "stop-entry", EventKind::StopEntry },
+  { "join-entry", EventKind::JoinEntry },
+  { "pause-entry", EventKind::PauseEntry },
+  { "drain-upstream", EventKind::DrainUpstream },
+  { "cold-upstream", EventKind::ColdUpstream },
+  { "zone-out", EventKind::ZoneOut },
+  { "zone-in", EventKind::ZoneIn },
+  { "cut-zone", EventKind::CutZone },
+  { "heal-zone", EventKind::HealZone },
+  { "platform-down", EventKind::PlatformDown },
+  { "platform-up", EventKind::PlatformUp },
+  { "platform-slow", EventKind::PlatformSlow },
+  { "lose-answer", EventKind::LoseAnswer },
+  { "apply", EventKind::Apply },
+} };
+
+std::optional<double> ParseSecond(std::string_view aText)
+{
+  double value = 0;
+  auto const* const end = aText.data() + aText.size();
+  auto const [stop, error] = std::from_chars(aText.data(), end, value);
+  if (aText.empty() || error != std::errc{} || stop != end || value < 0) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+bool NamesZone(EventKind aKind)
+{
+  return aKind == EventKind::ZoneOut || aKind == EventKind::ZoneIn ||
+         aKind == EventKind::CutZone || aKind == EventKind::HealZone;
+}
+
+bool NamesUpstream(EventKind aKind)
+{
+  return aKind == EventKind::DrainUpstream || aKind == EventKind::ColdUpstream;
+}
+
+} // namespace
+
+Result<Event> ParseEvent(std::string const& aText)
+{
+  auto const at = aText.rfind('@');
+  auto const second = at == std::string::npos
+                        ? std::nullopt
+                        : ParseSecond(std::string_view(aText).substr(at + 1));
+  if (!second) {
+    return Reason{ ReasonCode::Malformed,
+                   "event '" + aText +
+                     "': NAME[:ARGUMENT]@SECOND is expected" };
+  }
+  auto const head = aText.substr(0, at);
+  auto const colon = head.find(':');
+  auto const name = head.substr(0, colon);
+  Event event;
+  event.mSecond = *second;
+  event.mArgument =
+    colon == std::string::npos ? std::string() : head.substr(colon + 1);
+  for (auto const& kind : kKinds) {
+    if (kind.mName == name) {
+      event.mKind = kind.mKind;
+      return event;
+    }
+  }
+  std::string known;
+  for (auto const& kind : kKinds) {
+    known += (known.empty() ? "" : ", ") + std::string(kind.mName);
+  }
+  return Reason{ ReasonCode::Malformed,
+                 "event '" + name +
+                   "' is not known; one of these is expected: " + known };
+}
+
+Result<Done> CheckEvents(std::vector<Event> const& aEvents,
+                         Configuration const& aConfiguration)
+{
+  for (auto const& event : aEvents) {
+    if (event.mKind == EventKind::Apply && event.mArgument.empty()) {
+      return Reason{ ReasonCode::Invalid, "event 'apply' needs a file" };
+    }
+    if (event.mArgument.empty()) {
+      continue;
+    }
+    if (NamesZone(event.mKind) &&
+        aConfiguration.FindZone(event.mArgument) == nullptr) {
+      return Reason{ ReasonCode::Invalid,
+                     "zone '" + event.mArgument + "' is not declared" };
+    }
+    if (NamesUpstream(event.mKind) &&
+        aConfiguration.FindUpstream(event.mArgument) == nullptr) {
+      return Reason{ ReasonCode::Invalid,
+                     "upstream '" + event.mArgument + "' is not declared" };
+    }
+  }
+  return Done{};
+}
+
+} // namespace tarragonsill::Lab
--- /dev/null
+++ b/lab/tarragonsill_lab_fabric.cpp
@@ -0,0 +1,300 @@
+#include "tarragonsill_lab_fabric.hpp"
+
+#include "tarragonsill/protocol/tarragonsill_geneve.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace tarragonsill::Lab {
+
+namespace {
+
+constexpr milliseconds kReceiveTimeout{ 2 };
+constexpr milliseconds kSettlePoll{ 20 };
+constexpr milliseconds kHeldFor{ 5 };
+
+Callers::Options WithServices(Callers::Options aOptions,
+                              Configuration const& aConfiguration)
+{
+  for (auto const& service : aConfiguration.mServices) {
+    double weight = 0;
+    for (auto const& upstream : service.mUpstreams) {
+      weight += upstream.mLimit.mConnections;
+    }
+    aOptions.mServices.push_back(service.mAddress);
+    aOptions.mWeights.push_back(weight);
+  }
+  return aOptions;
+}
+
+} // namespace
+
+Result<std::unique_ptr<Fabric>> Fabric::Create(
+  Options aOptions,
+  Configuration const& aConfiguration)
+{
+  auto socket = UdpSocket::Bind(aOptions.mAddress);
+  if (!socket) {
+    return socket.LastReason();
+  }
+  return std::unique_ptr<Fabric>(
+    new Fabric(std::move(aOptions), socket.Take(), aConfiguration));
+}
+
+Fabric::Fabric(Options aOptions,
+               UdpSocket aSocket,
+               Configuration const& aConfig)
+  : mOptions(std::move(aOptions))
+  , mSocket(std::move(aSocket))
+  , mCallers(
+      WithServices(mOptions.mCallers, aConfig),
+      mReport,
+      [this](std::vector<std::byte> aPacket) { Spray(std::move(aPacket), ""); })
+  , mRandom(mOptions.mSeed)
+{
+  std::uint32_t serviceIndex = 0;
+  std::uint32_t index = 0;
+  for (auto const& service : aConfig.mServices) {
+    mServices.push_back(service.mName);
+    for (auto const& upstream : service.mUpstreams) {
+      mUpstreams.emplace_back(upstream, serviceIndex, index++, mReport);
+    }
+    ++serviceIndex;
+  }
+}
+
+Fabric::~Fabric()
+{
+  mStop = true;
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+void Fabric::Start()
+{
+  {
+    std::lock_guard const lock(mMutex);
+    mCallers.Start(Clock::now());
+  }
+  mThread = std::thread([this] { Run(); });
+}
+
+void Fabric::Run()
+{
+  while (!mStop) {
+    auto const batch = mSocket.Receive(kReceiveTimeout);
+    std::lock_guard const lock(mMutex);
+    auto const now = Clock::now();
+    for (auto const& datagram : batch) {
+      HandleDatagram(now, datagram);
+    }
+    mCallers.Advance(now);
+    FlushHeld(now);
+  }
+}
+
+void Fabric::HandleDatagram(TimePoint aNow, Datagram const& aDatagram)
+{
+  auto const geneve = ParseGeneve(aDatagram.mBytes);
+  if (!geneve) {
+    ++mReport.mBadChecksums;
+    return;
+  }
+  auto const packet =
+    PacketView::Parse(aDatagram.mBytes.subspan(geneve->mBytes));
+  if (!packet) {
+    ++mReport.mBadChecksums;
+    return;
+  }
+  ++mReport.mPacketsForwarded;
+  auto* const upstream = FindUpstream(packet->Destination());
+  if (upstream == nullptr) {
+    mCallers.Handle(aNow, *packet);
+    return;
+  }
+  auto const sender = std::find_if(
+    mTargets.begin(), mTargets.end(), [&](FabricTarget const& aTarget) {
+      return aTarget.mData == aDatagram.mFrom;
+    });
+  auto const& zone = upstream->Declared().mZone;
+  if (sender != mTargets.end() && IsCut(sender->mZone, zone)) {
+    return;
+  }
+  auto answer = upstream->Handle(aNow, *packet);
+  if (answer) {
+    Spray(std::move(*answer), zone);
+  }
+}
+
+void Fabric::Spray(std::vector<std::byte> aPacket, std::string const& aFromZone)
+{
+  std::vector<Endpoint> reachable;
+  for (auto const& target : mTargets) {
+    if (!aFromZone.empty() && IsCut(aFromZone, target.mZone)) {
+      continue;
+    }
+    reachable.push_back(target.mData);
+  }
+  if (reachable.empty() || Chance(mOptions.mLoss)) {
+    return;
+  }
+  auto const target = reachable[mRandom() % reachable.size()];
+  if (Chance(mOptions.mDuplicate)) {
+    SendTo(reachable[mRandom() % reachable.size()], aPacket);
+  }
+  if (Chance(mOptions.mReorder)) {
+    mHeld.push_back({ Clock::now() + kHeldFor, target, std::move(aPacket) });
+    return;
+  }
+  SendTo(target, aPacket);
+}
+
+void Fabric::FlushHeld(TimePoint aNow)
+{
+  for (auto const& held : mHeld) {
+    if (held.mUntil <= aNow) {
+      SendTo(held.mTarget, held.mPacket);
+    }
+  }
+  std::erase_if(mHeld, [&](Held const& aHeld) { return aHeld.mUntil <= aNow; });
+}
+
+void Fabric::SendTo(Endpoint aTarget, std::span<std::byte const> aPacket)
+{
+  std::array<std::byte, kMaxGeneveBytes> header;
+  auto const length = WriteGeneve(header, std::nullopt);
+  mSocket.Queue(aTarget, std::span(header).first(length), aPacket);
+  (void)mSocket.Flush();
+}
+
+bool Fabric::Chance(double aShare)
+{
+  if (aShare <= 0) {
+    return false;
+  }
+  return std::uniform_real_distribution<double>(0, 1)(mRandom) < aShare;
+}
+
+bool Fabric::IsCut(std::string const& aLeft, std::string const& aRight) const
+{
+  return aLeft != aRight &&
+         (mCutZones.count(aLeft) > 0 || mCutZones.count(aRight) > 0);
+}
+
+FlowUpstream* Fabric::FindUpstream(Endpoint aAddress)
+{
+  for (auto& upstream : mUpstreams) {
+    if (upstream.Declared().mAddress == aAddress) {
+      return &upstream;
+    }
+  }
+  return nullptr;
+}
+
+void Fabric::SetTargets(std::vector<FabricTarget> aTargets)
+{
+  std::lock_guard const lock(mMutex);
+  mTargets = std::move(aTargets);
+}
+
+void Fabric::SetCut(std::string const& aZone, bool aCut)
+{
+  std::lock_guard const lock(mMutex);
+  if (aCut) {
+    mCutZones.insert(aZone);
+  } else {
+    mCutZones.erase(aZone);
+  }
+}
+
+void Fabric::DrainUpstream(std::string const& aName, TimePoint aAccepted)
+{
+  std::lock_guard const lock(mMutex);
+  for (auto& upstream : mUpstreams) {
+    if (upstream.Declared().mName == aName) {
+      upstream.DrainFrom(aAccepted);
+    }
+  }
+}
+
+void Fabric::TurnUpstreamCold(std::string const& aName)
+{
+  std::lock_guard const lock(mMutex);
+  for (auto& upstream : mUpstreams) {
+    if (upstream.Declared().mName == aName) {
+      upstream.TurnCold();
+    }
+  }
+}
+
+std::set<std::uint32_t> Fabric::UpstreamsIn(std::string const& aZone) const
+{
+  std::set<std::uint32_t> indices;
+  for (std::uint32_t index = 0; index < mUpstreams.size(); ++index) {
+    if (mUpstreams[index].Declared().mZone == aZone) {
+      indices.insert(index);
+    }
+  }
+  return indices;
+}
+
+void Fabric::TakeZoneOut(std::string const& aZone, TimePoint aAccepted)
+{
+  std::lock_guard const lock(mMutex);
+  auto const removed = UpstreamsIn(aZone);
+  for (auto const index : removed) {
+    mUpstreams[index].ZoneOutFrom(aAccepted);
+  }
+  mCallers.GiveUp(removed);
+}
+
+void Fabric::BringZoneIn(std::string const& aZone)
+{
+  std::lock_guard const lock(mMutex);
+  for (auto const index : UpstreamsIn(aZone)) {
+    mUpstreams[index].ZoneIn();
+  }
+}
+
+void Fabric::Finish(milliseconds aMost)
+{
+  auto const end = Clock::now() + aMost;
+  {
+    std::lock_guard const lock(mMutex);
+    mCallers.BeginFinalCheck(Clock::now());
+  }
+  for (bool settled = false; !settled && Clock::now() < end;) {
+    std::this_thread::sleep_for(kSettlePoll);
+    std::lock_guard const lock(mMutex);
+    settled = mCallers.Settled();
+  }
+  std::lock_guard const lock(mMutex);
+  mCallers.EndFinalCheck();
+}
+
+FlowReport Fabric::Report()
+{
+  std::lock_guard const lock(mMutex);
+  std::map<std::uint32_t, std::vector<double>> shares;
+  for (auto const& upstream : mUpstreams) {
+    if (upstream.WasDisturbed()) {
+      continue;
+    }
+    shares[upstream.ServiceIndex()].push_back(
+      static_cast<double>(upstream.Accepted()) /
+      upstream.Declared().mLimit.mConnections);
+  }
+  for (auto const& [service, values] : shares) {
+    double sum = 0;
+    for (auto const value : values) {
+      sum += value;
+    }
+    auto const mean = sum / static_cast<double>(values.size());
+    auto const most = *std::max_element(values.begin(), values.end());
+    mReport.mImbalance[mServices[service]] = mean > 0 ? most / mean : 0;
+  }
+  return mReport;
+}
+
+} // namespace tarragonsill::Lab
--- /dev/null
+++ b/lab/tarragonsill_lab_fabric.hpp
@@ -0,0 +1,97 @@
+#ifndef TARRAGONSILL_LAB_FABRIC_HPP_INCLUDED
+#define TARRAGONSILL_LAB_FABRIC_HPP_INCLUDED
+
+#include "tarragonsill_lab_callers.hpp"
+#include "tarragonsill_lab_upstreams.hpp"
+
+#include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+/// The fabric stand-in. It sprays packets over the entry VMs by a seeded draw
+/// and delivers what comes back by the inner destination address.
+namespace tarragonsill::Lab {
+
+/// An entry VM as the fabric sees it.
+struct FabricTarget
+{
+  std::string mName;
+  std::string mZone;
+  Endpoint mData;
+};
+
+class Fabric
+{
+public:
+  struct Options
+  {
+    Endpoint mAddress;
+    double mLoss = 0;      ///< Share of packets lost on each leg.
+    double mDuplicate = 0; ///< Share of packets delivered twice.
+    double mReorder = 0;   ///< Share of packets held back for a moment.
+    std::uint64_t mSeed = 1;
+    Callers::Options mCallers;
+  };
+
+  /// Binds the fabric's socket; the reason is `SystemFailure`.
+  static Result<std::unique_ptr<Fabric>> Create(
+    Options aOptions,
+    Configuration const& aConfiguration);
+  ~Fabric();
+
+  void Start();
+  void SetTargets(std::vector<FabricTarget> aTargets);
+  /// Cuts a zone off from the other zones, or heals the cut.
+  void SetCut(std::string const& aZone, bool aCut);
+  void DrainUpstream(std::string const& aName, TimePoint aAccepted);
+  void TurnUpstreamCold(std::string const& aName);
+  void TakeZoneOut(std::string const& aZone, TimePoint aAccepted);
+  void BringZoneIn(std::string const& aZone);
+  /// Lets every flow settle and stops.
+  void Finish(milliseconds aMost);
+  FlowReport Report();
+
+private:
+  Fabric(Options aOptions, UdpSocket aSocket, Configuration const& aConfig);
+
+  void Run();
+  void HandleDatagram(TimePoint aNow, Datagram const& aDatagram);
+  void Spray(std::vector<std::byte> aPacket, std::string const& aFromZone);
+  void SendTo(Endpoint aTarget, std::span<std::byte const> aPacket);
+  void FlushHeld(TimePoint aNow);
+  bool Chance(double aShare);
+  bool IsCut(std::string const& aLeft, std::string const& aRight) const;
+  FlowUpstream* FindUpstream(Endpoint aAddress);
+  std::set<std::uint32_t> UpstreamsIn(std::string const& aZone) const;
+
+  struct Held
+  {
+    TimePoint mUntil{};
+    Endpoint mTarget;
+    std::vector<std::byte> mPacket;
+  };
+
+  Options mOptions;
+  UdpSocket mSocket;
+  std::mutex mMutex; ///< Guards everything below.
+  FlowReport mReport;
+  std::vector<FlowUpstream> mUpstreams;
+  std::vector<std::string> mServices;
+  Callers mCallers;
+  std::vector<FabricTarget> mTargets;
+  std::set<std::string> mCutZones;
+  std::vector<Held> mHeld;
+  std::mt19937_64 mRandom;
+  std::atomic<bool> mStop{ false };
+  std::thread mThread;
+};
+
+} // namespace tarragonsill::Lab
+
+#endif // TARRAGONSILL_LAB_FABRIC_HPP_INCLUDED
--- /dev/null
+++ b/lab/tarragonsill_lab_platform.cpp
@@ -0,0 +1,233 @@
+#include "tarragonsill_lab_platform.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace tarragonsill::Lab {
+
+namespace {
+
+constexpr int kNotModified = 304;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kPreconditionFailed = 412;
+constexpr int kUnavailable = 503;
+constexpr milliseconds kLongestWait{ 5000 };
+constexpr std::size_t kServerThreads = 48;
+
+struct Object
+{
+  std::uint64_t mVersion = 0;
+  nlohmann::json mBody;
+};
+
+struct ListedVm
+{
+  PlatformVm mVm;
+  TimePoint mVisibleAt{};
+};
+
+char const* Text(PlatformVm::State aState)
+{
+  switch (aState) {
+    case PlatformVm::State::Live:
+      return "live";
+    case PlatformVm::State::Leaving:
+      return "leaving";
+    case PlatformVm::State::Removed:
+      return "removed";
+  }
+  return "";
+}
+
+} // namespace
+
+struct Platform::Impl
+{
+  std::string Render(Object const& aObject) const
+  {
+    auto json = aObject.mBody;
+    json["version"] = aObject.mVersion;
+    return json.dump();
+  }
+
+  /// Counts the call; false if the platform is down.
+  bool Admit(httplib::Response& aResponse)
+  {
+    ++mCalls;
+    std::this_thread::sleep_for(mDelay.load());
+    if (mDown) {
+      aResponse.status = kUnavailable;
+    }
+    return !mDown;
+  }
+
+  void Get(httplib::Request const& aRequest, httplib::Response& aResponse)
+  {
+    if (!Admit(aResponse)) {
+      return;
+    }
+    auto const newerThan = Parameter(aRequest, "newer_than");
+    auto const wait =
+      std::min(kLongestWait, milliseconds{ Parameter(aRequest, "wait_ms") });
+    std::unique_lock lock(mMutex);
+    auto const& object = mObjects[aRequest.matches[1]];
+    mChanged.wait_for(
+      lock, wait, [&] { return object.mVersion > newerThan || mDown; });
+    if (mDown) {
+      aResponse.status = kUnavailable;
+    } else if (object.mVersion == 0) {
+      aResponse.status = kNotFound;
+    } else if (wait.count() > 0 && object.mVersion <= newerThan) {
+      aResponse.status = kNotModified;
+    } else {
+      aResponse.set_content(Render(object), "application/json");
+    }
+  }
+
+  void Put(httplib::Request const& aRequest, httplib::Response& aResponse)
+  {
+    if (!Admit(aResponse)) {
+      return;
+    }
+    auto const body = nlohmann::json::parse(aRequest.body, nullptr, false);
+    if (!body.is_object()) {
+      aResponse.status = kBadRequest;
+      return;
+    }
+    std::lock_guard const lock(mMutex);
+    auto& object = mObjects[aRequest.matches[1]];
+    auto const expected = aRequest.get_header_value("If-Match");
+    if (expected != std::to_string(object.mVersion)) {
+      aResponse.status = kPreconditionFailed;
+      aResponse.set_content(Render(object), "application/json");
+      return;
+    }
+    ++object.mVersion;
+    object.mBody = body;
+    mChanged.notify_all();
+    if (mLoseAnswer.exchange(false)) {
+      aResponse.status = kUnavailable;
+      return;
+    }
+    aResponse.set_content(Render(object), "application/json");
+  }
+
+  void List(httplib::Response& aResponse)
+  {
+    if (!Admit(aResponse)) {
+      return;
+    }
+    std::lock_guard const lock(mMutex);
+    std::map<std::string, nlohmann::json> visible;
+    for (auto const& listed : mVms) {
+      if (listed.mVisibleAt > Clock::now()) {
+        continue;
+      }
+      visible[listed.mVm.mName] = { { "name", listed.mVm.mName },
+                                    { "zone", listed.mVm.mZone },
+                                    { "control", ToText(listed.mVm.mControl) },
+                                    { "state", Text(listed.mVm.mState) } };
+    }
+    auto json = nlohmann::json::array();
+    for (auto const& [name, vm] : visible) {
+      json.push_back(vm);
+    }
+    aResponse.set_content(json.dump(), "application/json");
+  }
+
+  static std::uint64_t Parameter(httplib::Request const& aRequest,
+                                 char const* aName)
+  {
+    auto const text = aRequest.get_param_value(aName);
+    return text.empty() ? 0 : std::strtoull(text.c_str(), nullptr, 10);
+  }
+
+  httplib::Server mServer;
+  std::thread mThread;
+  std::mutex mMutex;
+  std::condition_variable mChanged;
+  std::map<std::string, Object> mObjects;
+  std::vector<ListedVm> mVms; ///< In order of time; later ones win.
+  milliseconds mListLag{ 0 };
+  std::atomic<bool> mDown{ false };
+  std::atomic<bool> mLoseAnswer{ false };
+  std::atomic<milliseconds> mDelay{ milliseconds{ 0 } };
+  std::atomic<std::uint64_t> mCalls{ 0 };
+};
+
+Platform::Platform(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+Result<std::unique_ptr<Platform>> Platform::Start(Endpoint aAddress,
+                                                  milliseconds aListLag)
+{
+  auto impl = std::make_unique<Impl>();
+  auto* const raw = impl.get();
+  raw->mListLag = aListLag;
+  raw->mServer.new_task_queue = [] {
+    return new httplib::ThreadPool(kServerThreads);
+  };
+  constexpr char const* kObjectPath = R"(/v1/objects/([\w-]+))";
+  raw->mServer.Get(kObjectPath, [raw](auto const& aRequest, auto& aResponse) {
+    raw->Get(aRequest, aResponse);
+  });
+  raw->mServer.Put(kObjectPath, [raw](auto const& aRequest, auto& aResponse) {
+    raw->Put(aRequest, aResponse);
+  });
+  raw->mServer.Get(
+    "/v1/vms", [raw](auto const&, auto& aResponse) { raw->List(aResponse); });
+  auto const host = ToText(aAddress.mAddress);
+  if (!raw->mServer.bind_to_port(host.c_str(), aAddress.mPort)) {
+    return Reason{ ReasonCode::SystemFailure,
+                   "cannot serve the platform at " + ToText(aAddress) };
+  }
+  raw->mThread = std::thread([raw] { raw->mServer.listen_after_bind(); });
+  return std::unique_ptr<Platform>(new Platform(std::move(impl)));
+}
+
+Platform::~Platform()
+{
+  SetDown(true);
+  mImpl->mServer.stop();
+  if (mImpl->mThread.joinable()) {
+    mImpl->mThread.join();
+  }
+}
+
+void Platform::SetDown(bool aDown)
+{
+  mImpl->mDown = aDown;
+  mImpl->mChanged.notify_all();
+}
+
+void Platform::SetDelay(milliseconds aDelay)
+{
+  mImpl->mDelay = aDelay;
+}
+
+void Platform::LoseNextWriteAnswer()
+{
+  mImpl->mLoseAnswer = true;
+}
+
+void Platform::ListVm(PlatformVm aVm)
+{
+  std::lock_guard const lock(mImpl->mMutex);
+  mImpl->mVms.push_back({ std::move(aVm), Clock::now() + mImpl->mListLag });
+}
+
+std::uint64_t Platform::CallCount() const
+{
+  return mImpl->mCalls;
+}
+
+} // namespace tarragonsill::Lab
--- a/src/tarragonsill/cli/tarragonsill_cli_platform.cpp
+++ b/src/tarragonsill/cli/tarragonsill_cli_platform.cpp
@@ -19,8 +19,7 @@
 constexpr std::size_t kMaxDifferences = 20;
 
 /// Identifies one write, so that a lost answer can be settled.
-std::string
-NewChangeId()
+std::string NewChangeId()
 {
   std::random_device source;
   std::ostringstream text;
@@ -29,8 +28,8 @@
 }
 
 /// Lines that stand in one text only, marked with + and -.
-std::vector<std::string>
-Differences(std::string const& aOurs, std::string const& aTheirs)
+std::vector<std::string> Differences(std::string const& aOurs,
+                                     std::string const& aTheirs)
 {
   auto const lines = [](std::string const& aText) {
     std::multiset<std::string> result;
@@ -68,9 +67,10 @@
 
   /// Reads, lets `aEdit` make the next configuration, and writes it on
   /// condition that nobody else wrote in between.
-  int Run(std::string const& aDeployment,
-          std::function<std::optional<Configuration>(Configuration const*)> const&
-            aEdit)
+  int Run(
+    std::string const& aDeployment,
+    std::function<std::optional<Configuration>(Configuration const*)> const&
+      aEdit)
   {
     auto const address = ParseEndpoint(mOptions.mAddress);
     if (!address) {
@@ -106,8 +106,7 @@
     if (!absent && text == current.mText) {
       return Succeeded(current.mVersion, "nothing to change");
     }
-    return Report(
-      client.Write(object, current, NewChangeId(), text), text);
+    return Report(client.Write(object, current, NewChangeId(), text), text);
   }
 
   int Fail(int aStatus, std::string const& aText)
@@ -164,8 +163,7 @@
 
 } // namespace
 
-int
-ApplyFile(std::string const& aFile, PlatformOptions const& aOptions)
+int ApplyFile(std::string const& aFile, PlatformOptions const& aOptions)
 {
   auto const text = ReadFile(aFile);
   if (!text) {
@@ -181,15 +179,14 @@
     return ExitStatus::kRefused;
   }
   Change change(aOptions);
-  return change.Run(
-    configuration->mDeployment,
-    [&](Configuration const*) { return std::optional(*configuration); });
+  return change.Run(configuration->mDeployment, [&](Configuration const*) {
+    return std::optional(*configuration);
+  });
 }
 
-int
-SetZone(std::string const& aZone,
-        ZoneState aState,
-        PlatformOptions const& aOptions)
+int SetZone(std::string const& aZone,
+            ZoneState aState,
+            PlatformOptions const& aOptions)
 {
   Change change(aOptions);
   return change.Run(
@@ -210,17 +207,15 @@
     });
 }
 
-int
-SetUpstream(std::string const& aUpstream,
-            UpstreamState aState,
-            PlatformOptions const& aOptions)
+int SetUpstream(std::string const& aUpstream,
+                UpstreamState aState,
+                PlatformOptions const& aOptions)
 {
   Change change(aOptions);
   return change.Run(
     aOptions.mDeployment,
     [&](Configuration const* aCurrent) -> std::optional<Configuration> {
-      if (aCurrent == nullptr ||
-          aCurrent->FindUpstream(aUpstream) == nullptr) {
+      if (aCurrent == nullptr || aCurrent->FindUpstream(aUpstream) == nullptr) {
         change.Fail(ExitStatus::kRefused,
                     "upstream '" + aUpstream + "' is not declared");
         return std::nullopt;
--- a/src/tarragonsill/cli/tarragonsill_cli_status.cpp
+++ b/src/tarragonsill/cli/tarragonsill_cli_status.cpp
@@ -15,10 +15,9 @@
 constexpr int kStatusOk = 200;
 
 /// Reads a JSON page of an entry VM.
-Result<nlohmann::json>
-FetchJson(std::string const& aEntry,
-          std::string const& aPath,
-          httplib::Params const& aParameters)
+Result<nlohmann::json> FetchJson(std::string const& aEntry,
+                                 std::string const& aPath,
+                                 httplib::Params const& aParameters)
 {
   auto const address = ParseEndpoint(aEntry);
   if (!address) {
@@ -43,8 +42,7 @@
   return json;
 }
 
-std::string
-Joined(nlohmann::json const& aList)
+std::string Joined(nlohmann::json const& aList)
 {
   std::string text;
   for (auto const& item : aList) {
@@ -53,8 +51,7 @@
   return text;
 }
 
-void
-PrintEntry(nlohmann::json const& aStatus)
+void PrintEntry(nlohmann::json const& aStatus)
 {
   auto const counter = [&](char const* aName) {
     return aStatus["counters"].value(
@@ -70,8 +67,7 @@
             << counter("packets_received") << '\n';
 }
 
-void
-PrintUpstreams(std::vector<nlohmann::json> const& aStatuses)
+void PrintUpstreams(std::vector<nlohmann::json> const& aStatuses)
 {
   std::map<std::string, nlohmann::json> upstreams;
   for (auto const& status : aStatuses) {
@@ -99,8 +95,7 @@
 
 } // namespace
 
-int
-ShowStatus(std::vector<std::string> const& aEntries, bool aJson)
+int ShowStatus(std::vector<std::string> const& aEntries, bool aJson)
 {
   std::vector<nlohmann::json> statuses;
   int result = ExitStatus::kOk;
@@ -124,18 +119,16 @@
   return result;
 }
 
-int
-ExplainFlow(std::string const& aEntry,
-            std::string const& aService,
-            std::string const& aFlow,
-            std::string const& aProtocol,
-            bool aJson)
+int ExplainFlow(std::string const& aEntry,
+                std::string const& aService,
+                std::string const& aFlow,
+                std::string const& aProtocol,
+                bool aJson)
 {
-  auto const answer = FetchJson(aEntry,
-                                "/explain",
-                                { { "service", aService },
-                                  { "flow", aFlow },
-                                  { "protocol", aProtocol } });
+  auto const answer = FetchJson(
+    aEntry,
+    "/explain",
+    { { "service", aService }, { "flow", aFlow }, { "protocol", aProtocol } });
   if (!answer) {
     std::cerr << "explain: " << answer.LastReason().mText << '\n';
     return answer.LastReason().mCode == ReasonCode::Invalid
--- a/src/tarragonsill/coordination/tarragonsill_call_ledger.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_call_ledger.cpp
@@ -2,8 +2,9 @@
 
 namespace tarragonsill {
 
-CallLedger::Entry&
-CallLedger::Add(TimePoint aNow, std::string const& aCallId, State aState)
+CallLedger::Entry& CallLedger::Add(TimePoint aNow,
+                                   std::string const& aCallId,
+                                   State aState)
 {
   mExpiries.push_back({ aNow + mOptions.mRetention, aCallId });
   auto& entry = mCalls[aCallId];
@@ -11,11 +12,10 @@
   return entry;
 }
 
-CallVerdict
-CallLedger::Begin(TimePoint aNow,
-                  std::string const& aCallId,
-                  std::uint32_t aAttempt,
-                  Duration aHeldFor)
+CallVerdict CallLedger::Begin(TimePoint aNow,
+                              std::string const& aCallId,
+                              std::uint32_t aAttempt,
+                              Duration aHeldFor)
 {
   auto const found = mCalls.find(aCallId);
   if (found != mCalls.end()) {
@@ -38,8 +38,7 @@
   return CallVerdict::Run;
 }
 
-void
-CallLedger::Finish(std::string const& aCallId, CallResult const& aResult)
+void CallLedger::Finish(std::string const& aCallId, CallResult const& aResult)
 {
   auto const found = mCalls.find(aCallId);
   if (found == mCalls.end()) {
@@ -60,8 +59,7 @@
   mBodyBytes += entry.mResult.mBody.size();
 }
 
-std::optional<CallResult>
-CallLedger::Outcome(std::string const& aCallId) const
+std::optional<CallResult> CallLedger::Outcome(std::string const& aCallId) const
 {
   auto const found = mCalls.find(aCallId);
   bool const finished =
@@ -69,15 +67,15 @@
   return finished ? std::optional(found->second.mResult) : std::nullopt;
 }
 
-bool
-CallLedger::IsRunning(std::string const& aCallId) const
+bool CallLedger::IsRunning(std::string const& aCallId) const
 {
   auto const found = mCalls.find(aCallId);
   return found != mCalls.end() && found->second.mState == State::Running;
 }
 
-CallLedger::QueryVerdict
-CallLedger::Query(TimePoint aNow, std::string const& aCallId, Duration aHeldFor)
+CallLedger::QueryVerdict CallLedger::Query(TimePoint aNow,
+                                           std::string const& aCallId,
+                                           Duration aHeldFor)
 {
   auto const found = mCalls.find(aCallId);
   if (found != mCalls.end()) {
@@ -92,8 +90,7 @@
                                         : QueryVerdict::NotSeen;
 }
 
-void
-CallLedger::Sweep(TimePoint aNow)
+void CallLedger::Sweep(TimePoint aNow)
 {
   while (!mExpiries.empty() && mExpiries.front().mAt <= aNow) {
     auto const expiry = std::move(mExpiries.front());
--- a/src/tarragonsill/coordination/tarragonsill_decision.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_decision.cpp
@@ -4,8 +4,7 @@
 
 namespace {
 
-char const*
-Sentence(DecisionKind aKind)
+char const* Sentence(DecisionKind aKind)
 {
   switch (aKind) {
     case DecisionKind::AdmittedPureChoice:
@@ -34,8 +33,7 @@
 
 } // namespace
 
-std::string
-ToLogLine(DecisionRecord const& aRecord)
+std::string ToLogLine(DecisionRecord const& aRecord)
 {
   std::string line = Sentence(aRecord.mKind);
   line += " flow=" + ToText(aRecord.mFlow.mCaller) + ">" +
--- a/src/tarragonsill/coordination/tarragonsill_membership.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_membership.cpp
@@ -15,8 +15,7 @@
 constexpr std::uint64_t kFailedProbeShare = 4;
 constexpr unsigned kRumourSendFactor = 3;
 
-unsigned
-HealthRank(MemberHealth aHealth)
+unsigned HealthRank(MemberHealth aHealth)
 {
   return static_cast<unsigned>(aHealth);
 }
@@ -31,8 +30,7 @@
 {
 }
 
-void
-Membership::Tick(TimePoint aNow, Outbox& aOutbox)
+void Membership::Tick(TimePoint aNow, Outbox& aOutbox)
 {
   CheckProbe(aNow, aOutbox);
   ExpireSuspicions(aNow);
@@ -43,8 +41,7 @@
   StartProbe(aNow, aOutbox);
 }
 
-std::optional<std::string>
-Membership::NextTarget()
+std::optional<std::string> Membership::NextTarget()
 {
   ++mProbeCount;
   bool const wantFailed = mProbeCount % kFailedProbeShare == 0;
@@ -77,8 +74,7 @@
                         : std::optional(failed[mRandom() % failed.size()]);
 }
 
-void
-Membership::StartProbe(TimePoint aNow, Outbox& aOutbox)
+void Membership::StartProbe(TimePoint aNow, Outbox& aOutbox)
 {
   if (mProbe) {
     // The probe of the last period went unanswered.
@@ -104,14 +100,14 @@
   }
 }
 
-void
-Membership::SendPing(Endpoint aTo, std::uint32_t aSequence, Outbox& aOutbox)
+void Membership::SendPing(Endpoint aTo,
+                          std::uint32_t aSequence,
+                          Outbox& aOutbox)
 {
   AddMessage(aOutbox, aTo).mutable_ping()->set_sequence(aSequence);
 }
 
-void
-Membership::CheckProbe(TimePoint aNow, Outbox& aOutbox)
+void Membership::CheckProbe(TimePoint aNow, Outbox& aOutbox)
 {
   bool const waiting = mProbe && !mProbe->mIndirect &&
                        aNow - mProbe->mSentAt > mOptions.mProbeTimeout;
@@ -136,13 +132,13 @@
   for (auto const& helper : helpers) {
     auto* request = AddMessage(aOutbox, helper).mutable_ping_request();
     request->set_sequence(mProbe->mSequence);
-    request->set_target_address(target->second.mMember.mControl.mAddress.mValue);
+    request->set_target_address(
+      target->second.mMember.mControl.mAddress.mValue);
     request->set_target_port(target->second.mMember.mControl.mPort);
   }
 }
 
-Duration
-Membership::SuspicionTimeout() const
+Duration Membership::SuspicionTimeout() const
 {
   auto const size = static_cast<double>(mPeers.size() + 1);
   auto const factor = std::max(1.0, std::log10(size));
@@ -150,8 +146,7 @@
                                               factor);
 }
 
-void
-Membership::ExpireSuspicions(TimePoint aNow)
+void Membership::ExpireSuspicions(TimePoint aNow)
 {
   auto const timeout = SuspicionTimeout();
   for (auto& [name, peer] : mPeers) {
@@ -165,10 +160,9 @@
   }
 }
 
-bool
-Membership::Handle(TimePoint aNow,
-                   wire::PeerMessage const& aMessage,
-                   Outbox& aOutbox)
+bool Membership::Handle(TimePoint aNow,
+                        wire::PeerMessage const& aMessage,
+                        Outbox& aOutbox)
 {
   auto const& sender = aMessage.sender();
   if (sender.name().empty() || sender.name() == mSelf.mName) {
@@ -195,10 +189,9 @@
   return true;
 }
 
-void
-Membership::HandleBody(TimePoint aNow,
-                       wire::PeerMessage const& aMessage,
-                       Outbox& aOutbox)
+void Membership::HandleBody(TimePoint aNow,
+                            wire::PeerMessage const& aMessage,
+                            Outbox& aOutbox)
 {
   auto const& sender = mPeers.at(aMessage.sender().name()).mMember;
   if (aMessage.has_ping()) {
@@ -235,10 +228,9 @@
   }
 }
 
-void
-Membership::Apply(TimePoint aNow,
-                  wire::MemberUpdate const& aUpdate,
-                  bool aDirect)
+void Membership::Apply(TimePoint aNow,
+                       wire::MemberUpdate const& aUpdate,
+                       bool aDirect)
 {
   if (aUpdate.name().empty()) {
     return;
@@ -251,11 +243,10 @@
     std::min(aUpdate.health(), HealthRank(MemberHealth::Gone)));
   auto const [entry, added] = mPeers.try_emplace(aUpdate.name());
   auto& peer = entry->second;
-  auto const offered =
-    std::tuple(aUpdate.incarnation(),
-               health == MemberHealth::Gone ? 1U : 0U,
-               aUpdate.revision(),
-               HealthRank(health));
+  auto const offered = std::tuple(aUpdate.incarnation(),
+                                  health == MemberHealth::Gone ? 1U : 0U,
+                                  aUpdate.revision(),
+                                  HealthRank(health));
   auto const held =
     std::tuple(peer.mMember.mIncarnation,
                peer.mMember.mHealth == MemberHealth::Gone ? 1U : 0U,
@@ -265,10 +256,9 @@
     peer.mLastHeard = aNow;
   }
   // A packet straight from a member proves that it is alive.
-  bool const revived =
-    aDirect && peer.mMember.mHealth != MemberHealth::Alive &&
-    aUpdate.incarnation() == peer.mMember.mIncarnation &&
-    peer.mMember.mHealth != MemberHealth::Gone;
+  bool const revived = aDirect && peer.mMember.mHealth != MemberHealth::Alive &&
+                       aUpdate.incarnation() == peer.mMember.mIncarnation &&
+                       peer.mMember.mHealth != MemberHealth::Gone;
   if (!added && offered <= held && !revived) {
     return;
   }
@@ -289,8 +279,7 @@
   SetHealth(aNow, peer, aDirect ? MemberHealth::Alive : health);
 }
 
-void
-Membership::ApplyAboutSelf(wire::MemberUpdate const& aUpdate)
+void Membership::ApplyAboutSelf(wire::MemberUpdate const& aUpdate)
 {
   if (aUpdate.incarnation() != mSelf.mIncarnation) {
     return;
@@ -307,8 +296,7 @@
   }
 }
 
-void
-Membership::SetHealth(TimePoint aNow, Peer& aPeer, MemberHealth aHealth)
+void Membership::SetHealth(TimePoint aNow, Peer& aPeer, MemberHealth aHealth)
 {
   if (aHealth == MemberHealth::Suspect &&
       aPeer.mMember.mHealth != MemberHealth::Suspect) {
@@ -319,8 +307,7 @@
   Spread(aPeer.mMember.mName);
 }
 
-void
-Membership::Spread(std::string const& aName)
+void Membership::Spread(std::string const& aName)
 {
   auto const size = static_cast<double>(mPeers.size() + 2);
   auto const sends =
@@ -330,10 +317,9 @@
   mRumours.push_front({ aName, sends });
 }
 
-void
-Membership::HandleVmList(TimePoint aNow,
-                         std::vector<PlatformVm> const& aVms,
-                         Outbox& aOutbox)
+void Membership::HandleVmList(TimePoint aNow,
+                              std::vector<PlatformVm> const& aVms,
+                              Outbox& aOutbox)
 {
   for (auto const& vm : aVms) {
     if (vm.mName == mSelf.mName) {
@@ -355,8 +341,7 @@
   }
 }
 
-void
-Membership::Contact(Endpoint aControl, Outbox& aOutbox)
+void Membership::Contact(Endpoint aControl, Outbox& aOutbox)
 {
   if (aControl == mSelf.mControl || NameAt(aControl)) {
     return;
@@ -364,8 +349,7 @@
   SendPing(aControl, ++mSequence, aOutbox);
 }
 
-void
-Membership::SetSelfStage(MemberStage aStage)
+void Membership::SetSelfStage(MemberStage aStage)
 {
   if (mSelf.mStage == aStage) {
     return;
@@ -376,8 +360,7 @@
   Spread(mSelf.mName);
 }
 
-void
-Membership::Rejoin(std::uint64_t aIncarnation)
+void Membership::Rejoin(std::uint64_t aIncarnation)
 {
   mSelf.mIncarnation = aIncarnation;
   mSelf.mStage = MemberStage::Joining;
@@ -386,8 +369,7 @@
   ++mGeneration;
 }
 
-std::vector<Member>
-Membership::Members() const
+std::vector<Member> Membership::Members() const
 {
   std::vector<Member> members;
   for (auto const& [name, peer] : mPeers) {
@@ -401,8 +383,7 @@
   return members;
 }
 
-Member const*
-Membership::Find(std::string const& aName) const
+Member const* Membership::Find(std::string const& aName) const
 {
   if (aName == mSelf.mName) {
     return &mSelf;
@@ -411,8 +392,7 @@
   return found == mPeers.end() ? nullptr : &found->second.mMember;
 }
 
-std::optional<std::string>
-Membership::NameAt(Endpoint aControl) const
+std::optional<std::string> Membership::NameAt(Endpoint aControl) const
 {
   for (auto const& [name, peer] : mPeers) {
     if (peer.mMember.mControl == aControl) {
@@ -422,8 +402,7 @@
   return std::nullopt;
 }
 
-void
-Membership::Decorate(wire::PeerMessage& aMessage)
+void Membership::Decorate(wire::PeerMessage& aMessage)
 {
   *aMessage.mutable_sender() = ToUpdate(mSelf, mSelfRevision);
   aMessage.set_configuration_version(mConfigurationVersion);
@@ -442,8 +421,7 @@
   }
 }
 
-wire::MemberUpdate
-Membership::UpdateOf(std::string const& aName) const
+wire::MemberUpdate Membership::UpdateOf(std::string const& aName) const
 {
   auto const found = mPeers.find(aName);
   return found == mPeers.end()
@@ -451,8 +429,8 @@
            : ToUpdate(found->second.mMember, found->second.mRevision);
 }
 
-wire::MemberUpdate
-Membership::ToUpdate(Member const& aMember, std::uint32_t aRevision) const
+wire::MemberUpdate Membership::ToUpdate(Member const& aMember,
+                                        std::uint32_t aRevision) const
 {
   wire::MemberUpdate update;
   update.set_name(aMember.mName);
--- a/src/tarragonsill/coordination/tarragonsill_ownership.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_ownership.cpp
@@ -14,8 +14,10 @@
 constexpr std::uint32_t kHeadroomShare = 4;
 constexpr std::uint32_t kHeadroomMinimum = 64;
 
-wire::LeaseItem
-MakeItem(Endpoint aKey, WorkLimit aLimit, std::uint64_t aTerm, bool aKnown)
+wire::LeaseItem MakeItem(Endpoint aKey,
+                         WorkLimit aLimit,
+                         std::uint64_t aTerm,
+                         bool aKnown)
 {
   wire::LeaseItem item;
   item.set_address(aKey.mAddress.mValue);
@@ -27,14 +29,12 @@
   return item;
 }
 
-Endpoint
-KeyOf(wire::LeaseItem const& aItem)
+Endpoint KeyOf(wire::LeaseItem const& aItem)
 {
   return { { aItem.address() }, static_cast<std::uint16_t>(aItem.port()) };
 }
 
-WorkLimit
-LimitOf(wire::LeaseItem const& aItem)
+WorkLimit LimitOf(wire::LeaseItem const& aItem)
 {
   return { aItem.connections(), aItem.slots() };
 }
@@ -48,8 +48,7 @@
 {
 }
 
-void
-Ownership::Configure(std::vector<OwnedThing> aThings)
+void Ownership::Configure(std::vector<OwnedThing> aThings)
 {
   std::map<Endpoint, Seat> seats;
   for (auto& thing : aThings) {
@@ -70,8 +69,7 @@
   ++mRevision;
 }
 
-void
-Ownership::SetMembers(std::vector<Member> const& aZoneMembers)
+void Ownership::SetMembers(std::vector<Member> const& aZoneMembers)
 {
   mMembers.clear();
   for (auto const& member : aZoneMembers) {
@@ -86,8 +84,7 @@
   }
 }
 
-void
-Ownership::Rank(Seat& aSeat)
+void Ownership::Rank(Seat& aSeat)
 {
   std::vector<std::uint64_t> hashes;
   for (auto const& member : mMembers) {
@@ -109,8 +106,7 @@
   }
 }
 
-void
-Ownership::StopActing(Seat& aSeat)
+void Ownership::StopActing(Seat& aSeat)
 {
   if (!aSeat.Holds()) {
     return;
@@ -120,16 +116,14 @@
   aSeat.mStoppedAt = ++mRevision;
 }
 
-void
-Ownership::DropAll()
+void Ownership::DropAll()
 {
   for (auto& [key, seat] : mSeats) {
     StopActing(seat);
   }
 }
 
-void
-Ownership::Forget()
+void Ownership::Forget()
 {
   for (auto& [key, seat] : mSeats) {
     seat.mKnowledge.reset();
@@ -137,9 +131,8 @@
   }
 }
 
-void
-Ownership::SetUsage(std::vector<UpstreamUsage> const& aUsage,
-                    std::uint64_t aRevision)
+void Ownership::SetUsage(std::vector<UpstreamUsage> const& aUsage,
+                         std::uint64_t aRevision)
 {
   for (auto const& usage : aUsage) {
     auto const found = mSeats.find(usage.mUpstream);
@@ -148,8 +141,8 @@
     }
   }
   for (auto& [key, seat] : mSeats) {
-    bool const settled = !seat.Holds() && seat.mStoppedAt != 0 &&
-                         aRevision >= seat.mStoppedAt;
+    bool const settled =
+      !seat.Holds() && seat.mStoppedAt != 0 && aRevision >= seat.mStoppedAt;
     if (!settled) {
       continue;
     }
@@ -161,8 +154,7 @@
   }
 }
 
-void
-Ownership::Bootstrap()
+void Ownership::Bootstrap()
 {
   for (auto& [key, seat] : mSeats) {
     if (!seat.mKnowledge) {
@@ -171,8 +163,7 @@
   }
 }
 
-bool
-Ownership::Tick(TimePoint aNow, Outbox& aOutbox)
+bool Ownership::Tick(TimePoint aNow, Outbox& aOutbox)
 {
   bool const paused =
     mLastTick != TimePoint{} && aNow - mLastTick > mOptions.mPauseLimit;
@@ -218,8 +209,7 @@
   return paused;
 }
 
-void
-Ownership::LowerCeilings(std::map<std::string, PendingAsk> const& aAsks)
+void Ownership::LowerCeilings(std::map<std::string, PendingAsk> const& aAsks)
 {
   for (auto const& [name, ask] : aAsks) {
     for (auto const& [key, proposed] : ask.mCeilings) {
@@ -233,8 +223,7 @@
   }
 }
 
-WorkLimit
-Ownership::ProposedCeiling(Seat const& aSeat) const
+WorkLimit Ownership::ProposedCeiling(Seat const& aSeat) const
 {
   auto const& limit = aSeat.mThing.mLimit;
   auto const headroom =
@@ -243,8 +232,7 @@
            limit.mSlots };
 }
 
-void
-Ownership::RenewAlone(TimePoint aNow, Seat& aSeat)
+void Ownership::RenewAlone(TimePoint aNow, Seat& aSeat)
 {
   bool const promised =
     aSeat.mPromise.mTo != mSelf && aNow < aSeat.mPromise.mUntil;
@@ -260,10 +248,9 @@
   }
 }
 
-bool
-Ownership::MayGrant(TimePoint aNow,
-                    Seat const& aSeat,
-                    Member const& aFrom) const
+bool Ownership::MayGrant(TimePoint aNow,
+                         Seat const& aSeat,
+                         Member const& aFrom) const
 {
   if (aSeat.mFirst != aFrom.mName || aSeat.mSecond != mSelf) {
     return false;
@@ -275,11 +262,10 @@
   return aSeat.mPromise.mTo == aFrom.mName || aNow >= aSeat.mPromise.mUntil;
 }
 
-void
-Ownership::HandleAsk(TimePoint aNow,
-                     Member const& aFrom,
-                     wire::LeaseAsk const& aAsk,
-                     Outbox& aOutbox)
+void Ownership::HandleAsk(TimePoint aNow,
+                          Member const& aFrom,
+                          wire::LeaseAsk const& aAsk,
+                          Outbox& aOutbox)
 {
   auto& last = mLastAsks[aFrom.mName];
   auto const position = std::pair(aFrom.mIncarnation, aAsk.sequence());
@@ -301,8 +287,8 @@
       StoreCeiling(seat, { item.term(), LimitOf(item) });
     }
     auto const reported = before.value_or(Knowledge{});
-    *grant.add_items() = MakeItem(
-      KeyOf(item), reported.mOpen, reported.mTerm, before.has_value());
+    *grant.add_items() =
+      MakeItem(KeyOf(item), reported.mOpen, reported.mTerm, before.has_value());
     mCounters.Add(Counter::LeaseGrants);
   }
   if (grant.items_size() > 0) {
@@ -310,8 +296,7 @@
   }
 }
 
-void
-Ownership::StoreCeiling(Seat& aSeat, Knowledge aAsked)
+void Ownership::StoreCeiling(Seat& aSeat, Knowledge aAsked)
 {
   bool const sameTerm =
     aSeat.mKnowledge && aSeat.mKnowledge->mTerm == aAsked.mTerm;
@@ -325,18 +310,16 @@
   Learn(aSeat, aAsked);
 }
 
-void
-Ownership::Learn(Seat& aSeat, Knowledge aKnowledge)
+void Ownership::Learn(Seat& aSeat, Knowledge aKnowledge)
 {
   if (!aSeat.mKnowledge || aKnowledge.mTerm >= aSeat.mKnowledge->mTerm) {
     aSeat.mKnowledge = aKnowledge;
   }
 }
 
-void
-Ownership::HandleGrant(TimePoint aNow,
-                       Member const& aFrom,
-                       wire::LeaseGrant const& aGrant)
+void Ownership::HandleGrant(TimePoint aNow,
+                            Member const& aFrom,
+                            wire::LeaseGrant const& aGrant)
 {
   auto const pending = mPending.find(aFrom.mName);
   if (pending == mPending.end() ||
@@ -376,8 +359,7 @@
   }
 }
 
-void
-Ownership::Begin(Seat& aSeat, TimePoint aUntil)
+void Ownership::Begin(Seat& aSeat, TimePoint aUntil)
 {
   aSeat.mUntil = aUntil;
   if (aSeat.Holds()) {
@@ -393,8 +375,7 @@
   mCounters.Add(Counter::LeaseTakeovers);
 }
 
-AdmissionRights
-Ownership::Rights(TimePoint aNow) const
+AdmissionRights Ownership::Rights(TimePoint aNow) const
 {
   AdmissionRights rights;
   for (auto const& [key, seat] : mSeats) {
@@ -407,8 +388,7 @@
   return rights;
 }
 
-std::optional<Endpoint>
-Ownership::ControlOf(std::string const& aName) const
+std::optional<Endpoint> Ownership::ControlOf(std::string const& aName) const
 {
   for (auto const& member : mMembers) {
     if (member.mName == aName) {
--- a/src/tarragonsill/coordination/tarragonsill_packet_engine.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_packet_engine.cpp
@@ -22,8 +22,8 @@
 /// Bounds the queue of decisions that wait for the log.
 constexpr std::size_t kMaxQueuedDecisions = 8192;
 
-std::vector<std::string>
-RecorderNames(SteeringSnapshot const& aSnapshot, BaseView const& aBase)
+std::vector<std::string> RecorderNames(SteeringSnapshot const& aSnapshot,
+                                       BaseView const& aBase)
 {
   std::vector<std::string> names;
   for (auto const entry : aBase.mChain) {
@@ -35,8 +35,7 @@
   return names;
 }
 
-bool
-Holds(std::vector<std::string> const& aNames, std::string const& aName)
+bool Holds(std::vector<std::string> const& aNames, std::string const& aName)
 {
   return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
 }
@@ -50,8 +49,8 @@
 {
 }
 
-void
-PacketEngine::ApplySnapshot(std::shared_ptr<SteeringSnapshot const> aSnapshot)
+void PacketEngine::ApplySnapshot(
+  std::shared_ptr<SteeringSnapshot const> aSnapshot)
 {
   std::vector<ExceptionTable> exceptions(aSnapshot->mServices.size());
   for (std::size_t index = 0; mSnapshot && index < mExceptions.size();
@@ -62,8 +61,7 @@
       continue;
     }
     exceptions[found->second] = std::move(mExceptions[index]);
-    QueueTransfers(
-      *mSnapshot, *aSnapshot, index, exceptions[found->second]);
+    QueueTransfers(*mSnapshot, *aSnapshot, index, exceptions[found->second]);
   }
   mExceptions = std::move(exceptions);
   for (auto& [address, ledger] : mLedgers) {
@@ -76,11 +74,10 @@
   mSnapshot = std::move(aSnapshot);
 }
 
-void
-PacketEngine::QueueTransfers(SteeringSnapshot const& aOld,
-                             SteeringSnapshot const& aNew,
-                             std::size_t aService,
-                             ExceptionTable& aTable)
+void PacketEngine::QueueTransfers(SteeringSnapshot const& aOld,
+                                  SteeringSnapshot const& aNew,
+                                  std::size_t aService,
+                                  ExceptionTable& aTable)
 {
   auto const& oldService = aOld.mServices[aService];
   auto const address = oldService.mService.mAddress;
@@ -110,9 +107,8 @@
   });
 }
 
-void
-PacketEngine::ApplyRights(TimePoint aNow,
-                          std::shared_ptr<AdmissionRights const> aRights)
+void PacketEngine::ApplyRights(TimePoint aNow,
+                               std::shared_ptr<AdmissionRights const> aRights)
 {
   mRights = std::move(aRights);
   if (!mSnapshot) {
@@ -135,9 +131,8 @@
   }
 }
 
-void
-PacketEngine::StoreException(TimePoint aNow,
-                             ExceptionTransfer const& aException)
+void PacketEngine::StoreException(TimePoint aNow,
+                                  ExceptionTransfer const& aException)
 {
   if (!mSnapshot) {
     return;
@@ -157,11 +152,10 @@
   mCounters.Add(Counter::ExceptionsRecorded);
 }
 
-std::optional<PacketEngine::Flow>
-PacketEngine::MakeFlow(PacketView& aPacket) const
+std::optional<PacketEngine::Flow> PacketEngine::MakeFlow(
+  PacketView& aPacket) const
 {
-  auto const service =
-    mSnapshot->mServiceByAddress.find(aPacket.Destination());
+  auto const service = mSnapshot->mServiceByAddress.find(aPacket.Destination());
   if (service == mSnapshot->mServiceByAddress.end()) {
     return std::nullopt;
   }
@@ -179,14 +173,13 @@
   return flow;
 }
 
-BaseView const&
-PacketEngine::BaseOf(Flow const& aFlow) const
+BaseView const& PacketEngine::BaseOf(Flow const& aFlow) const
 {
   return mSnapshot->mServices[aFlow.mService].mBase[aFlow.mShare];
 }
 
-std::optional<std::size_t>
-PacketEngine::PositionInChain(BaseView const& aBase) const
+std::optional<std::size_t> PacketEngine::PositionInChain(
+  BaseView const& aBase) const
 {
   for (std::size_t index = 0; index < aBase.mChain.size(); ++index) {
     if (mSnapshot->IsSelf(aBase.mChain[index])) {
@@ -196,8 +189,7 @@
   return std::nullopt;
 }
 
-PacketAction
-PacketEngine::HandleFabric(TimePoint aNow, PacketView& aPacket)
+PacketAction PacketEngine::HandleFabric(TimePoint aNow, PacketView& aPacket)
 {
   if (!mSnapshot) {
     return Drop(Counter::DropNoConfiguration);
@@ -208,10 +200,9 @@
   return HandleAnswer(aNow, aPacket, false);
 }
 
-PacketAction
-PacketEngine::HandlePeer(TimePoint aNow,
-                         Route const& aRoute,
-                         PacketView& aPacket)
+PacketAction PacketEngine::HandlePeer(TimePoint aNow,
+                                      Route const& aRoute,
+                                      PacketView& aPacket)
 {
   if (!mSnapshot) {
     return Drop(Counter::DropNoConfiguration);
@@ -240,8 +231,9 @@
   }
 }
 
-PacketAction
-PacketEngine::HandleAnswer(TimePoint aNow, PacketView& aPacket, bool aAtOwner)
+PacketAction PacketEngine::HandleAnswer(TimePoint aNow,
+                                        PacketView& aPacket,
+                                        bool aAtOwner)
 {
   auto const upstream = aPacket.Source();
   std::optional<std::size_t> service;
@@ -288,8 +280,7 @@
   return { ActionKind::ToFabric, {}, {}, {} };
 }
 
-PacketAction
-PacketEngine::HandleCaller(TimePoint aNow, Flow& aFlow)
+PacketAction PacketEngine::HandleCaller(TimePoint aNow, Flow& aFlow)
 {
   bool const plain = !aFlow.mPacket.OpensFlow() && !aFlow.mPacket.EndsFlow();
   if (plain) {
@@ -303,8 +294,9 @@
   return DecideAtHome(aNow, aFlow, 0);
 }
 
-PacketAction
-PacketEngine::DecideAtHome(TimePoint aNow, Flow& aFlow, std::uint8_t aHops)
+PacketAction PacketEngine::DecideAtHome(TimePoint aNow,
+                                        Flow& aFlow,
+                                        std::uint8_t aHops)
 {
   auto const& base = BaseOf(aFlow);
   if (base.mChain.empty()) {
@@ -337,11 +329,10 @@
   return PassLookup(aNow, aFlow, route);
 }
 
-PacketAction
-PacketEngine::DeliverException(TimePoint aNow,
-                               Flow& aFlow,
-                               ExceptionEntry& aEntry,
-                               std::uint8_t aHops)
+PacketAction PacketEngine::DeliverException(TimePoint aNow,
+                                            Flow& aFlow,
+                                            ExceptionEntry& aEntry,
+                                            std::uint8_t aHops)
 {
   bool const refresh = aEntry.mSeen.AgeAt(aNow) > kRefreshInterval;
   if (!refresh && !aFlow.mPacket.EndsFlow()) {
@@ -360,8 +351,7 @@
   return HandleTouch(aNow, aFlow, route);
 }
 
-PacketAction
-PacketEngine::PassLookup(TimePoint aNow, Flow& aFlow, Route aRoute)
+PacketAction PacketEngine::PassLookup(TimePoint aNow, Flow& aFlow, Route aRoute)
 {
   auto const& base = BaseOf(aFlow);
   auto const position = PositionInChain(base);
@@ -384,8 +374,9 @@
     aNow, aFlow, { RouteKind::Record, 0, kLookupAnswer, {}, {} });
 }
 
-PacketAction
-PacketEngine::ResumeLookup(TimePoint aNow, Flow& aFlow, Route const& aRoute)
+PacketAction PacketEngine::ResumeLookup(TimePoint aNow,
+                                        Flow& aFlow,
+                                        Route const& aRoute)
 {
   auto const& base = BaseOf(aFlow);
   auto* const exception = mExceptions[aFlow.mService].Find(aFlow.mHash);
@@ -410,8 +401,7 @@
   return { ActionKind::ToPeer, {}, aRoute.mHome, route };
 }
 
-PacketAction
-PacketEngine::AdmitFrom(TimePoint aNow, Flow& aFlow, Route aRoute)
+PacketAction PacketEngine::AdmitFrom(TimePoint aNow, Flow& aFlow, Route aRoute)
 {
   auto candidates = mSnapshot->Candidates(aFlow.mService, aFlow.mHash);
   auto const preferred = mSnapshot->mUpstreamByAddress.find(aRoute.mUpstream);
@@ -439,11 +429,10 @@
   return Drop(Counter::DropNoCapacity);
 }
 
-bool
-PacketEngine::TryAdmit(TimePoint aNow,
-                       Flow const& aFlow,
-                       std::size_t aUpstream,
-                       bool& aRepeated)
+bool PacketEngine::TryAdmit(TimePoint aNow,
+                            Flow const& aFlow,
+                            std::size_t aUpstream,
+                            bool& aRepeated)
 {
   auto const& view = mSnapshot->mUpstreams[aUpstream];
   auto const address = view.mUpstream.mAddress;
@@ -462,8 +451,7 @@
   if (!view.TakesNewWork()) {
     return false;
   }
-  switch (
-    ledger->Admit(aNow, aFlow.mHash, right->mCeiling.mConnections)) {
+  switch (ledger->Admit(aNow, aFlow.mHash, right->mCeiling.mConnections)) {
     case Admission::Full:
       mCounters.Add(Counter::FlowsRefusedFull);
       Note(DecisionKind::RefusedFull, aFlow, address);
@@ -479,12 +467,11 @@
   return false;
 }
 
-PacketAction
-PacketEngine::FinishAdmission(TimePoint aNow,
-                              Flow& aFlow,
-                              Route aRoute,
-                              std::size_t aUpstream,
-                              bool aRepeated)
+PacketAction PacketEngine::FinishAdmission(TimePoint aNow,
+                                           Flow& aFlow,
+                                           Route aRoute,
+                                           std::size_t aUpstream,
+                                           bool aRepeated)
 {
   auto const address = mSnapshot->mUpstreams[aUpstream].mUpstream.mAddress;
   bool const atHome = aRoute.mHome == SelfData();
@@ -512,8 +499,9 @@
   return HandleRecord(aNow, aFlow, aRoute);
 }
 
-PacketAction
-PacketEngine::HandleRecord(TimePoint aNow, Flow& aFlow, Route aRoute)
+PacketAction PacketEngine::HandleRecord(TimePoint aNow,
+                                        Flow& aFlow,
+                                        Route aRoute)
 {
   auto const& base = BaseOf(aFlow);
   if (aRoute.mStep == kLookupAnswer) {
@@ -546,13 +534,14 @@
   return HandleTouch(aNow, aFlow, aRoute);
 }
 
-void
-PacketEngine::StoreRecord(TimePoint aNow, Flow const& aFlow, Endpoint aUpstream)
+void PacketEngine::StoreRecord(TimePoint aNow,
+                               Flow const& aFlow,
+                               Endpoint aUpstream)
 {
   if (aUpstream == BaseOf(aFlow).mAddress) {
     auto* const ledger = LedgerOf(aUpstream);
-    if (ledger != nullptr && (ledger->Contains(aFlow.mHash) ||
-                              ledger->Claim(aNow, aFlow.mHash))) {
+    if (ledger != nullptr &&
+        (ledger->Contains(aFlow.mHash) || ledger->Claim(aNow, aFlow.mHash))) {
       mCounters.Add(Counter::FlowsClaimed);
       return;
     }
@@ -565,8 +554,9 @@
   Note(DecisionKind::ExceptionRecorded, aFlow, aUpstream);
 }
 
-PacketAction
-PacketEngine::HandleTouch(TimePoint aNow, Flow& aFlow, Route const& aRoute)
+PacketAction PacketEngine::HandleTouch(TimePoint aNow,
+                                       Flow& aFlow,
+                                       Route const& aRoute)
 {
   auto const found = mSnapshot->mUpstreamByAddress.find(aRoute.mUpstream);
   if (found == mSnapshot->mUpstreamByAddress.end()) {
@@ -587,8 +577,7 @@
   return Deliver(aFlow, aRoute.mUpstream);
 }
 
-PacketAction
-PacketEngine::Deliver(Flow& aFlow, Endpoint aUpstream)
+PacketAction PacketEngine::Deliver(Flow& aFlow, Endpoint aUpstream)
 {
   auto const found = mSnapshot->mUpstreamByAddress.find(aUpstream);
   if (found != mSnapshot->mUpstreamByAddress.end()) {
@@ -605,26 +594,20 @@
   return { ActionKind::ToFabric, {}, {}, {} };
 }
 
-PacketAction
-PacketEngine::ToEntry(EntryIndex aEntry, Route aRoute)
+PacketAction PacketEngine::ToEntry(EntryIndex aEntry, Route aRoute)
 {
   mCounters.Add(Counter::PacketsToPeer);
   ++aRoute.mHops;
-  return { ActionKind::ToPeer,
-           {},
-           mSnapshot->mEntries[aEntry].mData,
-           aRoute };
+  return { ActionKind::ToPeer, {}, mSnapshot->mEntries[aEntry].mData, aRoute };
 }
 
-PacketAction
-PacketEngine::Drop(Counter aCause)
+PacketAction PacketEngine::Drop(Counter aCause)
 {
   mCounters.Add(aCause);
   return { ActionKind::Drop, aCause, {}, {} };
 }
 
-void
-PacketEngine::Sweep(TimePoint aNow)
+void PacketEngine::Sweep(TimePoint aNow)
 {
   if (!mSnapshot) {
     return;
@@ -646,15 +629,13 @@
   }
 }
 
-FlowLedger*
-PacketEngine::LedgerOf(Endpoint aUpstream)
+FlowLedger* PacketEngine::LedgerOf(Endpoint aUpstream)
 {
   auto const found = mLedgers.find(aUpstream);
   return found == mLedgers.end() ? nullptr : &found->second;
 }
 
-AdmissionRight const*
-PacketEngine::RightOf(Endpoint aUpstream) const
+AdmissionRight const* PacketEngine::RightOf(Endpoint aUpstream) const
 {
   if (!mRights) {
     return nullptr;
@@ -667,15 +648,15 @@
   return nullptr;
 }
 
-Endpoint
-PacketEngine::SelfData() const
+Endpoint PacketEngine::SelfData() const
 {
   return mSnapshot->mSelf ? mSnapshot->mEntries[*mSnapshot->mSelf].mData
                           : Endpoint{};
 }
 
-void
-PacketEngine::Note(DecisionKind aKind, Flow const& aFlow, Endpoint aUpstream)
+void PacketEngine::Note(DecisionKind aKind,
+                        Flow const& aFlow,
+                        Endpoint aUpstream)
 {
   if (mDecisions.size() >= kMaxQueuedDecisions) {
     mCounters.Add(Counter::DecisionLogOverflow);
@@ -684,8 +665,7 @@
   mDecisions.push_back({ aKind, aFlow.mKey, aUpstream });
 }
 
-std::vector<UpstreamUsage>
-PacketEngine::Usage() const
+std::vector<UpstreamUsage> PacketEngine::Usage() const
 {
   std::vector<UpstreamUsage> usage;
   for (auto const& [address, ledger] : mLedgers) {
@@ -694,20 +674,17 @@
   return usage;
 }
 
-std::vector<ExceptionTransfer>
-PacketEngine::TakeTransfers()
+std::vector<ExceptionTransfer> PacketEngine::TakeTransfers()
 {
   return std::exchange(mTransfers, {});
 }
 
-std::vector<DecisionRecord>
-PacketEngine::TakeDecisions()
+std::vector<DecisionRecord> PacketEngine::TakeDecisions()
 {
   return std::exchange(mDecisions, {});
 }
 
-std::size_t
-PacketEngine::ExceptionCount() const
+std::size_t PacketEngine::ExceptionCount() const
 {
   std::size_t count = 0;
   for (auto const& table : mExceptions) {
@@ -716,8 +693,7 @@
   return count;
 }
 
-std::size_t
-PacketEngine::MemoryBytes() const
+std::size_t PacketEngine::MemoryBytes() const
 {
   std::size_t bytes = mAnswers.MemoryBytes();
   for (auto const& table : mExceptions) {
@@ -729,10 +705,9 @@
   return bytes;
 }
 
-Result<SteeringExplanation>
-Explain(SteeringSnapshot const& aSnapshot,
-        std::string const& aService,
-        FlowKey aFlow)
+Result<SteeringExplanation> Explain(SteeringSnapshot const& aSnapshot,
+                                    std::string const& aService,
+                                    FlowKey aFlow)
 {
   for (std::size_t index = 0; index < aSnapshot.mServices.size(); ++index) {
     auto const& service = aSnapshot.mServices[index];
--- a/src/tarragonsill/coordination/tarragonsill_packet_engine.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_packet_engine.hpp
@@ -48,9 +48,9 @@
 struct SteeringExplanation
 {
   std::string mService;
-  std::string mPureChoice;          ///< Upstream name, or its address.
-  std::vector<std::string> mHomes;  ///< Entry VMs, the deciding one first.
-  std::string mOwner;               ///< Admission owner of the pure choice.
+  std::string mPureChoice;              ///< Upstream name, or its address.
+  std::vector<std::string> mHomes;      ///< Entry VMs, the deciding one first.
+  std::string mOwner;                   ///< Admission owner of the pure choice.
   std::vector<std::string> mCandidates; ///< Upstreams in order of preference.
 };
 
@@ -127,9 +127,7 @@
   BaseView const& BaseOf(Flow const& aFlow) const;
   std::optional<std::size_t> PositionInChain(BaseView const& aBase) const;
 
-  PacketAction HandleAnswer(TimePoint aNow,
-                            PacketView& aPacket,
-                            bool aAtOwner);
+  PacketAction HandleAnswer(TimePoint aNow, PacketView& aPacket, bool aAtOwner);
   PacketAction HandleCaller(TimePoint aNow, Flow& aFlow);
   PacketAction DecideAtHome(TimePoint aNow, Flow& aFlow, std::uint8_t aHops);
   PacketAction ResumeLookup(TimePoint aNow, Flow& aFlow, Route const& aRoute);
--- a/src/tarragonsill/declare/tarragonsill_declare.hpp
+++ b/src/tarragonsill/declare/tarragonsill_declare.hpp
@@ -26,8 +26,7 @@
   /// What it bears when warm.
   UpstreamSpec Bears(std::uint32_t aConnections, std::uint32_t aSlots) &&;
   /// What it bears right after a cold start.
-  UpstreamSpec BearsCold(std::uint32_t aConnections,
-                           std::uint32_t aSlots) &&;
+  UpstreamSpec BearsCold(std::uint32_t aConnections, std::uint32_t aSlots) &&;
   UpstreamSpec Draining() &&;
 
 private:
@@ -64,8 +63,7 @@
 public:
   static DeploymentSpec Named(std::string aName);
 
-  DeploymentSpec Zone(std::string aName,
-                        ZoneState aState = ZoneState::In) &&;
+  DeploymentSpec Zone(std::string aName, ZoneState aState = ZoneState::In) &&;
   DeploymentSpec Add(ServiceSpec aService) &&;
 
   /// Checks the declaration; the reason is `Invalid` and names every fault.
--- a/src/tarragonsill/main.cpp
+++ b/src/tarragonsill/main.cpp
@@ -20,8 +20,7 @@
   bool mJson = false;
 };
 
-void
-AddPlatformOptions(CLI::App& aCommand, Arguments& aArguments)
+void AddPlatformOptions(CLI::App& aCommand, Arguments& aArguments)
 {
   aCommand
     .add_option("--platform",
@@ -32,8 +31,7 @@
     "--json", aArguments.mPlatform.mJson, "Print one JSON object");
 }
 
-void
-AddDeploymentOption(CLI::App& aCommand, Arguments& aArguments)
+void AddDeploymentOption(CLI::App& aCommand, Arguments& aArguments)
 {
   aCommand
     .add_option("--deployment",
@@ -42,8 +40,7 @@
     ->required();
 }
 
-void
-AddFileCommands(CLI::App& aApp, Arguments& aArguments, int& aStatus)
+void AddFileCommands(CLI::App& aApp, Arguments& aArguments, int& aStatus)
 {
   auto* entry = aApp.add_subcommand("entry", "Run an entry VM");
   entry->add_option("--settings", aArguments.mFile, "Settings file (YAML)")
@@ -57,16 +54,14 @@
   check->callback(
     [&] { aStatus = CheckFile(aArguments.mFile, aArguments.mJson); });
 
-  auto* apply =
-    aApp.add_subcommand("apply", "Put a configuration into force");
+  auto* apply = aApp.add_subcommand("apply", "Put a configuration into force");
   apply->add_option("FILE", aArguments.mFile, "The file (YAML)")->required();
   AddPlatformOptions(*apply, aArguments);
   apply->callback(
     [&] { aStatus = ApplyFile(aArguments.mFile, aArguments.mPlatform); });
 }
 
-void
-AddChangeCommands(CLI::App& aApp, Arguments& aArguments, int& aStatus)
+void AddChangeCommands(CLI::App& aApp, Arguments& aArguments, int& aStatus)
 {
   auto* zone = aApp.add_subcommand("zone", "Take a zone out or back in");
   zone->require_subcommand(1);
@@ -83,8 +78,7 @@
     command->callback(std::move(aRun));
   };
   add(zone, "out", "Send nothing to the zone any more", [&] {
-    aStatus =
-      SetZone(aArguments.mName, ZoneState::Out, aArguments.mPlatform);
+    aStatus = SetZone(aArguments.mName, ZoneState::Out, aArguments.mPlatform);
   });
   add(zone, "in", "Use the zone again", [&] {
     aStatus = SetZone(aArguments.mName, ZoneState::In, aArguments.mPlatform);
@@ -99,8 +93,7 @@
   });
 }
 
-void
-AddShowCommands(CLI::App& aApp, Arguments& aArguments, int& aStatus)
+void AddShowCommands(CLI::App& aApp, Arguments& aArguments, int& aStatus)
 {
   auto* status =
     aApp.add_subcommand("status", "Show entry VMs, services and upstreams");
@@ -122,8 +115,7 @@
   explain->add_option("--service", aArguments.mService, "Service")->required();
   explain->add_option("--flow", aArguments.mFlow, "Caller's ADDRESS:PORT")
     ->required();
-  explain
-    ->add_option("--protocol", aArguments.mProtocol, "tcp or udp")
+  explain->add_option("--protocol", aArguments.mProtocol, "tcp or udp")
     ->check(CLI::IsMember({ "tcp", "udp" }));
   explain->add_flag("--json", aArguments.mJson, "Print one JSON object");
   explain->callback([&] {
@@ -137,8 +129,7 @@
 
 } // namespace
 
-int
-main(int aCount, char** aValues)
+int main(int aCount, char** aValues)
 {
   CLI::App app("tarragonsill, a layer-4 load balancer", "tarragonsill");
   app.require_subcommand(1);
--- a/src/tarragonsill/protocol/tarragonsill_configuration_yaml.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_configuration_yaml.cpp
@@ -10,14 +10,12 @@
 constexpr std::uint32_t kMaxSlots = 10'000;
 constexpr milliseconds kDefaultIdleTimeout{ 300'000 };
 
-std::string
-ItemKey(std::string const& aList, std::size_t aIndex)
+std::string ItemKey(std::string const& aList, std::size_t aIndex)
 {
   return aList + "[" + std::to_string(aIndex) + "]";
 }
 
-Zone
-ReadZone(YamlMapping aMapping)
+Zone ReadZone(YamlMapping aMapping)
 {
   Zone zone;
   zone.mName = aMapping.Text("name");
@@ -30,8 +28,7 @@
   return zone;
 }
 
-WorkLimit
-ReadCold(YamlMapping& aUpstream, WorkLimit aLimit)
+WorkLimit ReadCold(YamlMapping& aUpstream, WorkLimit aLimit)
 {
   auto cold = aUpstream.Nested("cold", false);
   if (!cold) {
@@ -46,8 +43,7 @@
   return limit;
 }
 
-Upstream
-ReadUpstream(YamlMapping aMapping)
+Upstream ReadUpstream(YamlMapping aMapping)
 {
   Upstream upstream;
   upstream.mName = aMapping.Text("name");
@@ -70,8 +66,7 @@
   return upstream;
 }
 
-BaseShare
-ReadShare(YamlMapping aMapping)
+BaseShare ReadShare(YamlMapping aMapping)
 {
   BaseShare share;
   share.mAddress = aMapping.Address("address");
@@ -81,18 +76,16 @@
   return share;
 }
 
-Service
-ReadService(YamlMapping aMapping, YamlFaults& aFaults)
+Service ReadService(YamlMapping aMapping, YamlFaults& aFaults)
 {
   Service service;
   auto const key = aMapping.Key();
   service.mName = aMapping.Text("name");
   service.mAddress = aMapping.Address("address");
-  service.mIdleTimeout =
-    aMapping.Time("idle_timeout",
-                  milliseconds{ 1000 },
-                  milliseconds{ CoarseTime::kMaximumAge },
-                  kDefaultIdleTimeout);
+  service.mIdleTimeout = aMapping.Time("idle_timeout",
+                                       milliseconds{ 1000 },
+                                       milliseconds{ CoarseTime::kMaximumAge },
+                                       kDefaultIdleTimeout);
   std::size_t index = 0;
   for (auto const& item : aMapping.Items("upstreams", true)) {
     YamlMapping mapping(item, ItemKey(key + ".upstreams", index++), aFaults);
@@ -105,13 +98,11 @@
   }
   index = 0;
   for (auto const& item : aMapping.Items("retired", false)) {
-    auto const address = item.IsScalar()
-                           ? ParseEndpoint(item.Scalar())
-                           : Result<Endpoint>(Reason{});
+    auto const address = item.IsScalar() ? ParseEndpoint(item.Scalar())
+                                         : Result<Endpoint>(Reason{});
     if (!address) {
-      aFaults.Add(item,
-                  ItemKey(key + ".retired", index),
-                  "ADDRESS:PORT is expected");
+      aFaults.Add(
+        item, ItemKey(key + ".retired", index), "ADDRESS:PORT is expected");
     } else {
       service.mRetired.push_back(*address);
     }
@@ -121,16 +112,14 @@
   return service;
 }
 
-void
-AddRuleFaults(Configuration const& aConfiguration, YamlFaults& aFaults)
+void AddRuleFaults(Configuration const& aConfiguration, YamlFaults& aFaults)
 {
   for (auto const& error : Validate(aConfiguration)) {
     aFaults.AddAtLine(0, error.mKey, error.mText);
   }
 }
 
-void
-WriteUpstream(YAML::Emitter& aOut, Upstream const& aUpstream)
+void WriteUpstream(YAML::Emitter& aOut, Upstream const& aUpstream)
 {
   aOut << YAML::BeginMap;
   aOut << YAML::Key << "name" << YAML::Value << aUpstream.mName;
@@ -154,8 +143,7 @@
   aOut << YAML::EndMap;
 }
 
-void
-WriteDerived(YAML::Emitter& aOut, Service const& aService)
+void WriteDerived(YAML::Emitter& aOut, Service const& aService)
 {
   aOut << YAML::Key << "base" << YAML::Value << YAML::BeginSeq;
   for (auto const& share : aService.mBase) {
@@ -175,8 +163,8 @@
 
 } // namespace
 
-std::optional<Configuration>
-ReadConfiguration(std::string const& aText, YamlFaults& aFaults)
+std::optional<Configuration> ReadConfiguration(std::string const& aText,
+                                               YamlFaults& aFaults)
 {
   auto const root = LoadYaml(aText, aFaults);
   if (!root) {
@@ -193,8 +181,7 @@
   index = 0;
   for (auto const& item : document.Items("services", true)) {
     YamlMapping mapping(item, ItemKey("services", index++), aFaults);
-    configuration.mServices.push_back(
-      ReadService(std::move(mapping), aFaults));
+    configuration.mServices.push_back(ReadService(std::move(mapping), aFaults));
   }
   document.Finish();
   if (aFaults.All().empty()) {
@@ -206,13 +193,12 @@
   return configuration;
 }
 
-std::string
-WriteConfiguration(Configuration const& aConfiguration, bool aWithDerived)
+std::string WriteConfiguration(Configuration const& aConfiguration,
+                               bool aWithDerived)
 {
   YAML::Emitter out;
   out << YAML::BeginMap;
-  out << YAML::Key << "deployment" << YAML::Value
-      << aConfiguration.mDeployment;
+  out << YAML::Key << "deployment" << YAML::Value << aConfiguration.mDeployment;
   out << YAML::Key << "zones" << YAML::Value << YAML::BeginSeq;
   for (auto const& zone : aConfiguration.mZones) {
     out << YAML::Flow << YAML::BeginMap;
--- a/src/tarragonsill/protocol/tarragonsill_geneve.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_geneve.cpp
@@ -19,8 +19,7 @@
 constexpr std::size_t kRouteBytes = 16;
 constexpr std::uint8_t kCriticalOptionsPresent = 0x40;
 
-Route
-ReadRoute(std::span<std::byte const> aBody)
+Route ReadRoute(std::span<std::byte const> aBody)
 {
   Route route;
   route.mKind = static_cast<RouteKind>(aBody[0]);
@@ -31,16 +30,15 @@
   return route;
 }
 
-bool
-IsKnownKind(std::byte aKind)
+bool IsKnownKind(std::byte aKind)
 {
   auto const kind = std::to_integer<unsigned>(aKind);
   return kind >= static_cast<unsigned>(RouteKind::ToHome) &&
          kind <= static_cast<unsigned>(RouteKind::Answer);
 }
 
-Result<GeneveHeader, PacketFault>
-ReadOptions(std::span<std::byte const> aOptions)
+Result<GeneveHeader, PacketFault> ReadOptions(
+  std::span<std::byte const> aOptions)
 {
   GeneveHeader header;
   header.mBytes = kBaseHeaderBytes + aOptions.size();
@@ -73,8 +71,8 @@
 
 } // namespace
 
-Result<GeneveHeader, PacketFault>
-ParseGeneve(std::span<std::byte const> aDatagram)
+Result<GeneveHeader, PacketFault> ParseGeneve(
+  std::span<std::byte const> aDatagram)
 {
   if (aDatagram.size() < kBaseHeaderBytes) {
     return PacketFault::OuterTruncated;
@@ -93,9 +91,8 @@
   return ReadOptions(aDatagram.subspan(kBaseHeaderBytes, optionBytes));
 }
 
-std::size_t
-WriteGeneve(std::span<std::byte, kMaxGeneveBytes> aOut,
-            std::optional<Route> const& aRoute)
+std::size_t WriteGeneve(std::span<std::byte, kMaxGeneveBytes> aOut,
+                        std::optional<Route> const& aRoute)
 {
   std::fill(aOut.begin(), aOut.end(), std::byte{ 0 });
   StoreU16(aOut, 2, kEtherTypeIpv4);
--- a/src/tarragonsill/protocol/tarragonsill_geneve.hpp
+++ b/src/tarragonsill/protocol/tarragonsill_geneve.hpp
@@ -16,22 +16,22 @@
 /// What an entry VM asks of the peer to which it passes a packet.
 enum class RouteKind : std::uint8_t
 {
-  ToHome = 1,   ///< Decide where this packet of a flow goes.
-  Lookup = 2,   ///< Deliver if the flow is known here, else pass it on.
-  Admit = 3,    ///< Admit a new flow to the named upstream, else pass it on.
-  Record = 4,   ///< Record an admitted exception, then pass it on or deliver.
-  Touch = 5,    ///< Note a packet of a known flow at its owner and deliver.
-  Answer = 6,   ///< Note an answer at its owner and deliver it to the caller.
+  ToHome = 1, ///< Decide where this packet of a flow goes.
+  Lookup = 2, ///< Deliver if the flow is known here, else pass it on.
+  Admit = 3,  ///< Admit a new flow to the named upstream, else pass it on.
+  Record = 4, ///< Record an admitted exception, then pass it on or deliver.
+  Touch = 5,  ///< Note a packet of a known flow at its owner and deliver.
+  Answer = 6, ///< Note an answer at its owner and deliver it to the caller.
 };
 
 /// The contents of the route option.
 struct Route
 {
   RouteKind mKind = RouteKind::ToHome;
-  std::uint8_t mHops = 0;      ///< Entry VMs passed so far.
-  std::uint8_t mStep = 0;      ///< Position in the chain or candidate list.
-  Endpoint mUpstream;          ///< Zero where the kind has no use for it.
-  Endpoint mHome;              ///< The data endpoint of the deciding home.
+  std::uint8_t mHops = 0; ///< Entry VMs passed so far.
+  std::uint8_t mStep = 0; ///< Position in the chain or candidate list.
+  Endpoint mUpstream;     ///< Zero where the kind has no use for it.
+  Endpoint mHome;         ///< The data endpoint of the deciding home.
 };
 
 /// The Geneve header with an optional route.
--- a/src/tarragonsill/protocol/tarragonsill_packet.hpp
+++ b/src/tarragonsill/protocol/tarragonsill_packet.hpp
@@ -16,15 +16,15 @@
 enum class PacketFault : std::uint8_t
 {
   None,
-  OuterTruncated,     ///< Shorter than its Geneve header says.
-  OuterVersion,       ///< A Geneve version other than 0.
-  OuterProtocol,      ///< The Geneve payload is not IPv4.
-  OuterCriticalOption,///< An unknown critical Geneve option (RFC 8926, 3.5.1).
-  Truncated,          ///< Shorter than its IPv4 or transport header says.
-  Version,            ///< Not IP version 4.
-  IpOptions,          ///< An IPv4 header with options.
-  Fragment,           ///< A fragment of a datagram.
-  Protocol,           ///< Neither TCP nor UDP.
+  OuterTruncated,      ///< Shorter than its Geneve header says.
+  OuterVersion,        ///< A Geneve version other than 0.
+  OuterProtocol,       ///< The Geneve payload is not IPv4.
+  OuterCriticalOption, ///< An unknown critical Geneve option (RFC 8926, 3.5.1).
+  Truncated,           ///< Shorter than its IPv4 or transport header says.
+  Version,             ///< Not IP version 4.
+  IpOptions,           ///< An IPv4 header with options.
+  Fragment,            ///< A fragment of a datagram.
+  Protocol,            ///< Neither TCP nor UDP.
 };
 
 /// A parsed inner packet that refers to the bytes of its datagram.
--- a/src/tarragonsill/protocol/tarragonsill_settings.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_settings.cpp
@@ -16,12 +16,11 @@
                                                          "error" };
 
 template<typename T, typename Parse>
-std::vector<T>
-ReadList(YamlMapping& aMapping,
-         std::string const& aName,
-         bool aRequired,
-         char const* aExpected,
-         Parse aParse)
+std::vector<T> ReadList(YamlMapping& aMapping,
+                        std::string const& aName,
+                        bool aRequired,
+                        char const* aExpected,
+                        Parse aParse)
 {
   std::vector<T> values;
   for (auto const& item : aMapping.Items(aName, aRequired)) {
@@ -38,8 +37,7 @@
   return values;
 }
 
-void
-ReadPlatform(YamlMapping& aDocument, Settings& aSettings)
+void ReadPlatform(YamlMapping& aDocument, Settings& aSettings)
 {
   auto platform = aDocument.Nested("platform", true);
   if (!platform) {
@@ -54,8 +52,7 @@
   platform->Finish();
 }
 
-void
-ReadLog(YamlMapping& aDocument, Settings& aSettings)
+void ReadLog(YamlMapping& aDocument, Settings& aSettings)
 {
   auto log = aDocument.Nested("log", false);
   if (!log) {
@@ -73,8 +70,8 @@
 
 } // namespace
 
-std::optional<Settings>
-ReadSettings(std::string const& aText, YamlFaults& aFaults)
+std::optional<Settings> ReadSettings(std::string const& aText,
+                                     YamlFaults& aFaults)
 {
   auto const root = LoadYaml(aText, aFaults);
   if (!root) {
--- a/src/tarragonsill/state/tarragonsill_configuration.cpp
+++ b/src/tarragonsill/state/tarragonsill_configuration.cpp
@@ -8,11 +8,10 @@
 namespace {
 
 template<typename Range>
-auto*
-FindByName(Range& aRange, std::string const& aName)
+auto* FindByName(Range& aRange, std::string const& aName)
 {
-  auto const found = std::find_if(
-    aRange.begin(), aRange.end(), [&](auto const& aItem) {
+  auto const found =
+    std::find_if(aRange.begin(), aRange.end(), [&](auto const& aItem) {
       return aItem.mName == aName;
     });
   return found == aRange.end() ? nullptr : &*found;
@@ -112,18 +111,15 @@
   std::set<Endpoint> mAddresses;
 };
 
-bool
-HasUpstreamAt(Service const& aService, Endpoint aAddress)
+bool HasUpstreamAt(Service const& aService, Endpoint aAddress)
 {
-  return std::any_of(aService.mUpstreams.begin(),
-                     aService.mUpstreams.end(),
-                     [&](Upstream const& aUpstream) {
-                       return aUpstream.mAddress == aAddress;
-                     });
+  return std::any_of(
+    aService.mUpstreams.begin(),
+    aService.mUpstreams.end(),
+    [&](Upstream const& aUpstream) { return aUpstream.mAddress == aAddress; });
 }
 
-void
-RetireMissing(Service& aNext, Service const& aCurrent)
+void RetireMissing(Service& aNext, Service const& aCurrent)
 {
   std::set<Endpoint> retired(aCurrent.mRetired.begin(),
                              aCurrent.mRetired.end());
@@ -141,20 +137,17 @@
 
 } // namespace
 
-Zone const*
-Configuration::FindZone(std::string const& aName) const
+Zone const* Configuration::FindZone(std::string const& aName) const
 {
   return FindByName(mZones, aName);
 }
 
-Service const*
-Configuration::FindService(std::string const& aName) const
+Service const* Configuration::FindService(std::string const& aName) const
 {
   return FindByName(mServices, aName);
 }
 
-Upstream const*
-Configuration::FindUpstream(std::string const& aName) const
+Upstream const* Configuration::FindUpstream(std::string const& aName) const
 {
   for (auto const& service : mServices) {
     if (auto const* upstream = FindByName(service.mUpstreams, aName)) {
@@ -164,20 +157,18 @@
   return nullptr;
 }
 
-Upstream*
-Configuration::FindUpstream(std::string const& aName)
+Upstream* Configuration::FindUpstream(std::string const& aName)
 {
   return const_cast<Upstream*>(std::as_const(*this).FindUpstream(aName));
 }
 
-std::vector<ConfigurationError>
-Validate(Configuration const& aConfiguration)
+std::vector<ConfigurationError> Validate(Configuration const& aConfiguration)
 {
   return Validator(aConfiguration).Run();
 }
 
-Result<Configuration>
-Succeed(Configuration aNext, Configuration const* aCurrent)
+Result<Configuration> Succeed(Configuration aNext,
+                              Configuration const* aCurrent)
 {
   for (auto& service : aNext.mServices) {
     auto const* current =
@@ -189,9 +180,8 @@
     }
     service.mBase.clear();
     for (auto const& upstream : service.mUpstreams) {
-      service.mBase.push_back({ upstream.mAddress,
-                                upstream.mZone,
-                                upstream.mLimit.mConnections });
+      service.mBase.push_back(
+        { upstream.mAddress, upstream.mZone, upstream.mLimit.mConnections });
     }
   }
   auto const errors = Validate(aNext);
--- a/src/tarragonsill/state/tarragonsill_configuration.hpp
+++ b/src/tarragonsill/state/tarragonsill_configuration.hpp
@@ -43,10 +43,10 @@
 {
   std::string mName;
   std::string mZone;
-  Endpoint mAddress;      ///< Where its flows go, inside the fabric.
-  Endpoint mCallAddress;  ///< Where its calls go (gRPC); zero for none.
+  Endpoint mAddress;     ///< Where its flows go, inside the fabric.
+  Endpoint mCallAddress; ///< Where its calls go (gRPC); zero for none.
   WorkLimit mLimit;
-  WorkLimit mColdLimit;   ///< What it bears right after a cold start.
+  WorkLimit mColdLimit; ///< What it bears right after a cold start.
   UpstreamState mState = UpstreamState::Serving;
 };
 
--- a/src/tarragonsill/state/tarragonsill_counters.cpp
+++ b/src/tarragonsill/state/tarragonsill_counters.cpp
@@ -66,14 +66,12 @@
 
 } // namespace
 
-std::string_view
-CounterName(Counter aCounter)
+std::string_view CounterName(Counter aCounter)
 {
   return kNames[static_cast<std::size_t>(aCounter)];
 }
 
-std::string
-Counters::ToExposition(std::string_view aEntry) const
+std::string Counters::ToExposition(std::string_view aEntry) const
 {
   std::string text;
   for (std::size_t index = 0; index < kCounterCount; ++index) {
--- a/src/tarragonsill/state/tarragonsill_counters.hpp
+++ b/src/tarragonsill/state/tarragonsill_counters.hpp
@@ -92,7 +92,8 @@
   std::string ToExposition(std::string_view aEntry) const;
 
 private:
-  std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(Counter::Count)>
+  std::array<std::atomic<std::uint64_t>,
+             static_cast<std::size_t>(Counter::Count)>
     mValues{};
 };
 
--- a/src/tarragonsill/state/tarragonsill_flow_ledger.cpp
+++ b/src/tarragonsill/state/tarragonsill_flow_ledger.cpp
@@ -24,16 +24,16 @@
 {
 }
 
-void
-FlowLedger::Configure(Upstream const& aUpstream)
+void FlowLedger::Configure(Upstream const& aUpstream)
 {
   mLimit = aUpstream.mLimit;
   mColdStart.Configure(aUpstream.mColdLimit.mConnections,
                        aUpstream.mLimit.mConnections);
 }
 
-Admission
-FlowLedger::Admit(TimePoint aNow, std::uint64_t aFlow, std::uint32_t aCeiling)
+Admission FlowLedger::Admit(TimePoint aNow,
+                            std::uint64_t aFlow,
+                            std::uint32_t aCeiling)
 {
   if (auto* known = mFlows.Find(aFlow)) {
     known->mSeen = CoarseTime(aNow);
@@ -53,8 +53,9 @@
   return Admission::Admitted;
 }
 
-bool
-FlowLedger::NoteCaller(TimePoint aNow, std::uint64_t aFlow, std::uint8_t aFlags)
+bool FlowLedger::NoteCaller(TimePoint aNow,
+                            std::uint64_t aFlow,
+                            std::uint8_t aFlags)
 {
   auto* const entry = mFlows.Find(aFlow);
   if (entry == nullptr) {
@@ -65,8 +66,9 @@
   return true;
 }
 
-void
-FlowLedger::NoteAnswer(TimePoint aNow, std::uint64_t aFlow, std::uint8_t aFlags)
+void FlowLedger::NoteAnswer(TimePoint aNow,
+                            std::uint64_t aFlow,
+                            std::uint8_t aFlags)
 {
   auto* const entry = mFlows.Find(aFlow);
   if (entry == nullptr) {
@@ -88,8 +90,7 @@
   MarkEnd(*entry, aFlags, kUpstreamEnded);
 }
 
-void
-FlowLedger::Adopt(TimePoint aNow, std::uint32_t aTotal)
+void FlowLedger::Adopt(TimePoint aNow, std::uint32_t aTotal)
 {
   auto const known = static_cast<std::uint32_t>(mFlows.Size());
   mUnknown = aTotal > known ? aTotal - known : 0;
@@ -98,8 +99,7 @@
   mFlows.ForEach([](Entry& aEntry) { aEntry.mMarks &= ~kSinceCold; });
 }
 
-bool
-FlowLedger::Claim(TimePoint aNow, std::uint64_t aFlow)
+bool FlowLedger::Claim(TimePoint aNow, std::uint64_t aFlow)
 {
   if (mUnknown == 0) {
     return false;
@@ -111,8 +111,7 @@
   return true;
 }
 
-void
-FlowLedger::Sweep(TimePoint aNow, Duration aIdleTimeout)
+void FlowLedger::Sweep(TimePoint aNow, Duration aIdleTimeout)
 {
   if (mUnknown > 0 && aNow - mAdoptedAt > aIdleTimeout) {
     mUnknown = 0;
@@ -131,8 +130,7 @@
   });
 }
 
-void
-FlowLedger::MarkEnd(Entry& aEntry, std::uint8_t aFlags, Mark aSide)
+void FlowLedger::MarkEnd(Entry& aEntry, std::uint8_t aFlags, Mark aSide)
 {
   if ((aFlags & TcpFlags::kRst) != 0) {
     aEntry.mMarks |= kCallerEnded | kUpstreamEnded;
--- a/src/tarragonsill/state/tarragonsill_flow_table.hpp
+++ b/src/tarragonsill/state/tarragonsill_flow_table.hpp
@@ -13,8 +13,11 @@
 
 /// An entry whose key is the flow hash; 0 marks an empty place.
 template<typename T>
-concept FlowEntry = std::default_initializable<T> && requires(T aEntry) {
-  { aEntry.mKey } -> std::convertible_to<std::uint64_t>;
+concept FlowEntry = std::default_initializable<T> && requires(T aEntry)
+{
+  {
+    aEntry.mKey
+    } -> std::convertible_to<std::uint64_t>;
 };
 
 template<FlowEntry T>
--- a/src/tarragonsill/state/tarragonsill_steering_snapshot.cpp
+++ b/src/tarragonsill/state/tarragonsill_steering_snapshot.cpp
@@ -175,17 +175,17 @@
 
 } // namespace
 
-std::shared_ptr<SteeringSnapshot const>
-SteeringSnapshot::Build(Configuration const& aConfiguration,
-                        std::vector<Member> aEntries,
-                        std::string const& aSelf,
-                        SteeringSnapshot const* aPrevious)
+std::shared_ptr<SteeringSnapshot const> SteeringSnapshot::Build(
+  Configuration const& aConfiguration,
+  std::vector<Member> aEntries,
+  std::string const& aSelf,
+  SteeringSnapshot const* aPrevious)
 {
   return Builder(aConfiguration, std::move(aEntries), aSelf, aPrevious).Run();
 }
 
-std::vector<std::size_t>
-SteeringSnapshot::Candidates(std::size_t aService, std::uint64_t aFlow) const
+std::vector<std::size_t> SteeringSnapshot::Candidates(std::size_t aService,
+                                                      std::uint64_t aFlow) const
 {
   auto const& service = mServices[aService];
   std::string zone;
@@ -207,9 +207,9 @@
     if (!view.TakesNewWork()) {
       continue;
     }
-    unsigned const tier = first == index                   ? 0
+    unsigned const tier = first == index                 ? 0
                           : view.mUpstream.mZone == zone ? 1
-                                                           : 2;
+                                                         : 2;
     scored.push_back({ tier, PlacementScore(aFlow, view.mKey), index });
   }
   std::sort(scored.begin(), scored.end(), [](auto& aLeft, auto& aRight) {
--- a/src/tarragonsill/transport/tarragonsill_call_server.cpp
+++ b/src/tarragonsill/transport/tarragonsill_call_server.cpp
@@ -10,14 +10,12 @@
 constexpr milliseconds kMaxCallTime{ 10000 };
 constexpr milliseconds kShutdownGrace{ 200 };
 
-TimePoint
-DeadlineOf(grpc::ServerContext const& aContext)
+TimePoint DeadlineOf(grpc::ServerContext const& aContext)
 {
   auto const now = Clock::now();
-  auto const left =
-    aContext.deadline() - std::chrono::system_clock::now();
-  return now + std::min<Duration>(
-                 kMaxCallTime, std::chrono::duration_cast<Duration>(left));
+  auto const left = aContext.deadline() - std::chrono::system_clock::now();
+  return now + std::min<Duration>(kMaxCallTime,
+                                  std::chrono::duration_cast<Duration>(left));
 }
 
 class CallsHandler final : public wire::Calls::Service
@@ -74,10 +72,9 @@
     return grpc::Status::OK;
   }
 
-  grpc::Status FetchConfiguration(
-    grpc::ServerContext*,
-    wire::ConfigurationRequest const* aRequest,
-    wire::ConfigurationReply* aReply) override
+  grpc::Status FetchConfiguration(grpc::ServerContext*,
+                                  wire::ConfigurationRequest const* aRequest,
+                                  wire::ConfigurationReply* aReply) override
   {
     auto const text = mState->mConfigurationText.Value();
     if (text.mVersion > aRequest->newer_than()) {
@@ -100,18 +97,17 @@
   EntryHandler mEntry;
 };
 
-Result<std::unique_ptr<CallServer>>
-CallServer::Start(Endpoint aAddress,
-                  std::shared_ptr<CallService> aService,
-                  std::shared_ptr<EntryState> aState)
+Result<std::unique_ptr<CallServer>> CallServer::Start(
+  Endpoint aAddress,
+  std::shared_ptr<CallService> aService,
+  std::shared_ptr<EntryState> aState)
 {
   std::unique_ptr<CallServer> server(new CallServer());
   server->mHandlers.reset(new Handlers{
     CallsHandler(aService), EntryHandler(aService, std::move(aState)) });
   grpc::ServerBuilder builder;
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-  builder.AddListeningPort(ToText(aAddress),
-                           grpc::InsecureServerCredentials());
+  builder.AddListeningPort(ToText(aAddress), grpc::InsecureServerCredentials());
   builder.RegisterService(&server->mHandlers->mCalls);
   builder.RegisterService(&server->mHandlers->mEntry);
   server->mServer = builder.BuildAndStart();
--- a/src/tarragonsill/transport/tarragonsill_call_service.cpp
+++ b/src/tarragonsill/transport/tarragonsill_call_service.cpp
@@ -22,10 +22,9 @@
 constexpr double kRetryShare = 0.1;
 constexpr double kRetryBurst = 20;
 
-wire::CallReply
-MakeReply(wire::CallRequest const& aRequest,
-          wire::CallOutcome aOutcome,
-          std::string aReason)
+wire::CallReply MakeReply(wire::CallRequest const& aRequest,
+                          wire::CallOutcome aOutcome,
+                          std::string aReason)
 {
   wire::CallReply reply;
   reply.set_call_id(aRequest.call_id());
@@ -37,20 +36,20 @@
   return reply;
 }
 
-wire::CallReply
-ToReply(wire::CallRequest const& aRequest, CallResult const& aResult)
+wire::CallReply ToReply(wire::CallRequest const& aRequest,
+                        CallResult const& aResult)
 {
-  auto const outcome = aResult.mOutcome == CallOutcome::Answered ? wire::ANSWERED
-                       : aResult.mOutcome == CallOutcome::NotRun ? wire::NOT_RUN
-                                                                 : wire::UNKNOWN;
+  auto const outcome =
+    aResult.mOutcome == CallOutcome::Answered ? wire::ANSWERED
+    : aResult.mOutcome == CallOutcome::NotRun ? wire::NOT_RUN
+                                              : wire::UNKNOWN;
   auto reply = MakeReply(aRequest, outcome, aResult.mReason);
   reply.set_body(aResult.mBody);
   reply.set_upstream(aResult.mUpstream);
   return reply;
 }
 
-CallResult
-ToResult(wire::CallReply const& aReply)
+CallResult ToResult(wire::CallReply const& aReply)
 {
   CallResult result;
   result.mOutcome = aReply.outcome() == wire::ANSWERED  ? CallOutcome::Answered
@@ -62,8 +61,7 @@
   return result;
 }
 
-char const*
-OutcomeText(wire::CallOutcome aOutcome)
+char const* OutcomeText(wire::CallOutcome aOutcome)
 {
   switch (aOutcome) {
     case wire::ANSWERED:
@@ -76,16 +74,15 @@
 }
 
 /// The gRPC deadline for a monotonic one.
-std::chrono::system_clock::time_point
-ToSystemTime(TimePoint aDeadline)
+std::chrono::system_clock::time_point ToSystemTime(TimePoint aDeadline)
 {
   return std::chrono::system_clock::now() +
          std::chrono::duration_cast<std::chrono::system_clock::duration>(
            aDeadline - Clock::now());
 }
 
-std::optional<std::size_t>
-FindService(SteeringSnapshot const& aSnapshot, std::string const& aName)
+std::optional<std::size_t> FindService(SteeringSnapshot const& aSnapshot,
+                                       std::string const& aName)
 {
   for (std::size_t index = 0; index < aSnapshot.mServices.size(); ++index) {
     if (aSnapshot.mServices[index].mService.mName == aName) {
@@ -127,8 +124,7 @@
 }
 
 template<typename Reply, typename Message>
-std::optional<Reply>
-CallService::Ask(Message aMessage)
+std::optional<Reply> CallService::Ask(Message aMessage)
 {
   caf::scoped_actor self{ mSystem };
   std::optional<Reply> result;
@@ -139,14 +135,12 @@
 }
 
 template<typename Message>
-void
-CallService::Tell(Message aMessage)
+void CallService::Tell(Message aMessage)
 {
   caf::anon_send(mCalls, std::move(aMessage));
 }
 
-bool
-CallService::TakeRetry()
+bool CallService::TakeRetry()
 {
   std::lock_guard const lock(mRetryMutex);
   bool const taken = mRetries.Take(Clock::now());
@@ -156,9 +150,9 @@
   return taken;
 }
 
-std::optional<wire::CallReply>
-CallService::CheckRequest(wire::CallRequest const& aRequest,
-                          TimePoint aDeadline)
+std::optional<wire::CallReply> CallService::CheckRequest(
+  wire::CallRequest const& aRequest,
+  TimePoint aDeadline)
 {
   if (aRequest.call_id().empty()) {
     return MakeReply(aRequest, wire::NOT_RUN, "call_id is required");
@@ -182,8 +176,8 @@
   return std::nullopt;
 }
 
-wire::CallReply
-CallService::Submit(wire::CallRequest const& aRequest, TimePoint aDeadline)
+wire::CallReply CallService::Submit(wire::CallRequest const& aRequest,
+                                    TimePoint aDeadline)
 {
   ProgressGuard const guard(mInProgress);
   auto& counters = mState->mCounters;
@@ -239,13 +233,12 @@
   return reply;
 }
 
-std::optional<wire::CallReply>
-CallService::ClearWithOtherZones(wire::CallRequest const& aRequest,
-                                 CallView const& aView,
-                                 std::size_t aService)
+std::optional<wire::CallReply> CallService::ClearWithOtherZones(
+  wire::CallRequest const& aRequest,
+  CallView const& aView,
+  std::size_t aService)
 {
-  auto const homes =
-    CallHomes(*aView.mSnapshot, aService, aRequest.call_id());
+  auto const homes = CallHomes(*aView.mSnapshot, aService, aRequest.call_id());
   auto const zones = std::count_if(
     aView.mSnapshot->mZones.begin(),
     aView.mSnapshot->mZones.end(),
@@ -271,8 +264,7 @@
     if (answer.verdict() == wire::CallQueryReply::SEEN) {
       return answer.reply();
     }
-    certain =
-      certain && answer.verdict() == wire::CallQueryReply::NOT_SEEN;
+    certain = certain && answer.verdict() == wire::CallQueryReply::NOT_SEEN;
   }
   if (certain) {
     return std::nullopt;
@@ -282,11 +274,11 @@
                    "not every zone can say whether an earlier attempt ran");
 }
 
-wire::CallReply
-CallService::RunAtHome(wire::CallRequest const& aRequest, TimePoint aDeadline)
+wire::CallReply CallService::RunAtHome(wire::CallRequest const& aRequest,
+                                       TimePoint aDeadline)
 {
-  auto const decision = Ask<CallDecision>(
-    BeginCall{ aRequest.call_id(), aRequest.attempt() });
+  auto const decision =
+    Ask<CallDecision>(BeginCall{ aRequest.call_id(), aRequest.attempt() });
   if (!decision || decision->mNotHome) {
     auto reply = MakeReply(
       aRequest, wire::NOT_RUN, "this entry VM does not hold the call's range");
@@ -318,9 +310,8 @@
   return reply;
 }
 
-wire::CallReply
-CallService::WaitForOutcome(wire::CallRequest const& aRequest,
-                            TimePoint aDeadline)
+wire::CallReply CallService::WaitForOutcome(wire::CallRequest const& aRequest,
+                                            TimePoint aDeadline)
 {
   while (Clock::now() + kOutcomePoll < aDeadline) {
     std::this_thread::sleep_for(kOutcomePoll);
@@ -336,9 +327,8 @@
     aRequest, wire::UNKNOWN, "another attempt of this call is in progress");
 }
 
-wire::CallReply
-CallService::RunOnUpstreams(wire::CallRequest const& aRequest,
-                            TimePoint aDeadline)
+wire::CallReply CallService::RunOnUpstreams(wire::CallRequest const& aRequest,
+                                            TimePoint aDeadline)
 {
   auto const view = mState->mView.Value();
   auto const service = FindService(*view.mSnapshot, aRequest.service());
@@ -384,8 +374,8 @@
   return reply;
 }
 
-wire::CallReply
-CallService::RunAtOwner(wire::CallRequest const& aRequest, TimePoint aDeadline)
+wire::CallReply CallService::RunAtOwner(wire::CallRequest const& aRequest,
+                                        TimePoint aDeadline)
 {
   auto const view = mState->mView.Value();
   auto const* const upstream =
@@ -394,14 +384,13 @@
   if (upstream == nullptr) {
     return MakeReply(aRequest, wire::NOT_RUN, "the upstream is not declared");
   }
-  auto const admission =
-    Ask<SlotAdmission>(AdmitSlot{ upstream->mAddress });
+  auto const admission = Ask<SlotAdmission>(AdmitSlot{ upstream->mAddress });
   if (admission != SlotAdmission::Admitted) {
     return MakeReply(
       aRequest, wire::NOT_RUN, "upstream " + upstream->mName + " has no slot");
   }
-  auto const connect = std::min<Duration>(kConnectTimeout,
-                                          aDeadline - Clock::now());
+  auto const connect =
+    std::min<Duration>(kConnectTimeout, aDeadline - Clock::now());
   auto const wait = std::chrono::duration_cast<milliseconds>(connect);
   if (!mChannels->Connect(upstream->mCallAddress, wait)) {
     Tell(EndSlot{ upstream->mAddress, SlotEnd::Abandoned });
@@ -412,10 +401,9 @@
   return SendToUpstream(aRequest, *upstream, aDeadline);
 }
 
-wire::CallReply
-CallService::SendToUpstream(wire::CallRequest const& aRequest,
-                            Upstream const& aUpstream,
-                            TimePoint aDeadline)
+wire::CallReply CallService::SendToUpstream(wire::CallRequest const& aRequest,
+                                            Upstream const& aUpstream,
+                                            TimePoint aDeadline)
 {
   auto const stub =
     wire::Upstream::NewStub(mChannels->To(aUpstream.mCallAddress));
@@ -448,11 +436,11 @@
   return reply;
 }
 
-std::optional<wire::CallReply>
-CallService::Forward(RemoteStep aStep,
-                     Member const& aEntry,
-                     wire::CallRequest const& aRequest,
-                     TimePoint aDeadline)
+std::optional<wire::CallReply> CallService::Forward(
+  RemoteStep aStep,
+  Member const& aEntry,
+  wire::CallRequest const& aRequest,
+  TimePoint aDeadline)
 {
   if (!mChannels->Connect(aEntry.mCalls, kConnectTimeout)) {
     return std::nullopt;
@@ -473,13 +461,11 @@
                      " gave no answer: " + status.error_message());
 }
 
-wire::CallQueryReply
-CallService::Query(wire::CallQuery const& aQuery)
+wire::CallQueryReply CallService::Query(wire::CallQuery const& aQuery)
 {
   wire::CallQueryReply reply;
   auto const decision = Ask<QueryDecision>(QueryCall{ aQuery.call_id() });
-  if (!decision ||
-      decision->mVerdict == CallLedger::QueryVerdict::Uncertain) {
+  if (!decision || decision->mVerdict == CallLedger::QueryVerdict::Uncertain) {
     reply.set_verdict(wire::CallQueryReply::UNCERTAIN);
     return reply;
   }
--- a/src/tarragonsill/transport/tarragonsill_control_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_control_actor.cpp
@@ -14,8 +14,7 @@
 constexpr milliseconds kRightsPeriod{ 100 };
 constexpr std::size_t kWatchersPerZone = 2;
 
-Member
-SelfOf(ControlActorArguments const& aArguments)
+Member SelfOf(ControlActorArguments const& aArguments)
 {
   auto const& settings = aArguments.mState->mSettings;
   Member self;
@@ -28,8 +27,7 @@
   return self;
 }
 
-char const*
-StageText(MemberStage aStage)
+char const* StageText(MemberStage aStage)
 {
   switch (aStage) {
     case MemberStage::Joining:
@@ -44,8 +42,7 @@
 
 /// Says whether this member is one of the few of its zone that ask the
 /// platform; the others hear from them.
-bool
-IsWatcher(std::vector<Member> const& aMembers, Member const& aSelf)
+bool IsWatcher(std::vector<Member> const& aMembers, Member const& aSelf)
 {
   if (aSelf.mStage == MemberStage::Joining) {
     return true;
@@ -158,8 +155,8 @@
       mSnapshotReport = mReportNumber;
       orders.mSnapshot = snapshot;
     }
-    bool const rightsDue = mRightsRevision != mPlane.RightsRevision() ||
-                           aNow >= mNextRights;
+    bool const rightsDue =
+      mRightsRevision != mPlane.RightsRevision() || aNow >= mNextRights;
     if (rightsDue) {
       mNextRights = aNow + kRightsPeriod;
       mRightsRevision = mPlane.RightsRevision();
@@ -195,8 +192,7 @@
       mPlane.HandedOver() && mReportNumber > mSnapshotReport + 2;
     if (status.mSelf.mStage != mStage) {
       mStage = status.mSelf.mStage;
-      LogInfo(std::string("member: this entry VM is now ") +
-              StageText(mStage));
+      LogInfo(std::string("member: this entry VM is now ") + StageText(mStage));
     }
     mArguments.mState->mStatus.Set(std::move(status));
   }
@@ -218,8 +214,8 @@
 
 } // namespace
 
-caf::behavior
-ControlActor(caf::event_based_actor* aSelf, ControlActorArguments aArguments)
+caf::behavior ControlActor(caf::event_based_actor* aSelf,
+                           ControlActorArguments aArguments)
 {
   auto driver = std::make_shared<ControlDriver>(aSelf, std::move(aArguments));
   aSelf->send(aSelf, TickAtom::value);
--- a/src/tarragonsill/transport/tarragonsill_entry_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_entry_daemon.cpp
@@ -71,10 +71,9 @@
       AnyContains(mState->mSettings.mPeers, aDatagram.mFrom.mAddress) &&
       !mState->IsDenied(aDatagram.mFrom);
     auto message = std::make_shared<wire::PeerMessage>();
-    bool const valid =
-      known && message->ParseFromArray(
-                 aDatagram.mBytes.data(),
-                 static_cast<int>(aDatagram.mBytes.size()));
+    bool const valid = known && message->ParseFromArray(
+                                  aDatagram.mBytes.data(),
+                                  static_cast<int>(aDatagram.mBytes.size()));
     if (!valid) {
       counters.Add(Counter::ControlMessagesRejected);
       return;
@@ -88,8 +87,7 @@
   std::thread mThread;
 };
 
-caf::actor_system_config&
-PrepareConfig(caf::actor_system_config& aConfig)
+caf::actor_system_config& PrepareConfig(caf::actor_system_config& aConfig)
 {
   aConfig.add_message_types<caf::id_block::tarragonsill>();
   aConfig.set("scheduler.max-threads", kSchedulerThreads);
@@ -98,8 +96,7 @@
 
 /// A number that rises with every start of a VM's process. VMs keep nothing,
 /// so the wall clock is the only source; only the order at one VM matters.
-std::uint64_t
-NewIncarnation()
+std::uint64_t NewIncarnation()
 {
   return static_cast<std::uint64_t>(
     std::chrono::duration_cast<milliseconds>(
@@ -113,8 +110,10 @@
 {
   explicit Impl(Settings aSettings)
     : mState(std::make_shared<EntryState>())
-    , mChannels(std::make_shared<CallChannels>([state = mState](
-        Endpoint aAddress) { return state->IsDenied(aAddress); }))
+    , mChannels(
+        std::make_shared<CallChannels>([state = mState](Endpoint aAddress) {
+          return state->IsDenied(aAddress);
+        }))
     , mSystem(PrepareConfig(mConfig))
   {
     mState->mDenied.Set(aSettings.mDenied);
@@ -148,8 +147,7 @@
   std::unique_ptr<StatusServer> mStatusServer;
 };
 
-void
-EntryDaemon::Impl::StartActors()
+void EntryDaemon::Impl::StartActors()
 {
   auto const& settings = mState->mSettings;
   PlatformClient::Options options;
@@ -181,8 +179,7 @@
   auto const list =
     mSystem.spawn<caf::detached>(VmListActor, platform, mControl);
   mActors = { watch, list, fetch, mControl, calls };
-  mService =
-    std::make_shared<CallService>(mState, mChannels, mSystem, calls);
+  mService = std::make_shared<CallService>(mState, mChannels, mSystem, calls);
 }
 
 EntryDaemon::EntryDaemon(std::unique_ptr<Impl> aImpl)
@@ -192,8 +189,7 @@
 
 EntryDaemon::~EntryDaemon() = default;
 
-Result<std::unique_ptr<EntryDaemon>>
-EntryDaemon::Start(Settings aSettings)
+Result<std::unique_ptr<EntryDaemon>> EntryDaemon::Start(Settings aSettings)
 {
   auto impl = std::make_unique<Impl>(std::move(aSettings));
   auto const& settings = impl->mState->mSettings;
@@ -225,8 +221,7 @@
   return std::unique_ptr<EntryDaemon>(new EntryDaemon(std::move(impl)));
 }
 
-void
-EntryDaemon::Reload(Settings const& aSettings)
+void EntryDaemon::Reload(Settings const& aSettings)
 {
   mImpl->mState->mDenied.Set(aSettings.mDenied);
   WorkerOrders orders;
@@ -236,8 +231,7 @@
           std::to_string(aSettings.mDenied.size()) + " networks");
 }
 
-bool
-EntryDaemon::Leave(milliseconds aMost)
+bool EntryDaemon::Leave(milliseconds aMost)
 {
   auto const end = Clock::now() + aMost;
   mImpl->mService->StopAdmitting();
--- a/src/tarragonsill/transport/tarragonsill_packet_worker.cpp
+++ b/src/tarragonsill/transport/tarragonsill_packet_worker.cpp
@@ -11,8 +11,7 @@
 constexpr milliseconds kReportPeriod{ 20 };
 constexpr milliseconds kSweepPeriod{ 1000 };
 
-Counter
-CounterOf(PacketFault aFault)
+Counter CounterOf(PacketFault aFault)
 {
   switch (aFault) {
     case PacketFault::OuterVersion:
@@ -37,8 +36,7 @@
 }
 
 template<typename T>
-void
-Append(std::vector<T>& aTo, std::vector<T> aFrom)
+void Append(std::vector<T>& aTo, std::vector<T> aFrom)
 {
   aTo.insert(aTo.end(),
              std::make_move_iterator(aFrom.begin()),
@@ -47,8 +45,9 @@
 
 } // namespace
 
-Result<std::unique_ptr<PacketWorker>>
-PacketWorker::Start(Settings const& aSettings, Counters& aCounters)
+Result<std::unique_ptr<PacketWorker>> PacketWorker::Start(
+  Settings const& aSettings,
+  Counters& aCounters)
 {
   auto socket = UdpSocket::Bind(aSettings.mData);
   if (!socket) {
@@ -78,8 +77,7 @@
   }
 }
 
-void
-PacketWorker::Post(WorkerOrders aOrders)
+void PacketWorker::Post(WorkerOrders aOrders)
 {
   std::lock_guard const lock(mMutex);
   if (aOrders.mSnapshot) {
@@ -96,8 +94,7 @@
   mHasOrders = true;
 }
 
-WorkerReport
-PacketWorker::TakeReport()
+WorkerReport PacketWorker::TakeReport()
 {
   std::lock_guard const lock(mMutex);
   auto report = mReport;
@@ -106,8 +103,7 @@
   return report;
 }
 
-void
-PacketWorker::TakeOrders(TimePoint aNow)
+void PacketWorker::TakeOrders(TimePoint aNow)
 {
   if (!mHasOrders) {
     return;
@@ -134,8 +130,7 @@
   }
 }
 
-void
-PacketWorker::Report()
+void PacketWorker::Report()
 {
   std::unique_lock lock(mMutex, std::try_to_lock);
   if (!lock.owns_lock()) {
@@ -150,8 +145,7 @@
   ++mReport.mNumber;
 }
 
-void
-PacketWorker::Run()
+void PacketWorker::Run()
 {
   auto nextReport = Clock::now();
   auto nextSweep = Clock::now();
@@ -171,8 +165,7 @@
   }
 }
 
-void
-PacketWorker::HandleBatch(TimePoint aNow, std::span<Datagram const> aBatch)
+void PacketWorker::HandleBatch(TimePoint aNow, std::span<Datagram const> aBatch)
 {
   std::array<std::array<std::byte, kMaxGeneveBytes>, UdpSocket::kBatch> headers;
   std::size_t index = 0;
@@ -186,10 +179,9 @@
   }
 }
 
-void
-PacketWorker::HandleDatagram(TimePoint aNow,
-                             Datagram const& aDatagram,
-                             std::span<std::byte, kMaxGeneveBytes> aHeader)
+void PacketWorker::HandleDatagram(TimePoint aNow,
+                                  Datagram const& aDatagram,
+                                  std::span<std::byte, kMaxGeneveBytes> aHeader)
 {
   auto const geneve = ParseGeneve(aDatagram.mBytes);
   if (!geneve) {
@@ -197,10 +189,9 @@
     return;
   }
   // Only peers may send a route, and only the fabric may leave it out.
-  bool const trusted = geneve->mRoute ? IsPeer(aDatagram.mFrom)
-                                      : IsFabric(aDatagram.mFrom);
-  bool const denied =
-    AnyContains(mSettings.mDenied, aDatagram.mFrom.mAddress);
+  bool const trusted =
+    geneve->mRoute ? IsPeer(aDatagram.mFrom) : IsFabric(aDatagram.mFrom);
+  bool const denied = AnyContains(mSettings.mDenied, aDatagram.mFrom.mAddress);
   if (!trusted || denied) {
     mCounters.Add(Counter::DropForeignSender);
     return;
@@ -221,23 +212,20 @@
     mCounters.Add(Counter::DropSendFailed);
     return;
   }
-  auto const length = WriteGeneve(
-    aHeader, toPeer ? std::optional(action.mRoute) : std::nullopt);
+  auto const length =
+    WriteGeneve(aHeader, toPeer ? std::optional(action.mRoute) : std::nullopt);
   mSocket.Queue(toPeer ? action.mPeer : mSettings.mFabric.front(),
                 aHeader.first(length),
                 packet->Bytes());
 }
 
-bool
-PacketWorker::IsFabric(Endpoint aFrom) const
+bool PacketWorker::IsFabric(Endpoint aFrom) const
 {
-  return std::find(mSettings.mFabric.begin(),
-                   mSettings.mFabric.end(),
-                   aFrom) != mSettings.mFabric.end();
+  return std::find(mSettings.mFabric.begin(), mSettings.mFabric.end(), aFrom) !=
+         mSettings.mFabric.end();
 }
 
-bool
-PacketWorker::IsPeer(Endpoint aFrom) const
+bool PacketWorker::IsPeer(Endpoint aFrom) const
 {
   return AnyContains(mSettings.mPeers, aFrom.mAddress);
 }
--- a/src/tarragonsill/transport/tarragonsill_status_server.cpp
+++ b/src/tarragonsill/transport/tarragonsill_status_server.cpp
@@ -12,8 +12,7 @@
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
 
-char const*
-Text(MemberStage aStage)
+char const* Text(MemberStage aStage)
 {
   switch (aStage) {
     case MemberStage::Joining:
@@ -26,8 +25,7 @@
   return "";
 }
 
-char const*
-Text(MemberHealth aHealth)
+char const* Text(MemberHealth aHealth)
 {
   switch (aHealth) {
     case MemberHealth::Alive:
@@ -42,8 +40,7 @@
   return "";
 }
 
-nlohmann::json
-MembersJson(EntryStatus const& aStatus)
+nlohmann::json MembersJson(EntryStatus const& aStatus)
 {
   auto members = nlohmann::json::array();
   for (auto const& member : aStatus.mMembers) {
@@ -55,8 +52,7 @@
   return members;
 }
 
-nlohmann::json
-UpstreamsJson(EntryStatus const& aStatus, CallView const& aView)
+nlohmann::json UpstreamsJson(EntryStatus const& aStatus, CallView const& aView)
 {
   auto upstreams = nlohmann::json::array();
   if (!aView.mSnapshot) {
@@ -88,8 +84,7 @@
   return upstreams;
 }
 
-nlohmann::json
-StatusJson(EntryState const& aState)
+nlohmann::json StatusJson(EntryState const& aState)
 {
   auto const status = aState.mStatus.Value();
   auto const view = aState.mView.Value();
@@ -113,18 +108,18 @@
            { "counters", std::move(counters) } };
 }
 
-void
-SetError(httplib::Response& aResponse, int aStatus, std::string const& aText)
+void SetError(httplib::Response& aResponse,
+              int aStatus,
+              std::string const& aText)
 {
   aResponse.status = aStatus;
   nlohmann::json const body = { { "error", aText } };
   aResponse.set_content(body.dump(), "application/json");
 }
 
-void
-HandleExplain(EntryState const& aState,
-              httplib::Request const& aRequest,
-              httplib::Response& aResponse)
+void HandleExplain(EntryState const& aState,
+                   httplib::Request const& aRequest,
+                   httplib::Response& aResponse)
 {
   auto const caller = ParseEndpoint(aRequest.get_param_value("flow"));
   if (!caller) {
@@ -168,8 +163,8 @@
 {
 }
 
-Result<std::unique_ptr<StatusServer>>
-StatusServer::Start(std::shared_ptr<EntryState> aState)
+Result<std::unique_ptr<StatusServer>> StatusServer::Start(
+  std::shared_ptr<EntryState> aState)
 {
   auto const address = aState->mSettings.mMetrics;
   auto impl = std::make_unique<Impl>();
@@ -189,9 +184,8 @@
     return Reason{ ReasonCode::SystemFailure,
                    "cannot serve metrics at " + ToText(address) };
   }
-  impl->mThread = std::thread([raw = impl.get()] {
-    raw->mServer.listen_after_bind();
-  });
+  impl->mThread =
+    std::thread([raw = impl.get()] { raw->mServer.listen_after_bind(); });
   return std::unique_ptr<StatusServer>(new StatusServer(std::move(impl)));
 }
 
