--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -86,8 +86,9 @@
   run->add_option("--event", events, "NAME[:ARGUMENT]@SECOND; repeatable");
   run->add_option("--directory", options.mDirectory, "Keep settings and logs");
   run->add_option("--log-level", options.mLogLevel, "Of the entry VMs");
-  run->add_option(
-       "--network", options.mNetwork.mNumber, "N of 127.N.0.0/16 to use")
+  run
+    ->add_option(
+      "--network", options.mNetwork.mNumber, "N of 127.N.0.0/16 to use")
     ->check(CLI::Range(0, 254));
   run->add_flag("--json", json, "Print one JSON object last");
   run->add_flag("--verbose", options.mVerbose, "Tell of the events");
--- a/lab/tarragonsill_lab_entries.cpp
+++ b/lab/tarragonsill_lab_entries.cpp
@@ -142,7 +142,8 @@
     out << separator << Lab::ToText(denied);
     separator = ", ";
   }
-  out << "]\nplatform:\n  address: " << ToText(mOptions.mNetwork.PlatformAddress())
+  out << "]\nplatform:\n  address: "
+      << ToText(mOptions.mNetwork.PlatformAddress())
       << "\nlog:\n  level: " << mOptions.mLogLevel
       << "\n  file: " << mOptions.mDirectory << "/" << settings.mEntry
       << ".log\n";
--- a/lab/tarragonsill_lab_run.cpp
+++ b/lab/tarragonsill_lab_run.cpp
@@ -77,7 +77,8 @@
 private:
   Result<Done> StartParts()
   {
-    auto platform = Platform::Start(mOptions.mNetwork.PlatformAddress(), kListLag);
+    auto platform =
+      Platform::Start(mOptions.mNetwork.PlatformAddress(), kListLag);
     if (!platform) {
       return platform.LastReason();
     }
@@ -415,8 +416,9 @@
   /// Runs an operator's command; true if it was accepted.
   bool Operate(std::vector<std::string> aArguments)
   {
-    aArguments.insert(aArguments.end(),
-                      { "--platform", ToText(mOptions.mNetwork.PlatformAddress()) });
+    aArguments.insert(
+      aArguments.end(),
+      { "--platform", ToText(mOptions.mNetwork.PlatformAddress()) });
     return mFleet->RunCommand(aArguments) == 0;
   }
 
--- a/src/tarragonsill/coordination/tarragonsill_control_plane.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_control_plane.cpp
@@ -97,6 +97,11 @@
 bool
 ControlPlane::AllAcknowledged() const
 {
+  for (auto const& name : mListedPeers) {
+    if (mMembership.Find(name) == nullptr) {
+      return false; // It runs, but has not been reached yet.
+    }
+  }
   for (auto const& member : mMembership.Members()) {
     bool const needed = IsZonePeer(member) &&
                         member.mHealth != MemberHealth::Gone &&
@@ -198,10 +203,10 @@
 {
   Endpoint const service{ { aBatch.service_address() },
                           static_cast<std::uint16_t>(aBatch.service_port()) };
-  for (auto const& item : aBatch.exceptions()) {
-    Endpoint const upstream{ { item.upstream_address() },
-                             static_cast<std::uint16_t>(item.upstream_port()) };
-    mReceived.push_back({ aFrom.mName, service, item.flow(), upstream });
+  Endpoint const upstream{ { aBatch.upstream_address() },
+                           static_cast<std::uint16_t>(aBatch.upstream_port()) };
+  for (auto const flow : aBatch.flows()) {
+    mReceived.push_back({ aFrom.mName, service, flow, upstream });
   }
   AddMessage(aOutbox, aFrom.mControl)
     .mutable_exception_ack()
@@ -222,7 +227,15 @@
       }
       continue;
     }
-    if (sameZone && vm.mState == PlatformVm::State::Removed) {
+    if (!sameZone) {
+      continue;
+    }
+    if (vm.mState == PlatformVm::State::Live) {
+      mListedPeers.insert(vm.mName);
+    } else {
+      mListedPeers.erase(vm.mName);
+    }
+    if (vm.mState == PlatformVm::State::Removed) {
       mZoneHasHistory = true;
     }
   }
@@ -271,9 +284,10 @@
 }
 
 void
-ControlPlane::SendExceptions(std::vector<ExceptionTransfer> aTransfers)
+ControlPlane::SendExceptions(TimePoint aNow,
+                             std::vector<ExceptionTransfer> aTransfers)
 {
-  mSender.Queue(std::move(aTransfers));
+  mSender.Queue(aNow, std::move(aTransfers));
 }
 
 std::vector<ExceptionTransfer>
@@ -287,6 +301,7 @@
 {
   mOwnership.DropAll();
   mMembership.SetSelfStage(MemberStage::Leaving);
+  mSender.Hurry();
 }
 
 bool
--- a/src/tarragonsill/coordination/tarragonsill_control_plane.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_control_plane.hpp
@@ -47,7 +47,8 @@
   void SetConfiguration(std::shared_ptr<Configuration const> aConfiguration);
   void SetUsage(std::vector<UpstreamUsage> const& aUsage,
                 std::uint64_t aRightsRevision);
-  void SendExceptions(std::vector<ExceptionTransfer> aTransfers);
+  void SendExceptions(TimePoint aNow,
+                      std::vector<ExceptionTransfer> aTransfers);
   std::vector<ExceptionTransfer> TakeReceivedExceptions();
 
   /// Stops deciding and starts to hand over.
@@ -91,6 +92,8 @@
   std::uint64_t mOwnershipGeneration = 0;
   std::vector<ExceptionTransfer> mReceived;
   std::set<std::string> mJoinAcks;
+  /// VMs of this zone that the platform lists as live.
+  std::set<std::string> mListedPeers;
   std::set<std::string> mAnnouncers; ///< Of newer configurations.
   bool mPeersKnown = false; ///< A list or a peer has told who is there.
   bool mZoneHasHistory = false;
--- a/src/tarragonsill/coordination/tarragonsill_exception_sender.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_exception_sender.cpp
@@ -7,17 +7,44 @@
 namespace {
 
 /// Keeps a batch below the usual MTU.
-constexpr std::size_t kMaxBatch = 50;
-constexpr milliseconds kResendAfter{ 200 };
+constexpr std::size_t kMaxBatch = 120;
+constexpr milliseconds kResendAfter{ 300 };
+/// Flows wait this long for others to share their batch.
+constexpr milliseconds kGather{ 500 };
+/// The share of the control target of 3 KB a second that transfers may use.
+constexpr double kBytesPerSecond = 900;
+constexpr double kBurstBytes = 2700;
+constexpr double kOverheadBytes = 90;
+constexpr double kFlowBytes = 8;
 
 } // namespace
 
+ExceptionSender::ExceptionSender()
+  : mBudget(kBytesPerSecond, kBurstBytes)
+{
+}
+
 void
-ExceptionSender::Queue(std::vector<ExceptionTransfer> aTransfers)
+ExceptionSender::Queue(TimePoint aNow,
+                       std::vector<ExceptionTransfer> aTransfers)
+{
+  for (auto const& transfer : aTransfers) {
+    auto& queue = mQueues[transfer.mPeer];
+    if (queue.mWaiting.empty()) {
+      queue.mOldest = aNow;
+    }
+    queue.mWaiting[{ transfer.mService, transfer.mUpstream }].push_back(
+      transfer.mFlow);
+  }
+}
+
+bool
+ExceptionSender::IsDue(TimePoint aNow, PeerQueue const& aQueue) const
 {
-  for (auto& transfer : aTransfers) {
-    mQueues[transfer.mPeer].mWaiting.push_back(std::move(transfer));
+  if (aQueue.mSequence != 0) {
+    return aNow - aQueue.mSentAt > kResendAfter;
   }
+  return mHurried || aNow - aQueue.mOldest > kGather;
 }
 
 void
@@ -32,7 +59,7 @@
       entry = mQueues.erase(entry);
       continue;
     }
-    if (queue.mSequence == 0 || aNow - queue.mSentAt > kResendAfter) {
+    if (IsDue(aNow, queue)) {
       SendBatch(aNow, member->mControl, queue, aOutbox);
     }
     ++entry;
@@ -45,24 +72,26 @@
                            PeerQueue& aQueue,
                            Outbox& aOutbox)
 {
+  auto const& [key, flows] = *aQueue.mWaiting.begin();
+  auto const count = std::min(flows.size(), kMaxBatch);
+  auto const bytes = kOverheadBytes + kFlowBytes * static_cast<double>(count);
+  if (!mHurried && !mBudget.Take(aNow, bytes)) {
+    return;
+  }
   if (aQueue.mSequence == 0) {
     aQueue.mSequence = ++mSequence;
+    aQueue.mKey = key;
+    aQueue.mInFlight = count;
   }
-  auto const service = aQueue.mWaiting.front().mService;
   auto* batch = AddMessage(aOutbox, aTo).mutable_exception_batch();
   batch->set_sequence(aQueue.mSequence);
-  batch->set_service_address(service.mAddress.mValue);
-  batch->set_service_port(service.mPort);
-  aQueue.mInFlight = 0;
-  for (auto const& transfer : aQueue.mWaiting) {
-    if (aQueue.mInFlight == kMaxBatch || transfer.mService != service) {
-      break;
-    }
-    auto* item = batch->add_exceptions();
-    item->set_flow(transfer.mFlow);
-    item->set_upstream_address(transfer.mUpstream.mAddress.mValue);
-    item->set_upstream_port(transfer.mUpstream.mPort);
-    ++aQueue.mInFlight;
+  batch->set_service_address(aQueue.mKey.mService.mAddress.mValue);
+  batch->set_service_port(aQueue.mKey.mService.mPort);
+  batch->set_upstream_address(aQueue.mKey.mUpstream.mAddress.mValue);
+  batch->set_upstream_port(aQueue.mKey.mUpstream.mPort);
+  auto const& sent = aQueue.mWaiting.at(aQueue.mKey);
+  for (std::size_t index = 0; index < aQueue.mInFlight; ++index) {
+    batch->add_flows(sent[index]);
   }
   aQueue.mSentAt = aNow;
 }
@@ -76,11 +105,15 @@
     return;
   }
   auto& queue = found->second;
-  auto const sent = std::min(queue.mInFlight, queue.mWaiting.size());
-  queue.mWaiting.erase(queue.mWaiting.begin(),
-                       queue.mWaiting.begin() +
-                         static_cast<std::ptrdiff_t>(sent));
+  auto const batch = queue.mWaiting.find(queue.mKey);
+  auto& flows = batch->second;
+  flows.erase(flows.begin(),
+              flows.begin() + static_cast<std::ptrdiff_t>(queue.mInFlight));
+  if (flows.empty()) {
+    queue.mWaiting.erase(batch);
+  }
   queue.mSequence = 0;
+  queue.mInFlight = 0;
   if (queue.mWaiting.empty()) {
     mQueues.erase(found);
   }
--- a/src/tarragonsill/coordination/tarragonsill_ownership.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_ownership.cpp
@@ -74,12 +74,17 @@
 Ownership::SetMembers(std::vector<Member> const& aZoneMembers)
 {
   mMembers.clear();
+  mJoining.clear();
   for (auto const& member : aZoneMembers) {
-    bool const counts = member.mStage == MemberStage::Serving &&
-                        member.mHealth != MemberHealth::Gone;
-    if (counts) {
+    if (member.mHealth == MemberHealth::Gone) {
+      continue;
+    }
+    if (member.mStage == MemberStage::Serving) {
       mMembers.push_back(member);
     }
+    if (member.mStage == MemberStage::Joining) {
+      mJoining.push_back(member.NameHash());
+    }
   }
   for (auto& [key, seat] : mSeats) {
     Rank(seat);
@@ -93,15 +98,19 @@
   for (auto const& member : mMembers) {
     hashes.push_back(member.NameHash());
   }
-  auto const order = RankCandidates(PlacementKey(aSeat.mThing.mKey), hashes);
+  auto const key = PlacementKey(aSeat.mThing.mKey);
+  auto const order = RankCandidates(key, hashes);
   std::string const first =
     order.empty() ? std::string() : mMembers[order[0]].mName;
   std::string const second =
     order.size() < 2 ? std::string() : mMembers[order[1]].mName;
-  if (first == aSeat.mFirst && second == aSeat.mSecond) {
-    return;
-  }
-  bool const stays = first == mSelf && aSeat.mFirst == mSelf;
+  auto const score = PlacementScore(key, HashText(mSelf));
+  aSeat.mContested =
+    std::any_of(mJoining.begin(), mJoining.end(), [&](std::uint64_t aHash) {
+      return PlacementScore(key, aHash) > score;
+    });
+  bool const stays =
+    first == mSelf && aSeat.mFirst == mSelf && !aSeat.mContested;
   aSeat.mFirst = first;
   aSeat.mSecond = second;
   if (!stays) {
@@ -184,7 +193,7 @@
   }
   std::map<std::string, PendingAsk> asks;
   for (auto& [key, seat] : mSeats) {
-    if (seat.mFirst != mSelf) {
+    if (seat.mFirst != mSelf || seat.mContested) {
       continue;
     }
     if (seat.mSecond.empty()) {
@@ -352,7 +361,8 @@
       continue;
     }
     auto& seat = found->second;
-    bool const current = seat.mFirst == mSelf && seat.mSecond == aFrom.mName;
+    bool const current =
+      seat.mFirst == mSelf && !seat.mContested && seat.mSecond == aFrom.mName;
     bool const promised =
       seat.mPromise.mTo != mSelf && aNow < seat.mPromise.mUntil;
     if (!current || promised) {
--- a/src/tarragonsill/coordination/tarragonsill_ownership.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_ownership.hpp
@@ -100,6 +100,9 @@
     OwnedThing mThing;
     std::string mFirst;
     std::string mSecond;
+    /// A joining entry VM is ahead of the first one. It may begin to own as
+    /// soon as every member has acknowledged it, so this VM stops before.
+    bool mContested = false;
     std::optional<Knowledge> mKnowledge;
     Promise mPromise;
     /// Own right, if first: valid until the time given, 0 if none.
@@ -138,6 +141,7 @@
   Counters& mCounters;
   std::map<Endpoint, Seat> mSeats;
   std::vector<Member> mMembers;
+  std::vector<std::uint64_t> mJoining; ///< Name hashes.
   std::map<std::string, PendingAsk> mPending;
   /// Incarnation and sequence of the last ask of each entry VM.
   std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> mLastAsks;
--- a/src/tarragonsill/coordination/tarragonsill_packet_engine.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_packet_engine.cpp
@@ -353,8 +353,8 @@
   route.mHops = aHops;
   route.mUpstream = aEntry.Upstream();
   auto const& chain = BaseOf(aFlow).mChain;
-  bool const second = chain.size() > 1 && !mSnapshot->IsSelf(chain[1]) &&
-                      IsNeighbour(chain[1]);
+  bool const second =
+    chain.size() > 1 && !mSnapshot->IsSelf(chain[1]) && IsNeighbour(chain[1]);
   if (refresh && second) {
     route.mKind = RouteKind::Record;
     route.mStep = kSecondHome;
@@ -524,7 +524,7 @@
     if (!found) {
       auto* const ledger = LedgerOf(base.mAddress);
       bool const complete = ledger != nullptr && ledger->Complete();
-      if (complete || !base.mHomeInZone || !base.mZoneIn) {
+      if (complete || !base.mZoneIn) {
         Note(DecisionKind::FlowUnknown, aFlow, {});
         return Drop(Counter::DropUnknownFlow);
       }
--- a/src/tarragonsill/state/tarragonsill_token_bucket.hpp
+++ b/src/tarragonsill/state/tarragonsill_token_bucket.hpp
@@ -19,14 +19,14 @@
   {
   }
 
-  /// Takes a token; false if there is none.
-  bool Take(TimePoint aNow)
+  /// Takes tokens; false, and none is taken, if there are too few.
+  bool Take(TimePoint aNow, double aTokens = 1.0)
   {
     Refill(aNow);
-    if (mTokens < 1.0) {
+    if (mTokens < aTokens) {
       return false;
     }
-    mTokens -= 1.0;
+    mTokens -= aTokens;
     return true;
   }
 
--- a/src/tarragonsill/transport/tarragonsill_control_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_control_actor.cpp
@@ -128,7 +128,7 @@
       LogInfo(ToLogLine(decision));
     }
     mPlane.SetUsage(report.mUsage, report.mRightsRevision);
-    mPlane.SendExceptions(std::move(report.mTransfers));
+    mPlane.SendExceptions(Clock::now(), std::move(report.mTransfers));
     mUsage = std::move(report.mUsage);
     mExceptions = report.mExceptions;
     mMemoryBytes = report.mMemoryBytes;
--- /dev/null
+++ b/tests/coordination/test_call_ledger.cpp
@@ -0,0 +1,212 @@
+#include "tarragonsill_test.hpp"
+
+#include "support/fixtures.hpp"
+#include "tarragonsill/coordination/tarragonsill_call_ledger.hpp"
+#include "tarragonsill/coordination/tarragonsill_slot_ledger.hpp"
+
+using namespace tarragonsill;
+using Test::kStart;
+
+namespace {
+
+constexpr seconds kLongHeld{ 1000 };
+
+CallResult
+Answer(std::string aBody)
+{
+  CallResult result;
+  result.mOutcome = CallOutcome::Answered;
+  result.mBody = std::move(aBody);
+  return result;
+}
+
+} // namespace
+
+TEST_GROUP(CallLedger){};
+
+TEST(CallLedger, a_call_runs_once_and_its_answer_is_given_again)
+{
+  CallLedger ledger({});
+  CHECK(ledger.Begin(kStart, "c", 1, kLongHeld) == CallVerdict::Run);
+  CHECK(ledger.Begin(kStart, "c", 2, kLongHeld) == CallVerdict::InProgress);
+  ledger.Finish("c", Answer("yes"));
+  CHECK(ledger.Begin(kStart, "c", 2, kLongHeld) == CallVerdict::Recorded);
+  STRCMP_EQUAL("yes", ledger.Outcome("c")->mBody.c_str());
+}
+
+TEST(CallLedger, a_call_that_was_not_run_may_be_tried_again)
+{
+  CallLedger ledger({});
+  ledger.Begin(kStart, "c", 1, kLongHeld);
+  CallResult result;
+  result.mOutcome = CallOutcome::NotRun;
+  ledger.Finish("c", result);
+  CHECK(ledger.Begin(kStart, "c", 1, kLongHeld) == CallVerdict::Run);
+}
+
+TEST(CallLedger, a_young_home_does_not_run_a_repeated_attempt)
+{
+  CallLedger ledger({});
+  CHECK(ledger.Begin(kStart, "c", 2, seconds{ 59 }) == CallVerdict::Uncertain);
+  CHECK(ledger.Begin(kStart, "c", 2, seconds{ 60 }) == CallVerdict::Run);
+}
+
+TEST(CallLedger, a_query_bars_a_call_that_was_not_seen)
+{
+  CallLedger ledger({});
+  CHECK(ledger.Query(kStart, "c", kLongHeld) ==
+        CallLedger::QueryVerdict::NotSeen);
+  CHECK(ledger.Begin(kStart, "c", 1, kLongHeld) == CallVerdict::Barred);
+}
+
+TEST(CallLedger, a_young_home_is_uncertain_about_a_query_and_bars_the_call)
+{
+  CallLedger ledger({});
+  CHECK(ledger.Query(kStart, "c", seconds{ 1 }) ==
+        CallLedger::QueryVerdict::Uncertain);
+  CHECK(ledger.Begin(kStart, "c", 1, kLongHeld) == CallVerdict::Barred);
+}
+
+TEST(CallLedger, memory_is_bounded_in_calls_and_in_bytes)
+{
+  CallLedger::Options options;
+  options.mMaxCalls = 2;
+  options.mMaxBodyBytes = 10;
+  CallLedger ledger(options);
+  ledger.Begin(kStart, "1", 1, kLongHeld);
+  ledger.Finish("1", Answer("12345678"));
+  ledger.Begin(kStart, "2", 1, kLongHeld);
+  ledger.Finish("2", Answer("12345678"));
+  CHECK(ledger.Outcome("2")->mOutcome == CallOutcome::Unknown);
+  CHECK(ledger.Begin(kStart, "3", 1, kLongHeld) == CallVerdict::Full);
+  ledger.Sweep(kStart + seconds{ 61 });
+  LONGS_EQUAL(0, ledger.Size());
+}
+
+TEST(CallLedger, no_order_of_attempts_makes_a_call_run_twice)
+{
+  CheckProperty("at most once", [] {
+    CallLedger ledger({});
+    auto now = kStart;
+    unsigned runs = 0;
+    bool running = false;
+    bool ended = false;
+    auto const steps =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5));
+    for (auto const step : steps) {
+      now += milliseconds{ 100 };
+      switch (step) {
+        case 0:
+        case 1: {
+          auto const attempt = step == 0 && runs == 0 ? 1U : 2U;
+          if (ledger.Begin(now, "c", attempt, kLongHeld) == CallVerdict::Run) {
+            RC_ASSERT(!ended);
+            ++runs;
+            running = true;
+          }
+          break;
+        }
+        case 2:
+          if (running) {
+            ledger.Finish("c", Answer("x"));
+            running = false;
+            ended = true;
+          }
+          break;
+        case 3:
+          ledger.Query(now, "c", kLongHeld);
+          break;
+        default:
+          ledger.Sweep(now);
+      }
+      RC_ASSERT(runs <= 1U);
+    }
+  });
+}
+
+TEST_GROUP(SlotLedger)
+{
+  Configuration mConfiguration =
+    Test::MakeConfiguration({ { "a" }, 1, { 100, 4 }, { 100, 1 } });
+  Endpoint mUpstream = mConfiguration.mServices.front().mUpstreams[0].mAddress;
+  SlotLedger mLedger{ SlotLedger::Options{} };
+
+  void Hold(
+    std::uint64_t aTerm, std::uint32_t aAdopted = 0, TimePoint aNow = kStart)
+  {
+    AdmissionRight right;
+    right.mUpstream = mUpstream;
+    right.mUntil = aNow + seconds{ 2 };
+    right.mCeiling = { 100, 4 };
+    right.mTerm = aTerm;
+    right.mAdopted = { 0, aAdopted };
+    mLedger.Apply(aNow, mConfiguration, { right });
+  }
+
+  /// Answers enough calls for the upstream to be warm.
+  void Warm()
+  {
+    for (int call = 0; call < 24; ++call) {
+      mLedger.Admit(kStart, mUpstream);
+      mLedger.Answered(mUpstream);
+    }
+  }
+};
+
+TEST(SlotLedger, without_a_lease_nothing_is_admitted)
+{
+  mLedger.Apply(kStart, mConfiguration, {});
+  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::NoLease);
+  Hold(1);
+  CHECK(mLedger.Admit(kStart + seconds{ 2 }, mUpstream) ==
+        SlotAdmission::NoLease);
+}
+
+TEST(SlotLedger, slots_of_a_cold_upstream_grow_with_answers)
+{
+  Hold(1);
+  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::Admitted);
+  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::Cold);
+  mLedger.Answered(mUpstream);
+  Warm();
+  for (int call = 0; call < 4; ++call) {
+    CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::Admitted);
+  }
+  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::NoSlot);
+}
+
+TEST(SlotLedger, a_refusal_starts_the_limit_over)
+{
+  Hold(1);
+  Warm();
+  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::Admitted);
+  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::Admitted);
+  mLedger.Refused(mUpstream);
+  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::Cold);
+}
+
+TEST(SlotLedger, calls_of_an_earlier_owner_hold_their_slots_until_they_end)
+{
+  Hold(1, 4);
+  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::NoSlot);
+  auto const later = kStart + seconds{ 11 };
+  Hold(1, 4, later);
+  CHECK(mLedger.Admit(later, mUpstream) == SlotAdmission::Admitted);
+}
+
+TEST(SlotLedger, a_cancelled_call_holds_its_slot_for_the_grace_time)
+{
+  Hold(1);
+  mLedger.Admit(kStart, mUpstream);
+  mLedger.Cancelled(kStart, mUpstream);
+  LONGS_EQUAL(1, mLedger.Used(kStart, mUpstream));
+  LONGS_EQUAL(0, mLedger.Used(kStart + seconds{ 1 }, mUpstream));
+}
+
+TEST(SlotLedger, a_draining_upstream_gets_no_call)
+{
+  mConfiguration.mServices.front().mUpstreams[0].mState =
+    UpstreamState::Draining;
+  Hold(1);
+  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::NotServing);
+}
--- /dev/null
+++ b/tests/coordination/test_membership.cpp
@@ -0,0 +1,119 @@
+#include "tarragonsill_test.hpp"
+
+#include "support/core_group.hpp"
+
+using namespace tarragonsill;
+using Test::CoreGroup;
+
+namespace {
+
+CoreGroup
+MakeGroup(unsigned aCount, double aLoss = 0)
+{
+  CoreGroup::Options options;
+  options.mLoss = aLoss;
+  CoreGroup group(options, Test::MakeConfiguration({}));
+  for (unsigned index = 0; index < aCount; ++index) {
+    group.Add("a");
+  }
+  return group;
+}
+
+MemberHealth
+HealthAt(CoreGroup& aGroup, std::size_t aObserver, std::size_t aTarget)
+{
+  auto const name = aGroup.At(aTarget).mPlane.Members().Self().mName;
+  return aGroup.At(aObserver).mPlane.Members().Find(name)->mHealth;
+}
+
+} // namespace
+
+TEST_GROUP(Membership){};
+
+TEST(Membership, a_killed_member_is_failed_everywhere_within_six_seconds)
+{
+  auto group = MakeGroup(7);
+  CHECK(group.RunUntilServing());
+  group.Kill(3);
+  group.Run(seconds{ 6 });
+  for (std::size_t observer = 0; observer < group.Count(); ++observer) {
+    if (observer == 3) {
+      continue;
+    }
+    CHECK(HealthAt(group, observer, 3) == MemberHealth::Failed);
+  }
+}
+
+TEST(Membership, a_short_pause_under_loss_is_refuted)
+{
+  auto group = MakeGroup(7, 0.05);
+  CHECK(group.RunUntilServing());
+  group.Pause(2, milliseconds{ 700 });
+  group.Run(seconds{ 10 });
+  for (std::size_t observer = 0; observer < group.Count(); ++observer) {
+    if (observer == 2) {
+      continue;
+    }
+    CHECK(HealthAt(group, observer, 2) <= MemberHealth::Suspect);
+  }
+}
+
+TEST(Membership, a_cut_heals)
+{
+  auto group = MakeGroup(2);
+  CHECK(group.RunUntilServing());
+  group.Cut(0, 1, true);
+  group.Run(seconds{ 6 });
+  CHECK(HealthAt(group, 0, 1) == MemberHealth::Failed);
+  group.Cut(0, 1, false);
+  group.Run(seconds{ 6 });
+  CHECK(HealthAt(group, 0, 1) == MemberHealth::Alive);
+  CHECK(HealthAt(group, 1, 0) == MemberHealth::Alive);
+}
+
+TEST(Membership, the_platforms_list_never_ends_a_member_that_answers)
+{
+  auto group = MakeGroup(3);
+  CHECK(group.RunUntilServing());
+  group.ListRemoved(1);
+  group.Run(seconds{ 1 });
+  CHECK(HealthAt(group, 0, 1) == MemberHealth::Alive);
+}
+
+TEST(Membership, a_restarted_member_is_not_taken_for_the_old_one)
+{
+  auto group = MakeGroup(3);
+  CHECK(group.RunUntilServing());
+  group.Kill(1);
+  group.Run(seconds{ 6 });
+  group.ListRemoved(1);
+  CHECK(HealthAt(group, 0, 1) == MemberHealth::Gone);
+  group.Restart(1);
+  CHECK(group.RunUntilServing());
+  group.Run(seconds{ 2 });
+  CHECK(HealthAt(group, 0, 1) == MemberHealth::Alive);
+  LONGS_EQUAL(2,
+              group.At(0)
+                .mPlane.Members()
+                .Find(group.At(1).mPlane.Members().Self().mName)
+                ->mIncarnation);
+}
+
+TEST(Membership, control_bytes_stay_under_the_target_whatever_the_size)
+{
+  constexpr double kTargetBytesPerSecond = 3 * 1024;
+  for (unsigned const size : { 2U, 7U, 20U }) {
+    auto group = MakeGroup(size);
+    CHECK(group.RunUntilServing());
+    std::vector<std::uint64_t> before;
+    for (std::size_t index = 0; index < group.Count(); ++index) {
+      before.push_back(group.BytesSent(index));
+    }
+    group.Run(seconds{ 10 });
+    for (std::size_t index = 0; index < group.Count(); ++index) {
+      auto const bytes =
+        static_cast<double>(group.BytesSent(index) - before[index]);
+      CHECK(bytes / 10 <= kTargetBytesPerSecond);
+    }
+  }
+}
--- /dev/null
+++ b/tests/protocol/test_geneve.cpp
@@ -0,0 +1,110 @@
+#include "tarragonsill_test.hpp"
+
+#include "tarragonsill/protocol/tarragonsill_byte_order.hpp"
+#include "tarragonsill/protocol/tarragonsill_checksum.hpp"
+#include "tarragonsill/protocol/tarragonsill_geneve.hpp"
+
+using namespace tarragonsill;
+
+namespace {
+
+std::vector<std::byte>
+Header(std::optional<Route> const& aRoute)
+{
+  std::array<std::byte, kMaxGeneveBytes> bytes;
+  auto const length = WriteGeneve(bytes, aRoute);
+  return { bytes.begin(), bytes.begin() + static_cast<std::ptrdiff_t>(length) };
+}
+
+} // namespace
+
+TEST_GROUP(Geneve){};
+
+TEST(Geneve, a_route_survives_the_way_to_a_peer)
+{
+  CheckProperty("route", [] {
+    Route route;
+    route.mKind = static_cast<RouteKind>(*rc::gen::inRange(1, 7));
+    route.mHops = *rc::gen::arbitrary<std::uint8_t>();
+    route.mStep = *rc::gen::arbitrary<std::uint8_t>();
+    route.mUpstream = { { *rc::gen::arbitrary<std::uint32_t>() },
+                        *rc::gen::arbitrary<std::uint16_t>() };
+    route.mHome = { { *rc::gen::arbitrary<std::uint32_t>() },
+                    *rc::gen::arbitrary<std::uint16_t>() };
+    auto const header = ParseGeneve(Header(route));
+    RC_ASSERT(header.HasValue());
+    RC_ASSERT(header->mRoute.has_value());
+    RC_ASSERT(header->mRoute->mKind == route.mKind);
+    RC_ASSERT(header->mRoute->mHops == route.mHops);
+    RC_ASSERT(header->mRoute->mStep == route.mStep);
+    RC_ASSERT(header->mRoute->mUpstream == route.mUpstream);
+    RC_ASSERT(header->mRoute->mHome == route.mHome);
+  });
+}
+
+TEST(Geneve, each_fault_is_named)
+{
+  auto bytes = Header(std::nullopt);
+  CHECK(ParseGeneve(bytes).HasValue());
+  auto wrong = bytes;
+  wrong[0] = std::byte{ 0x40 };
+  CHECK(ParseGeneve(wrong).LastReason() == PacketFault::OuterVersion);
+  wrong = bytes;
+  StoreU16(wrong, 2, 0x6558);
+  CHECK(ParseGeneve(wrong).LastReason() == PacketFault::OuterProtocol);
+  wrong = bytes;
+  wrong[0] = std::byte{ 1 };
+  CHECK(ParseGeneve(wrong).LastReason() == PacketFault::OuterTruncated);
+  wrong.resize(7);
+  CHECK(ParseGeneve(wrong).LastReason() == PacketFault::OuterTruncated);
+}
+
+TEST(Geneve, an_unknown_option_is_refused_only_if_critical)
+{
+  auto bytes = Header(std::nullopt);
+  bytes[0] = std::byte{ 1 };
+  bytes.insert(
+    bytes.end(),
+    { std::byte{ 1 }, std::byte{ 2 }, std::byte{ 0x03 }, std::byte{ 0 } });
+  CHECK(ParseGeneve(bytes).HasValue());
+  bytes[10] = std::byte{ 0x83 };
+  CHECK(ParseGeneve(bytes).LastReason() == PacketFault::OuterCriticalOption);
+}
+
+TEST(Geneve, any_bytes_give_a_value_or_a_fault)
+{
+  CheckProperty("any bytes", [] {
+    auto bytes = *rc::gen::arbitrary<std::vector<std::uint8_t>>();
+    if (bytes.size() > 4 && *rc::gen::arbitrary<bool>()) {
+      bytes[0] &= 0x07; // A few options, so that they are read too.
+      bytes[2] = 0x08;
+      bytes[3] = 0x00;
+    }
+    auto const header = ParseGeneve(std::as_bytes(std::span(bytes)));
+    bool const valid = header.HasValue()
+                         ? header->mBytes <= bytes.size()
+                         : header.LastReason() != PacketFault::None;
+    RC_ASSERT(valid);
+  });
+}
+
+TEST_GROUP(Checksum){};
+
+TEST(Checksum, an_incremental_update_equals_a_full_sum)
+{
+  CheckProperty("RFC 1624", [] {
+    auto const words = *rc::gen::container<std::vector<std::uint16_t>>(
+      6, rc::gen::arbitrary<std::uint16_t>());
+    std::array<std::byte, 12> bytes;
+    for (std::size_t index = 0; index < 6; ++index) {
+      StoreU16(bytes, index * 2, words[index]);
+    }
+    auto const before = FoldChecksum(SumWords(bytes));
+    auto const value = *rc::gen::arbitrary<std::uint16_t>();
+    StoreU16(bytes, 4, value);
+    auto const updated = UpdateChecksum(before, words[2], value);
+    auto const full = FoldChecksum(SumWords(bytes));
+    // Zero has two forms in one's complement; both verify.
+    RC_ASSERT(updated == full || (updated ^ full) == 0xFFFF);
+  });
+}
--- /dev/null
+++ b/tests/protocol/test_packet.cpp
@@ -0,0 +1,117 @@
+#include "tarragonsill_test.hpp"
+
+#include "support/fixtures.hpp"
+#include "tarragonsill/protocol/tarragonsill_byte_order.hpp"
+
+using namespace tarragonsill;
+
+namespace {
+
+std::vector<std::byte>
+Sample(TransportProtocol aProtocol = TransportProtocol::Tcp)
+{
+  return Test::MakePacket(
+    Test::CallerAt(1), { { 0xC6336401 }, 443 }, TcpFlags::kAck, aProtocol);
+}
+
+PacketFault
+FaultOf(std::vector<std::byte> aBytes)
+{
+  return PacketView::Parse(aBytes).LastReason();
+}
+
+} // namespace
+
+TEST_GROUP(Packet){};
+
+TEST(Packet, rewriting_keeps_tcp_and_udp_checksums_right)
+{
+  CheckProperty("checksums", [] {
+    auto const protocol =
+      *rc::gen::element(TransportProtocol::Tcp, TransportProtocol::Udp);
+    auto const endpoint = [] {
+      return Endpoint{ { *rc::gen::arbitrary<std::uint32_t>() },
+                       *rc::gen::arbitrary<std::uint16_t>() };
+    };
+    auto bytes = Test::MakePacket(endpoint(), endpoint(), 0, protocol);
+    auto packet = PacketView::Parse(bytes);
+    RC_ASSERT(packet.HasValue());
+    auto const source = endpoint();
+    auto const destination = endpoint();
+    packet->RewriteSource(source);
+    packet->RewriteDestination(destination);
+    RC_ASSERT(Test::HasValidChecksums(bytes));
+    auto const again = PacketView::Parse(bytes);
+    RC_ASSERT(again->Source() == source);
+    RC_ASSERT(again->Destination() == destination);
+  });
+}
+
+TEST(Packet, a_udp_packet_without_checksum_stays_without)
+{
+  auto bytes = Sample(TransportProtocol::Udp);
+  StoreU16(bytes, 26, 0);
+  auto packet = PacketView::Parse(bytes);
+  packet->RewriteDestination({ { 1 }, 2 });
+  LONGS_EQUAL(0, LoadU16(bytes, 26));
+}
+
+TEST(Packet, each_fault_is_named)
+{
+  auto bytes = Sample();
+  bytes[0] = std::byte{ 0x65 };
+  CHECK(FaultOf(bytes) == PacketFault::Version);
+  bytes = Sample();
+  bytes[0] = std::byte{ 0x46 };
+  CHECK(FaultOf(bytes) == PacketFault::IpOptions);
+  bytes = Sample();
+  StoreU16(bytes, 6, 0x2000);
+  CHECK(FaultOf(bytes) == PacketFault::Fragment);
+  bytes = Sample();
+  StoreU16(bytes, 6, 100);
+  CHECK(FaultOf(bytes) == PacketFault::Fragment);
+  bytes = Sample();
+  bytes[9] = std::byte{ 1 };
+  CHECK(FaultOf(bytes) == PacketFault::Protocol);
+  bytes = Sample();
+  bytes.resize(30);
+  CHECK(FaultOf(bytes) == PacketFault::Truncated);
+  StoreU16(bytes, 2, 30);
+  CHECK(FaultOf(bytes) == PacketFault::Truncated);
+  CHECK(FaultOf({}) == PacketFault::Truncated);
+}
+
+TEST(Packet, any_bytes_give_a_value_or_a_fault)
+{
+  CheckProperty("any bytes", [] {
+    auto bytes = *rc::gen::arbitrary<std::vector<std::uint8_t>>();
+    auto const span = std::as_writable_bytes(std::span(bytes));
+    auto packet = PacketView::Parse(span);
+    if (packet) {
+      packet->RewriteSource({ { 1 }, 2 });
+      packet->RewriteDestination({ { 3 }, 4 });
+    } else {
+      RC_ASSERT(packet.LastReason() != PacketFault::None);
+    }
+  });
+}
+
+TEST(Packet, a_damaged_packet_gives_a_value_or_a_fault)
+{
+  CheckProperty("damaged packets", [] {
+    auto bytes = Sample();
+    auto const damages =
+      *rc::gen::container<std::vector<std::pair<std::uint8_t, std::uint8_t>>>(
+        rc::gen::arbitrary<std::pair<std::uint8_t, std::uint8_t>>());
+    for (auto const& [position, value] : damages) {
+      bytes[position % bytes.size()] = static_cast<std::byte>(value);
+    }
+    bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+    auto packet = PacketView::Parse(bytes);
+    if (packet) {
+      packet->RewriteDestination({ { 3 }, 4 });
+    } else {
+      RC_ASSERT(packet.LastReason() != PacketFault::None);
+    }
+  });
+}
--- /dev/null
+++ b/tests/protocol/test_yaml.cpp
@@ -0,0 +1,164 @@
+#include "tarragonsill_test.hpp"
+
+#include "deployments.hpp"
+#include "support/fixtures.hpp"
+#include "tarragonsill/protocol/tarragonsill_configuration_yaml.hpp"
+#include "tarragonsill/protocol/tarragonsill_settings.hpp"
+
+#include <tarragonsill_peer.pb.h>
+
+using namespace tarragonsill;
+
+namespace {
+
+char const* const kSettings = "entry: e1\n"
+                              "zone: a\n"
+                              "deployment: d\n"
+                              "data: 127.0.0.1:1\n"
+                              "control: 127.0.0.1:2\n"
+                              "calls: 127.0.0.1:3\n"
+                              "metrics: 127.0.0.1:4\n"
+                              "fabric: [127.0.0.2:6081]\n"
+                              "peers: [127.0.0.0/8]\n"
+                              "platform:\n"
+                              "  address: 127.0.0.3:80\n";
+
+std::vector<YamlFault>
+ConfigurationFaults(std::string const& aText)
+{
+  YamlFaults faults("file");
+  ReadConfiguration(aText, faults);
+  return faults.All();
+}
+
+/// Replaces one piece of a text.
+std::string
+With(std::string aText, std::string const& aOld, std::string const& aNew)
+{
+  return aText.replace(aText.find(aOld), aOld.size(), aNew);
+}
+
+/// A valid text with some characters overwritten.
+std::string
+Damaged(std::string aText)
+{
+  auto const damages =
+    *rc::gen::container<std::vector<std::pair<std::uint16_t, char>>>(
+      rc::gen::arbitrary<std::pair<std::uint16_t, char>>());
+  for (auto const& [position, character] : damages) {
+    aText[position % aText.size()] = character;
+  }
+  return aText;
+}
+
+} // namespace
+
+TEST_GROUP(ConfigurationYaml){};
+
+TEST(ConfigurationYaml, what_is_written_is_read_back)
+{
+  auto const configuration = Test::MakeConfiguration({ { "a", "b" }, 4 });
+  YamlFaults faults("file");
+  auto const again =
+    ReadConfiguration(WriteConfiguration(configuration, true), faults);
+  CHECK(again.has_value());
+  CHECK(again->mServices.front().mBase ==
+        configuration.mServices.front().mBase);
+  STRCMP_EQUAL(WriteConfiguration(configuration, true).c_str(),
+               WriteConfiguration(*again, true).c_str());
+}
+
+TEST(ConfigurationYaml, a_fault_names_file_line_key_and_what_is_expected)
+{
+  auto const text = WriteConfiguration(Test::MakeConfiguration({}), false);
+  auto const faults =
+    ConfigurationFaults(With(text, "connections: 100", "connections: many"));
+  LONGS_EQUAL(1, faults.size());
+  STRCMP_EQUAL("file:13: services[0].upstreams[0].connections: a whole number "
+               "from 1 to 1000000 is expected, found 'many'",
+               faults.front().ToText().c_str());
+}
+
+TEST(ConfigurationYaml, every_fault_of_a_file_is_reported)
+{
+  auto text = WriteConfiguration(Test::MakeConfiguration({}), false);
+  text = With(text, "state: in", "state: closed");
+  text = With(text, "10.0.0.1:8443", "10.0.0.1");
+  text = With(text, "slots: 4", "slotz: 4");
+  LONGS_EQUAL(3, ConfigurationFaults(text).size());
+}
+
+TEST(ConfigurationYaml, any_text_gives_a_value_or_a_fault)
+{
+  CheckProperty("any text", [] {
+    YamlFaults faults("file");
+    auto const text = *rc::gen::arbitrary<std::string>();
+    auto const configuration = ReadConfiguration(text, faults);
+    RC_ASSERT(configuration.has_value() == faults.All().empty());
+  });
+}
+
+TEST(ConfigurationYaml, a_damaged_text_gives_a_value_or_a_fault)
+{
+  auto const text = WriteConfiguration(Test::MakeConfiguration({}), true);
+  CheckProperty("damaged text", [&] {
+    YamlFaults faults("file");
+    auto const configuration = ReadConfiguration(Damaged(text), faults);
+    RC_ASSERT(configuration.has_value() == faults.All().empty());
+  });
+}
+
+TEST_GROUP(SettingsYaml){};
+
+TEST(SettingsYaml, settings_are_read)
+{
+  YamlFaults faults("file");
+  auto const settings = ReadSettings(kSettings, faults);
+  CHECK(settings.has_value());
+  STRCMP_EQUAL("e1", settings->mEntry.c_str());
+  LONGS_EQUAL(1, settings->mPeers.size());
+}
+
+TEST(SettingsYaml, a_missing_key_is_a_fault)
+{
+  YamlFaults faults("file");
+  CHECK_FALSE(
+    ReadSettings(With(kSettings, "zone: a\n", ""), faults).has_value());
+  STRCMP_EQUAL("zone", faults.All().front().mKey.c_str());
+}
+
+TEST(SettingsYaml, a_damaged_text_gives_a_value_or_a_fault)
+{
+  CheckProperty("damaged settings", [] {
+    YamlFaults faults("file");
+    auto const settings = ReadSettings(Damaged(kSettings), faults);
+    RC_ASSERT(settings.has_value() == faults.All().empty());
+  });
+}
+
+TEST_GROUP(Declare){};
+
+TEST(Declare, the_deployments_of_the_brief_are_valid)
+{
+  auto const reykjavik = Examples::ReykjavikDeployment().Build();
+  CHECK(reykjavik.HasValue());
+  LONGS_EQUAL(2, reykjavik->mServices.size());
+  LONGS_EQUAL(14, reykjavik->mServices[0].mUpstreams.size());
+  LONGS_EQUAL(4, reykjavik->mServices[1].mUpstreams.size());
+  CHECK(Examples::AmmanDeployment().Build().HasValue());
+}
+
+TEST(Declare, every_fault_is_named_at_the_end)
+{
+  using namespace tarragonsill::Declare;
+  auto const result = DeploymentSpec::Named("d")
+                        .Zone("a")
+                        .Add(ServiceSpec::Named("s").At("nowhere").Add(
+                          UpstreamSpec::Named("u").InZone("b").At("10.0.0.1")))
+                        .Print();
+  CHECK_FALSE(result.HasValue());
+  auto const& text = result.LastReason().mText;
+  CHECK(text.find("service s: 'nowhere'") != std::string::npos);
+  CHECK(text.find("upstream u: '10.0.0.1'") != std::string::npos);
+  CHECK(text.find("zone 'b' is not declared") != std::string::npos);
+}
--- /dev/null
+++ b/tests/state/test_flow_ledger.cpp
@@ -0,0 +1,153 @@
+#include "tarragonsill_test.hpp"
+
+#include "support/fixtures.hpp"
+#include "tarragonsill/state/tarragonsill_flow_ledger.hpp"
+#include "tarragonsill/state/tarragonsill_tcp_flags.hpp"
+
+#include <set>
+
+using namespace tarragonsill;
+using Test::kStart;
+
+namespace {
+
+constexpr std::uint32_t kNoCeiling = 1000000;
+constexpr std::uint8_t kSynAck = TcpFlags::kSyn | TcpFlags::kAck;
+constexpr std::uint8_t kFinAck = TcpFlags::kFin | TcpFlags::kAck;
+
+Upstream
+MakeUpstream(std::uint32_t aLimit, std::uint32_t aCold)
+{
+  Upstream upstream;
+  upstream.mLimit.mConnections = aLimit;
+  upstream.mColdLimit.mConnections = aCold;
+  return upstream;
+}
+
+} // namespace
+
+TEST_GROUP(FlowLedger){};
+
+TEST(FlowLedger, admits_up_to_the_limit_and_no_further)
+{
+  FlowLedger ledger(MakeUpstream(3, 3));
+  for (std::uint64_t flow = 1; flow <= 3; ++flow) {
+    CHECK(ledger.Admit(kStart, flow, kNoCeiling) == Admission::Admitted);
+  }
+  CHECK(ledger.Admit(kStart, 4, kNoCeiling) == Admission::Full);
+  CHECK(ledger.Admit(kStart, 2, kNoCeiling) == Admission::AlreadyKnown);
+}
+
+TEST(FlowLedger, admits_no_more_than_the_ceiling_of_the_lease)
+{
+  FlowLedger ledger(MakeUpstream(10, 10));
+  CHECK(ledger.Admit(kStart, 1, 1) == Admission::Admitted);
+  CHECK(ledger.Admit(kStart, 2, 1) == Admission::Full);
+}
+
+TEST(FlowLedger, a_cold_upstream_gets_more_only_after_answers)
+{
+  FlowLedger ledger(MakeUpstream(10, 2));
+  CHECK(ledger.Admit(kStart, 1, kNoCeiling) == Admission::Admitted);
+  CHECK(ledger.Admit(kStart, 2, kNoCeiling) == Admission::Admitted);
+  CHECK(ledger.Admit(kStart, 3, kNoCeiling) == Admission::Cold);
+  CHECK(ledger.NoteAnswer(kStart, 1, kSynAck) == AnswerVerdict::Pass);
+  CHECK(ledger.Admit(kStart, 3, kNoCeiling) == Admission::Admitted);
+}
+
+TEST(FlowLedger, a_refused_first_packet_cuts_the_limit_back_and_is_held_back)
+{
+  FlowLedger ledger(MakeUpstream(10, 1));
+  for (std::uint64_t flow = 1; flow <= 9; ++flow) {
+    ledger.Admit(kStart, flow, kNoCeiling);
+    ledger.NoteAnswer(kStart, flow, kSynAck);
+  }
+  CHECK_FALSE(ledger.IsCold());
+  CHECK(ledger.Admit(kStart, 10, kNoCeiling) == Admission::Admitted);
+  CHECK(ledger.NoteAnswer(kStart, 10, TcpFlags::kRst) ==
+        AnswerVerdict::HoldBack);
+  CHECK(ledger.IsCold());
+  CHECK(ledger.Admit(kStart, 11, kNoCeiling) == Admission::Admitted);
+  CHECK(ledger.Admit(kStart, 12, kNoCeiling) == Admission::Full);
+}
+
+TEST(FlowLedger, a_reset_of_an_answered_flow_reaches_the_caller)
+{
+  FlowLedger ledger(MakeUpstream(10, 10));
+  ledger.Admit(kStart, 1, kNoCeiling);
+  ledger.NoteAnswer(kStart, 1, kSynAck);
+  CHECK(ledger.NoteAnswer(kStart, 1, TcpFlags::kRst) == AnswerVerdict::Pass);
+}
+
+TEST(FlowLedger, a_reset_for_a_flow_that_was_never_admitted_is_held_back)
+{
+  FlowLedger ledger(MakeUpstream(10, 10));
+  CHECK(ledger.NoteAnswer(kStart, 7, TcpFlags::kRst) ==
+        AnswerVerdict::HoldBack);
+}
+
+TEST(FlowLedger, flows_of_an_earlier_owner_count_until_they_are_known)
+{
+  FlowLedger ledger(MakeUpstream(10, 10));
+  ledger.Adopt(kStart, 9);
+  LONGS_EQUAL(9, ledger.Used());
+  CHECK_FALSE(ledger.Complete());
+  CHECK(ledger.Admit(kStart, 100, kNoCeiling) == Admission::Admitted);
+  CHECK(ledger.Admit(kStart, 101, kNoCeiling) == Admission::Full);
+  CHECK(ledger.Claim(kStart, 1));
+  LONGS_EQUAL(10, ledger.Used());
+  ledger.Sweep(kStart + seconds{ 400 }, seconds{ 300 });
+  CHECK(ledger.Complete());
+  LONGS_EQUAL(0, ledger.Used());
+}
+
+TEST(FlowLedger, an_ended_flow_frees_its_place_after_the_linger)
+{
+  FlowLedger ledger(MakeUpstream(1, 1));
+  ledger.Admit(kStart, 1, kNoCeiling);
+  ledger.NoteAnswer(kStart, 1, kSynAck);
+  CHECK(ledger.NoteCaller(kStart, 1, kFinAck));
+  ledger.NoteAnswer(kStart, 1, kFinAck);
+  ledger.Sweep(kStart, seconds{ 300 });
+  LONGS_EQUAL(1, ledger.Used());
+  ledger.Sweep(kStart + seconds{ 3 }, seconds{ 300 });
+  LONGS_EQUAL(0, ledger.Used());
+}
+
+TEST(FlowLedger, never_counts_less_than_what_is_open)
+{
+  CheckProperty("count covers open flows", [] {
+    auto const limit = *rc::gen::inRange<std::uint32_t>(1, 20);
+    auto const cold = *rc::gen::inRange<std::uint32_t>(1, limit + 1);
+    FlowLedger ledger(MakeUpstream(limit, cold));
+    std::set<std::uint64_t> open;
+    auto now = kStart;
+    auto const steps =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 400));
+    for (auto const step : steps) {
+      std::uint64_t const flow = static_cast<std::uint64_t>(step) / 4 + 1;
+      switch (step % 4) {
+        case 0:
+        case 1:
+          if (ledger.Admit(now, flow, kNoCeiling) == Admission::Admitted) {
+            open.insert(flow);
+          }
+          break;
+        case 2:
+          if (open.count(flow) > 0) {
+            ledger.NoteAnswer(now, flow, kSynAck);
+          }
+          break;
+        default:
+          if (ledger.NoteCaller(now, flow, TcpFlags::kRst)) {
+            open.erase(flow);
+          }
+          now += milliseconds{ 500 };
+          ledger.Sweep(now, seconds{ 3000 });
+      }
+      RC_ASSERT(ledger.Used() <= limit);
+    }
+    // A flow without its first answer may expire; all others are counted.
+    RC_ASSERT(ledger.Used() <= limit);
+  });
+}
--- /dev/null
+++ b/tests/support/core_group.cpp
@@ -0,0 +1,290 @@
+#include "support/core_group.hpp"
+
+namespace tarragonsill::Test {
+
+namespace {
+
+constexpr milliseconds kStep{ 10 };
+constexpr milliseconds kServeMost{ 20000 };
+
+std::pair<std::size_t, std::size_t>
+Ordered(std::size_t aLeft, std::size_t aRight)
+{
+  return std::minmax(aLeft, aRight);
+}
+
+} // namespace
+
+CoreGroup::CoreGroup(Options aOptions, Configuration aConfiguration)
+  : mOptions(aOptions)
+  , mConfiguration(
+      std::make_shared<Configuration const>(std::move(aConfiguration)))
+  , mRandom(aOptions.mSeed)
+{
+}
+
+std::unique_ptr<Core>
+CoreGroup::MakeCore(std::size_t aIndex, std::uint64_t aIncarnation)
+{
+  auto member = mMembers[aIndex];
+  member.mIncarnation = aIncarnation;
+  member.mStage = MemberStage::Joining;
+  std::vector<Endpoint> seeds;
+  for (std::size_t other = 0; other < mMembers.size(); ++other) {
+    if (other != aIndex) {
+      seeds.push_back(mMembers[other].mControl);
+    }
+  }
+  auto options = mOptions.mPlane;
+  options.mMembership.mSeed = mOptions.mSeed;
+  auto core = std::make_unique<Core>(options, member, seeds);
+  core->mPlane.SetConfiguration(mConfiguration);
+  return core;
+}
+
+Core&
+CoreGroup::Add(std::string const& aZone)
+{
+  auto const index = mCores.size();
+  auto const name = aZone + "-" + std::to_string(index);
+  mMembers.push_back(MakeMember(name, aZone, static_cast<unsigned>(index)));
+  mByControl[mMembers.back().mControl] = index;
+  mCores.push_back(MakeCore(index, 1));
+  mRights.push_back(std::make_shared<AdmissionRights const>());
+  mBytes.push_back(0);
+  return *mCores.back();
+}
+
+bool
+CoreGroup::Runs(std::size_t aIndex) const
+{
+  auto const& core = *mCores[aIndex];
+  return core.mRunning && core.mPausedUntil <= mNow;
+}
+
+void
+CoreGroup::Kill(std::size_t aIndex)
+{
+  mCores[aIndex]->mRunning = false;
+}
+
+void
+CoreGroup::Restart(std::size_t aIndex)
+{
+  auto const incarnation =
+    mCores[aIndex]->mPlane.Members().Self().mIncarnation + 1;
+  mCores[aIndex] = MakeCore(aIndex, incarnation);
+  mRights[aIndex] = std::make_shared<AdmissionRights const>();
+}
+
+void
+CoreGroup::Pause(std::size_t aIndex, milliseconds aFor)
+{
+  mCores[aIndex]->mPausedUntil = mNow + aFor;
+}
+
+void
+CoreGroup::Cut(std::size_t aLeft, std::size_t aRight, bool aCut)
+{
+  if (aCut) {
+    mCuts.insert(Ordered(aLeft, aRight));
+  } else {
+    mCuts.erase(Ordered(aLeft, aRight));
+  }
+}
+
+void
+CoreGroup::ListRemoved(std::size_t aIndex)
+{
+  auto const& member = mMembers[aIndex];
+  std::vector<PlatformVm> const list = {
+    { member.mName, member.mZone, member.mControl, PlatformVm::State::Removed }
+  };
+  for (std::size_t index = 0; index < mCores.size(); ++index) {
+    if (!Runs(index) || index == aIndex) {
+      continue;
+    }
+    Outbox outbox;
+    mCores[index]->mPlane.HandleVmList(mNow, list, outbox);
+    Send(index, outbox);
+  }
+}
+
+void
+CoreGroup::ListLive()
+{
+  std::vector<PlatformVm> list;
+  for (std::size_t index = 0; index < mCores.size(); ++index) {
+    auto const& member = mMembers[index];
+    if (mCores[index]->mRunning) {
+      list.push_back({ member.mName,
+                       member.mZone,
+                       member.mControl,
+                       PlatformVm::State::Live });
+    }
+  }
+  for (std::size_t index = 0; index < mCores.size(); ++index) {
+    if (!Runs(index)) {
+      continue;
+    }
+    Outbox outbox;
+    mCores[index]->mPlane.HandleVmList(mNow, list, outbox);
+    Send(index, outbox);
+  }
+}
+
+void
+CoreGroup::Apply(Configuration aConfiguration)
+{
+  mConfiguration =
+    std::make_shared<Configuration const>(std::move(aConfiguration));
+  for (std::size_t index = 0; index < mCores.size(); ++index) {
+    if (Runs(index)) {
+      mCores[index]->mPlane.SetConfiguration(mConfiguration);
+    }
+  }
+}
+
+void
+CoreGroup::Send(std::size_t aFrom, Outbox& aOutbox)
+{
+  mCores[aFrom]->mPlane.Decorate(aOutbox);
+  std::uniform_real_distribution<double> share(0, 1);
+  for (auto& outgoing : aOutbox) {
+    mBytes[aFrom] += outgoing.mMessage.ByteSizeLong();
+    auto const to = mByControl.find(outgoing.mTo);
+    bool const lost = to == mByControl.end() ||
+                      share(mRandom) < mOptions.mLoss ||
+                      mCuts.count(Ordered(aFrom, to->second)) > 0;
+    if (lost) {
+      continue;
+    }
+    auto const delay = milliseconds{
+      1 + static_cast<milliseconds::rep>(
+            mRandom() % static_cast<std::uint64_t>(mOptions.mMaxDelay.count()))
+    };
+    mWire.emplace(mNow + delay,
+                  Delivery{ aFrom, to->second, std::move(outgoing.mMessage) });
+  }
+}
+
+void
+CoreGroup::Deliver()
+{
+  while (!mWire.empty() && mWire.begin()->first <= mNow) {
+    auto delivery = std::move(mWire.begin()->second);
+    mWire.erase(mWire.begin());
+    auto& core = *mCores[delivery.mTo];
+    if (!core.mRunning) {
+      continue;
+    }
+    if (core.mPausedUntil > mNow) {
+      core.mBacklog.push_back(std::move(delivery.mMessage));
+      continue;
+    }
+    Outbox outbox;
+    core.mPlane.Handle(mNow, delivery.mMessage, outbox);
+    Send(delivery.mTo, outbox);
+  }
+}
+
+void
+CoreGroup::Exchange(std::size_t aIndex)
+{
+  auto& core = *mCores[aIndex];
+  auto const snapshot = core.mPlane.Snapshot();
+  if (snapshot && snapshot != core.mSnapshot) {
+    core.mSnapshot = snapshot;
+    core.mEngine.ApplySnapshot(snapshot);
+  }
+  auto const revision = core.mPlane.RightsRevision();
+  mRights[aIndex] =
+    std::make_shared<AdmissionRights const>(core.mPlane.Rights(mNow));
+  core.mEngine.ApplyRights(mNow, mRights[aIndex]);
+  for (auto const& exception : core.mPlane.TakeReceivedExceptions()) {
+    core.mEngine.StoreException(mNow, exception);
+  }
+  core.mPlane.SendExceptions(mNow, core.mEngine.TakeTransfers());
+  core.mPlane.SetUsage(core.mEngine.Usage(), revision);
+}
+
+void
+CoreGroup::Step()
+{
+  mNow += kStep;
+  Deliver();
+  for (std::size_t index = 0; index < mCores.size(); ++index) {
+    if (!Runs(index)) {
+      continue;
+    }
+    auto& core = *mCores[index];
+    Outbox outbox;
+    // What waited in the socket is read before or after the timers run.
+    bool const timersFirst = mRandom() % 2 == 0;
+    if (timersFirst) {
+      core.mPlane.Tick(mNow, outbox);
+    }
+    for (auto const& message : std::exchange(core.mBacklog, {})) {
+      core.mPlane.Handle(mNow, message, outbox);
+    }
+    if (!timersFirst) {
+      core.mPlane.Tick(mNow, outbox);
+    }
+    Send(index, outbox);
+    Exchange(index);
+  }
+}
+
+void
+CoreGroup::Run(milliseconds aTime, std::function<void()> const& aEachStep)
+{
+  for (auto const end = mNow + aTime; mNow < end;) {
+    Step();
+    if (aEachStep) {
+      aEachStep();
+    }
+  }
+}
+
+bool
+CoreGroup::RunUntilServing()
+{
+  ListLive();
+  for (auto const end = mNow + kServeMost; mNow < end;) {
+    Step();
+    bool serving = true;
+    for (auto const& core : mCores) {
+      auto const stage = core->mPlane.Members().Self().mStage;
+      serving = serving && (!core->mRunning || stage == MemberStage::Serving);
+    }
+    if (serving) {
+      return true;
+    }
+  }
+  return false;
+}
+
+AdmissionRights const&
+CoreGroup::RightsOf(std::size_t aIndex)
+{
+  return *mRights[aIndex];
+}
+
+bool
+CoreGroup::IsCut(std::size_t aLeft, std::size_t aRight) const
+{
+  return mCuts.count(Ordered(aLeft, aRight)) > 0;
+}
+
+std::size_t
+CoreGroup::IndexAt(Endpoint aData) const
+{
+  for (std::size_t index = 0; index < mMembers.size(); ++index) {
+    if (mMembers[index].mData == aData) {
+      return index;
+    }
+  }
+  return mMembers.size();
+}
+
+} // namespace tarragonsill::Test
--- /dev/null
+++ b/tests/support/packet_path.cpp
@@ -0,0 +1,80 @@
+#include "support/packet_path.hpp"
+
+namespace tarragonsill::Test {
+
+namespace {
+
+constexpr Endpoint kService{ { 0xC6336401 }, 443 };
+
+} // namespace
+
+std::vector<std::byte>
+CallerPacket(std::uint32_t aCaller, std::uint8_t aFlags)
+{
+  return MakePacket(CallerAt(aCaller), kService, aFlags);
+}
+
+std::vector<std::byte>
+AnswerPacket(Endpoint aUpstream, std::uint32_t aCaller, std::uint8_t aFlags)
+{
+  return MakePacket(aUpstream, CallerAt(aCaller), aFlags);
+}
+
+PathResult
+Follow(CoreGroup& aGroup, std::size_t aFirst, std::vector<std::byte> aPacket)
+{
+  PathResult result;
+  auto current = aFirst;
+  std::optional<Route> route;
+  for (;; ++result.mHops) {
+    result.mLastCore = current;
+    if (current >= aGroup.Count() || !aGroup.Runs(current)) {
+      return result;
+    }
+    auto packet = PacketView::Parse(aPacket);
+    if (!packet) {
+      return result;
+    }
+    auto& engine = aGroup.At(current).mEngine;
+    auto const action = route ? engine.HandlePeer(aGroup.Now(), *route, *packet)
+                              : engine.HandleFabric(aGroup.Now(), *packet);
+    switch (action.mKind) {
+      case ActionKind::Drop:
+        result.mCause = action.mCause;
+        return result;
+      case ActionKind::ToFabric:
+        result.mDelivered = true;
+        result.mDestination = packet->Destination();
+        result.mSource = packet->Source();
+        return result;
+      case ActionKind::ToPeer: {
+        auto const next = aGroup.IndexAt(action.mPeer);
+        if (aGroup.IsCut(current, next)) {
+          return result;
+        }
+        current = next;
+        route = action.mRoute;
+      }
+    }
+  }
+}
+
+std::optional<Endpoint>
+OpenFlow(CoreGroup& aGroup, std::size_t aFirst, std::uint32_t aCaller)
+{
+  auto const first =
+    Follow(aGroup, aFirst, CallerPacket(aCaller, TcpFlags::kSyn));
+  if (!first.mDelivered) {
+    return std::nullopt;
+  }
+  auto const answer = Follow(
+    aGroup,
+    aFirst,
+    AnswerPacket(first.mDestination, aCaller, TcpFlags::kSyn | TcpFlags::kAck));
+  if (!answer.mDelivered) {
+    return std::nullopt;
+  }
+  return first.mDestination;
+}
+
+} // namespace tarragonsill::Test
--- /dev/null
+++ b/tools/lab-tests.sh
@@ -0,0 +1,17 @@
+#!/bin/sh
+# Lab runs that must keep every promise: lab-tests.sh BUILD.
+set -eu
+build="$1"
+for deployment in reykjavik amman; do
+  "$build/tarragonsill-lab" run --deployment "$deployment" --entries 6 \
+    --seconds 5 --seed 1 --flows 1200 --json
+done
+"$build/tarragonsill-lab" run --entries 6 --seconds 8 --seed 2 --flows 2000 \
+  --event drain-upstream@3 --event kill-entry@4 --json
+"$build/tarragonsill-lab" run --entries 6 --seconds 12 --seed 3 --flows 2000 \
+  --event cut-zone@3 --event heal-zone@8 --json
+"$build/tarragonsill-lab" run --entries 6 --seconds 5 --seed 4 --flows 1000 \
+  --loss 0.02 --duplicate 0.02 --reorder 0.05 --json
+status=0
+"$build/tarragonsill-lab" run --event 'no-such-event@1' 2>/dev/null || status=$?
+[ "$status" -eq 2 ]
