Let idle actors wait; report memory and processor share; compare with baselines

CAF's default scheduler polls for work, and the packet worker woke 200 times a second. Change: CAF's work-sharing policy; the worker waits 20 ms instead of 5. The lab reports resident memory and processor share of the busiest entry VM. A program compares our steering with pure hashing, state per entry VM and full replication on the same flows.

--- a/benchmarks/bench_packets.cpp
+++ b/benchmarks/bench_packets.cpp
@@ -24,8 +24,7 @@
   for (auto _ : aState) {
     bytes = originals[next++ % kPackets];
     auto packet = PacketView::Parse(bytes);
-    benchmark::DoNotOptimize(
-      aLone.Engine().HandleFabric(aLone.Now(), *packet));
+    benchmark::DoNotOptimize(aLone.Engine().HandleFabric(aLone.Now(), *packet));
   }
   aState.SetItemsProcessed(aState.iterations());
 }
@@ -52,8 +51,8 @@
     FlowKey const key{ CallerAt(flow),
                        lone.Snapshot().mServices[0].mService.mAddress,
                        TransportProtocol::Tcp };
-    lone.Engine().StoreException(
-      lone.Now(), { "", key.mService, key.Hash(), upstream });
+    lone.Engine().StoreException(lone.Now(),
+                                 { "", key.mService, key.Hash(), upstream });
   }
   RunPackets(aState, lone, [](std::uint32_t aFlow) {
     return CallerPacket(aFlow, TcpFlags::kAck);
@@ -115,8 +114,7 @@
   auto const configuration = MakeConfiguration(shape);
   std::vector<Member> members;
   for (unsigned index = 0; index < aState.range(0); ++index) {
-    members.push_back(
-      MakeMember("a-" + std::to_string(index), "a", index));
+    members.push_back(MakeMember("a-" + std::to_string(index), "a", index));
   }
   auto const first =
     SteeringSnapshot::Build(configuration, members, "a-0", nullptr);
--- a/benchmarks/bench_state.cpp
+++ b/benchmarks/bench_state.cpp
@@ -58,9 +58,6 @@
   for (auto _ : aState) {
     group.Run(seconds{ 1 });
   }
-  aState.counters["us_per_core"] = benchmark::Counter(
-    static_cast<double>(aState.range(0) * aState.iterations()) / 1e6,
-    benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
 }
 BENCHMARK(GossipSecond)->Arg(7)->Arg(50)->Unit(benchmark::kMillisecond);
 
--- /dev/null
+++ b/benchmarks/compare.cpp
@@ -0,0 +1,43 @@
+#include "compare.hpp"
+
+#include <iostream>
+
+#include <CLI/CLI.hpp>
+
+namespace {
+
+using namespace tarragonsill::Compare;
+
+void
+PrintRow(std::string const& aPolicy, Outcome const& aOutcome)
+{
+  std::cout << "| " << aPolicy << " | " << aOutcome.mEvent << " | "
+            << aOutcome.mFlows << " | " << aOutcome.mBroken << " | "
+            << aOutcome.mControlBytesPerFlow << " | "
+            << aOutcome.mStateBytesPerNode << " | ";
+  std::cout.precision(4);
+  std::cout << aOutcome.mImbalance << " |\n";
+}
+
+} // namespace
+
+int
+main(int aCount, char** aValues)
+{
+  CLI::App app("Steering against the baselines", "tarragonsill-compare");
+  std::uint64_t seed = 1;
+  std::uint32_t flows = 14000;
+  app.add_option("--seed", seed, "Seed of every draw");
+  app.add_option("--flows", flows, "Flows opened");
+  CLI11_PARSE(app, aCount, aValues);
+  std::cout << "| policy | event | flows | broken | control bytes a flow | "
+               "state bytes a node | imbalance |\n"
+               "|---|---|---|---|---|---|---|\n";
+  for (auto const event : kEvents) {
+    PrintRow("pure hashing", RunPureHashing(event, flows, seed));
+    PrintRow("state per entry VM", RunLocalState(event, flows, seed));
+    PrintRow("replicate every flow", RunReplicated(event, flows, seed));
+    PrintRow("tarragonsill", RunOurs(event, flows, seed));
+  }
+  return 0;
+}
--- a/benchmarks/counted_control.cpp
+++ b/benchmarks/counted_control.cpp
@@ -42,8 +42,8 @@
     for (std::size_t core = 0; core < aGroup.Count(); ++core) {
       auto const* member = aGroup.At(core).mPlane.Members().Find(name);
       bool const knows =
-        core == aVictim || (member != nullptr &&
-                            member->mHealth == MemberHealth::Failed);
+        core == aVictim ||
+        (member != nullptr && member->mHealth == MemberHealth::Failed);
       everywhere = everywhere && knows;
     }
     if (everywhere) {
@@ -85,11 +85,11 @@
                       BusiestRate(group, seconds{ aSeconds }),
                       kControlTarget,
                       "control bytes/s" });
-  figures.push_back({ size + ", false failures, 1 % loss",
-                      static_cast<double>(FalseFailures(group) -
-                                          failuresBefore),
-                      0,
-                      "failures" });
+  figures.push_back(
+    { size + ", false failures, 1 % loss",
+      static_cast<double>(FalseFailures(group) - failuresBefore),
+      0,
+      "failures" });
   figures.push_back({ size + ", a death is known everywhere",
                       DetectionSeconds(group, aCores / 2),
                       10,
--- a/benchmarks/counted_packets.cpp
+++ b/benchmarks/counted_packets.cpp
@@ -66,9 +66,8 @@
   std::vector<std::vector<std::byte>> packets;
   for (std::uint32_t flow = 0; flow < kFlows; ++flow) {
     auto const upstream = lone.Open(flow);
-    packets.push_back(aAnswers
-                        ? AnswerPacket(*upstream, flow, TcpFlags::kAck)
-                        : CallerPacket(flow, TcpFlags::kAck));
+    packets.push_back(aAnswers ? AnswerPacket(*upstream, flow, TcpFlags::kAck)
+                               : CallerPacket(flow, TcpFlags::kAck));
   }
   return { std::move(aName),
            AllocationsPerPacket(lone, packets),
--- a/lab/tarragonsill_lab_entries.cpp
+++ b/lab/tarragonsill_lab_entries.cpp
@@ -313,6 +313,36 @@
   return page;
 }
 
+std::optional<ProcessUse>
+EntryFleet::ReadUse(EntryProcess const& aEntry)
+{
+  auto const directory = "/proc/" + std::to_string(aEntry.mPid);
+  std::ifstream memory(directory + "/statm");
+  std::uint64_t total = 0;
+  std::uint64_t resident = 0;
+  if (!(memory >> total >> resident)) {
+    return std::nullopt;
+  }
+  std::ifstream processor(directory + "/stat");
+  std::string field;
+  std::uint64_t user = 0;
+  std::uint64_t system = 0;
+  // Fields 14 and 15 are the times in user and system mode (proc(5)).
+  for (int skipped = 0; skipped < 13; ++skipped) {
+    processor >> field;
+  }
+  if (!(processor >> user >> system)) {
+    return std::nullopt;
+  }
+  auto const pageBytes = static_cast<double>(::sysconf(_SC_PAGESIZE));
+  auto const ticks = static_cast<std::uint64_t>(::sysconf(_SC_CLK_TCK));
+  ProcessUse use;
+  use.mResidentMegabytes =
+    static_cast<double>(resident) * pageBytes / (1024 * 1024);
+  use.mProcessorTime = milliseconds{ (user + system) * 1000 / ticks };
+  return use;
+}
+
 int
 EntryFleet::RunCommand(std::vector<std::string> const& aArguments) const
 {
--- a/lab/tarragonsill_lab_entries.hpp
+++ b/lab/tarragonsill_lab_entries.hpp
@@ -35,6 +35,13 @@
   std::uint64_t mDrops = 0;
 };
 
+/// What an entry VM's process uses.
+struct ProcessUse
+{
+  double mResidentMegabytes = 0;
+  milliseconds mProcessorTime{ 0 };
+};
+
 /// The loopback network 127.N.0.0/16 of a run; runs side by side differ in N.
 struct RunNetwork
 {
@@ -85,6 +92,9 @@
   /// Reads an entry VM's status page.
   static std::optional<EntryPage> ReadPage(EntryProcess const& aEntry);
 
+  /// Reads what the system says of a process.
+  static std::optional<ProcessUse> ReadUse(EntryProcess const& aEntry);
+
   /// Runs an operator's command to its end; returns its exit status.
   int RunCommand(std::vector<std::string> const& aArguments) const;
 
--- a/lab/tarragonsill_lab_monitor.cpp
+++ b/lab/tarragonsill_lab_monitor.cpp
@@ -63,10 +63,12 @@
     if (seen.mFirstAt == TimePoint{}) {
       seen.mFirstAt = now;
       seen.mFirstBytes = page.mControlBytes;
+      seen.mFirstUse = EntryFleet::ReadUse(entry);
     }
     seen.mLastAt = now;
     seen.mLastBytes = page.mControlBytes;
     seen.mDrops = page.mDrops;
+    seen.mLastUse = EntryFleet::ReadUse(entry);
   }
   NoteVersion(pages);
 }
@@ -131,6 +133,14 @@
       most = std::max(most, bytes / time.count());
     }
     mReport.mDrops += seen.mDrops;
+    if (time.count() > 0 && seen.mFirstUse && seen.mLastUse) {
+      std::chrono::duration<double> const used =
+        seen.mLastUse->mProcessorTime - seen.mFirstUse->mProcessorTime;
+      mReport.mProcessorShare =
+        std::max(mReport.mProcessorShare, used.count() / time.count());
+      mReport.mResidentMegabytes =
+        std::max(mReport.mResidentMegabytes, seen.mLastUse->mResidentMegabytes);
+    }
   }
   mReport.mControlBytesPerSecond = most;
   for (auto const& [version, at] : mAwaited) {
--- a/lab/tarragonsill_lab_monitor.hpp
+++ b/lab/tarragonsill_lab_monitor.hpp
@@ -35,6 +35,8 @@
     std::uint64_t mDrops = 0;
     TimePoint mFirstAt{};
     TimePoint mLastAt{};
+    std::optional<ProcessUse> mFirstUse;
+    std::optional<ProcessUse> mLastUse;
   };
 
   void Run();
--- a/lab/tarragonsill_lab_report.cpp
+++ b/lab/tarragonsill_lab_report.cpp
@@ -40,6 +40,8 @@
     { "imbalance", mFlows.mImbalance },
     { "config_in_force_ms", mEntries.mConfigInForceMilliseconds },
     { "control_bytes_per_entry_second", mEntries.mControlBytesPerSecond },
+    { "entry_resident_mb", mEntries.mResidentMegabytes },
+    { "entry_processor_share", mEntries.mProcessorShare },
     { "packets_dropped_by_entries", mEntries.mDrops },
   };
   return json.dump();
--- a/lab/tarragonsill_lab_report.hpp
+++ b/lab/tarragonsill_lab_report.hpp
@@ -52,6 +52,10 @@
   std::uint64_t mConfigInForceMilliseconds = 0;
   double mControlBytesPerSecond = 0;
   std::uint64_t mDrops = 0;
+  /// The largest resident memory of an entry VM's process.
+  double mResidentMegabytes = 0;
+  /// The largest share of one core that an entry VM's process used.
+  double mProcessorShare = 0;
 };
 
 struct RunReport
--- a/src/tarragonsill/coordination/tarragonsill_control_plane.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_control_plane.cpp
@@ -192,14 +192,13 @@
     if (member.mStage != MemberStage::Joining) {
       mZoneHasHistory = true;
     }
-    bool const due = mJoinAcks.count(member.mName) == 0 &&
-                     requests < kRequestsPerPeriod;
+    bool const due =
+      mJoinAcks.count(member.mName) == 0 && requests < kRequestsPerPeriod;
     if (!due) {
       continue;
     }
     ++requests;
-    auto* request =
-      AddMessage(aOutbox, member.mControl).mutable_join_request();
+    auto* request = AddMessage(aOutbox, member.mControl).mutable_join_request();
     request->set_known_members(digest);
     request->set_offset(mJoinOffsets[member.mName]);
   }
--- a/src/tarragonsill/state/tarragonsill_flow_ledger.cpp
+++ b/src/tarragonsill/state/tarragonsill_flow_ledger.cpp
@@ -37,7 +37,7 @@
 {
   if (auto* known = mFlows.Find(aFlow)) {
     known->mSeen = CoarseTime(aNow);
-    known->mMarks &= ~(kCallerEnded | kUpstreamEnded);
+    known->mMarks &= ~(CallerEnded | UpstreamEnded);
     return Admission::AlreadyKnown;
   }
   if (Used() >= std::min(mLimit.mConnections, aCeiling)) {
@@ -48,7 +48,7 @@
   }
   auto& entry = mFlows.FindOrInsert(aFlow);
   entry.mSeen = CoarseTime(aNow);
-  entry.mMarks = kSinceCold;
+  entry.mMarks = SinceCold;
   mColdStart.Start();
   return Admission::Admitted;
 }
@@ -61,7 +61,7 @@
     return false;
   }
   entry->mSeen = CoarseTime(aNow);
-  MarkEnd(*entry, aFlags, kCallerEnded);
+  MarkEnd(*entry, aFlags, CallerEnded);
   return true;
 }
 
@@ -75,18 +75,18 @@
     return reset && !known ? AnswerVerdict::HoldBack : AnswerVerdict::Pass;
   }
   entry->mSeen = CoarseTime(aNow);
-  bool const established = (entry->mMarks & kEstablished) != 0;
+  bool const established = (entry->mMarks & Established) != 0;
   if (!established && reset) {
     mFlows.Erase(aFlow);
     mColdStart.TurnCold();
-    mFlows.ForEach([](Entry& aEntry) { aEntry.mMarks &= ~kSinceCold; });
+    mFlows.ForEach([](Entry& aEntry) { aEntry.mMarks &= ~SinceCold; });
     return AnswerVerdict::HoldBack;
   }
   if (!established) {
-    entry->mMarks |= kEstablished;
+    entry->mMarks |= Established;
     mColdStart.Answered();
   }
-  MarkEnd(*entry, aFlags, kUpstreamEnded);
+  MarkEnd(*entry, aFlags, UpstreamEnded);
   return AnswerVerdict::Pass;
 }
 
@@ -97,7 +97,7 @@
   mUnknown = aTotal > known ? aTotal - known : 0;
   mAdoptedAt = aNow;
   mColdStart.TurnCold();
-  mFlows.ForEach([](Entry& aEntry) { aEntry.mMarks &= ~kSinceCold; });
+  mFlows.ForEach([](Entry& aEntry) { aEntry.mMarks &= ~SinceCold; });
 }
 
 bool
@@ -109,7 +109,7 @@
   --mUnknown;
   auto& entry = mFlows.FindOrInsert(aFlow);
   entry.mSeen = CoarseTime(aNow);
-  entry.mMarks = kEstablished;
+  entry.mMarks = Established;
   return true;
 }
 
@@ -119,14 +119,14 @@
   if (mUnknown > 0 && aNow - mAdoptedAt > aIdleTimeout) {
     mUnknown = 0;
   }
-  constexpr auto kBothEnded = kCallerEnded | kUpstreamEnded;
+  constexpr auto kBothEnded = CallerEnded | UpstreamEnded;
   mFlows.EraseIf([&](Entry const& aEntry) {
     auto const age = aEntry.mSeen.AgeAt(aNow);
     bool const ended = (aEntry.mMarks & kBothEnded) == kBothEnded;
-    bool const established = (aEntry.mMarks & kEstablished) != 0;
+    bool const established = (aEntry.mMarks & Established) != 0;
     bool const expired = age > aIdleTimeout || (ended && age > kLinger) ||
                          (!established && age > kFirstAnswerTimeout);
-    if (expired && (aEntry.mMarks & kSinceCold) != 0) {
+    if (expired && (aEntry.mMarks & SinceCold) != 0) {
       mColdStart.End();
     }
     return expired;
@@ -137,7 +137,7 @@
 FlowLedger::MarkEnd(Entry& aEntry, std::uint8_t aFlags, Mark aSide)
 {
   if ((aFlags & TcpFlags::kRst) != 0) {
-    aEntry.mMarks |= kCallerEnded | kUpstreamEnded;
+    aEntry.mMarks |= CallerEnded | UpstreamEnded;
   }
   if ((aFlags & TcpFlags::kFin) != 0) {
     aEntry.mMarks |= aSide;
--- a/src/tarragonsill/state/tarragonsill_flow_ledger.hpp
+++ b/src/tarragonsill/state/tarragonsill_flow_ledger.hpp
@@ -84,10 +84,10 @@
 private:
   enum Mark : std::uint8_t
   {
-    kEstablished = 1,
-    kCallerEnded = 2,
-    kUpstreamEnded = 4,
-    kSinceCold = 8,
+    Established = 1,
+    CallerEnded = 2,
+    UpstreamEnded = 4,
+    SinceCold = 8,
   };
   using Entry = Detail::LedgerEntry;
 
--- a/src/tarragonsill/state/tarragonsill_placement.hpp
+++ b/src/tarragonsill/state/tarragonsill_placement.hpp
@@ -33,11 +33,11 @@
   auto const middle = order.begin() + static_cast<std::ptrdiff_t>(most);
   std::partial_sort(
     order.begin(), middle, order.end(), [&](auto aLeft, auto aRight) {
-    auto const left = PlacementScore(aKey, aCandidates[aLeft]);
-    auto const right = PlacementScore(aKey, aCandidates[aRight]);
-    return left != right ? left > right
-                         : aCandidates[aLeft] > aCandidates[aRight];
-  });
+      auto const left = PlacementScore(aKey, aCandidates[aLeft]);
+      auto const right = PlacementScore(aKey, aCandidates[aRight]);
+      return left != right ? left > right
+                           : aCandidates[aLeft] > aCandidates[aRight];
+    });
   order.resize(most);
   return order;
 }
--- a/src/tarragonsill/transport/tarragonsill_entry_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_entry_daemon.cpp
@@ -92,6 +92,9 @@
 {
   aConfig.add_message_types<caf::id_block::tarragonsill>();
   aConfig.set("scheduler.max-threads", kSchedulerThreads);
+  // The default policy polls for work, which costs an idle VM a good part of
+  // a core; this one waits.
+  aConfig.set("scheduler.policy", caf::atom("sharing"));
   return aConfig;
 }
 
--- a/src/tarragonsill/transport/tarragonsill_packet_worker.cpp
+++ b/src/tarragonsill/transport/tarragonsill_packet_worker.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr milliseconds kReceiveTimeout{ 5 };
+constexpr milliseconds kReceiveTimeout{ 20 };
 constexpr milliseconds kReportPeriod{ 20 };
 constexpr milliseconds kSweepPeriod{ 1000 };
 
--- a/tests/support/lone_engine.cpp
+++ b/tests/support/lone_engine.cpp
@@ -26,19 +26,14 @@
   if (aOptions.mWithPeer) {
     members.push_back(MakeMember("a-1", "a", 1));
   }
-  mSnapshot =
-    SteeringSnapshot::Build(mConfiguration, members, "a-0", nullptr);
+  mSnapshot = SteeringSnapshot::Build(mConfiguration, members, "a-0", nullptr);
   mEngine.ApplySnapshot(mSnapshot);
   AdmissionRights rights;
   for (auto const& upstream : mConfiguration.mServices.front().mUpstreams) {
-    rights.push_back({ upstream.mAddress,
-                       kStart + seconds{ 3600 },
-                       upstream.mLimit,
-                       1,
-                       {} });
+    rights.push_back(
+      { upstream.mAddress, kStart + seconds{ 3600 }, upstream.mLimit, 1, {} });
   }
-  mEngine.ApplyRights(kStart,
-                      std::make_shared<AdmissionRights const>(rights));
+  mEngine.ApplyRights(kStart, std::make_shared<AdmissionRights const>(rights));
 }
 
 std::optional<Endpoint>
