Hold back resets that no ledger can vouch for; keep the last slot for urgent calls; split large files

Calls: idempotent ones hung until their deadline on a paused home (p99 3.0 s). Change: without a ledger a reset is held back (a true one is repeated with the caller's next packet); the last slot is kept for priority 0; an idempotent call spends at most half its time on its first home.

--- /dev/null
+++ b/src/tarragonsill/coordination/internal/tarragonsill_lease_items.hpp
@@ -0,0 +1,41 @@
+#ifndef TARRAGONSILL_LEASE_ITEMS_HPP_INCLUDED
+#define TARRAGONSILL_LEASE_ITEMS_HPP_INCLUDED
+
+#include "tarragonsill/state/tarragonsill_configuration.hpp"
+
+#include <tarragonsill_peer.pb.h>
+
+/// Conversions between lease messages and the types of the core.
+namespace tarragonsill::Detail {
+
+/// Writes one item of a lease message.
+inline wire::LeaseItem
+MakeItem(Endpoint aKey, WorkLimit aLimit, std::uint64_t aTerm, bool aKnown)
+{
+  wire::LeaseItem item;
+  item.set_address(aKey.mAddress.mValue);
+  item.set_port(aKey.mPort);
+  item.set_connections(aLimit.mConnections);
+  item.set_slots(aLimit.mSlots);
+  item.set_term(aTerm);
+  item.set_known(aKnown);
+  return item;
+}
+
+/// The thing that an item is about.
+inline Endpoint
+KeyOf(wire::LeaseItem const& aItem)
+{
+  return { { aItem.address() }, static_cast<std::uint16_t>(aItem.port()) };
+}
+
+/// The work that an item names.
+inline WorkLimit
+LimitOf(wire::LeaseItem const& aItem)
+{
+  return { aItem.connections(), aItem.slots() };
+}
+
+} // namespace tarragonsill::Detail
+
+#endif // TARRAGONSILL_LEASE_ITEMS_HPP_INCLUDED
--- a/src/tarragonsill/coordination/tarragonsill_packet_engine.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_packet_engine.cpp
@@ -158,15 +158,14 @@
                         std::uint64_t aFlow,
                         bool aHasOwner)
 {
-  bool const reset = (aPacket.Flags() & TcpFlags::kRst) != 0;
-  if (reset && !aHasOwner) {
-    // No entry VM of the upstream's zone can say whether the flow was there.
-    return true;
-  }
   auto* const ledger = LedgerOf(aPacket.Source());
-  return ledger != nullptr &&
-         ledger->NoteAnswer(aNow, aFlow, aPacket.Flags()) ==
-           AnswerVerdict::HoldBack;
+  if (!aHasOwner || ledger == nullptr) {
+    // Nobody here can say whether the upstream had the flow. If it had not,
+    // the caller must not see the reset; if it had, the reset is repeated.
+    return (aPacket.Flags() & TcpFlags::kRst) != 0;
+  }
+  return ledger->NoteAnswer(aNow, aFlow, aPacket.Flags()) ==
+         AnswerVerdict::HoldBack;
 }
 
 PacketAction
--- a/src/tarragonsill/coordination/tarragonsill_slot_ledger.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_slot_ledger.cpp
@@ -80,7 +80,7 @@
 }
 
 SlotAdmission
-SlotLedger::Admit(TimePoint aNow, Endpoint aUpstream)
+SlotLedger::Admit(TimePoint aNow, Endpoint aUpstream, std::uint32_t aPriority)
 {
   auto const found = mAccounts.find(aUpstream);
   if (found == mAccounts.end()) {
@@ -94,7 +94,9 @@
     return SlotAdmission::NotServing;
   }
   ExpireHeld(aNow, account);
-  if (account.mInProgress + account.mHeld.size() >= account.mLimit.mSlots) {
+  auto const slots = account.mLimit.mSlots;
+  auto const kept = aPriority > 0 && slots > 1 ? 1U : 0U;
+  if (account.mInProgress + account.mHeld.size() + kept >= slots) {
     return SlotAdmission::NoSlot;
   }
   if (!account.mColdStart.HasRoom()) {
--- a/src/tarragonsill/coordination/tarragonsill_slot_ledger.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_slot_ledger.hpp
@@ -42,7 +42,11 @@
              Configuration const& aConfiguration,
              AdmissionRights const& aRights);
 
-  SlotAdmission Admit(TimePoint aNow, Endpoint aUpstream);
+  /// Admits a call if there is a slot. The last slot of an upstream is kept
+  /// for calls of priority 0, so that under load the others are shed first.
+  SlotAdmission Admit(TimePoint aNow,
+                      Endpoint aUpstream,
+                      std::uint32_t aPriority);
   /// Frees the slot of a call that ended with an answer.
   void Answered(Endpoint aUpstream);
   /// Frees the slot of a call that the upstream refused; it is warming up or
--- /dev/null
+++ b/src/tarragonsill/transport/internal/tarragonsill_call_replies.hpp
@@ -0,0 +1,68 @@
+#ifndef TARRAGONSILL_CALL_REPLIES_HPP_INCLUDED
+#define TARRAGONSILL_CALL_REPLIES_HPP_INCLUDED
+
+#include "tarragonsill/coordination/tarragonsill_call_ledger.hpp"
+#include "tarragonsill/state/tarragonsill_steering_snapshot.hpp"
+#include "tarragonsill/state/tarragonsill_time.hpp"
+
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <tarragonsill_calls.pb.h>
+
+/// Replies and bounds that the parts of the call service share.
+namespace tarragonsill::Detail {
+
+/// When a caller whose call was not run may come back.
+constexpr milliseconds kRetryAfter{ 100 };
+/// A call with less time left is not worth starting.
+constexpr milliseconds kLeastTime{ 5 };
+/// A connection that is not there by then counts as unreachable.
+constexpr milliseconds kConnectTimeout{ 150 };
+
+/// A reply without an answer.
+inline wire::CallReply
+MakeReply(wire::CallRequest const& aRequest,
+          wire::CallOutcome aOutcome,
+          std::string aReason)
+{
+  wire::CallReply reply;
+  reply.set_call_id(aRequest.call_id());
+  reply.set_outcome(aOutcome);
+  reply.set_reason(std::move(aReason));
+  if (aOutcome == wire::NOT_RUN) {
+    reply.set_retry_after_ms(static_cast<std::uint32_t>(kRetryAfter.count()));
+  }
+  return reply;
+}
+
+/// The reply for a recorded outcome.
+inline wire::CallReply
+ToReply(wire::CallRequest const& aRequest, CallResult const& aResult)
+{
+  auto const outcome =
+    aResult.mOutcome == CallOutcome::Answered ? wire::ANSWERED
+    : aResult.mOutcome == CallOutcome::NotRun ? wire::NOT_RUN
+                                              : wire::UNKNOWN;
+  auto reply = MakeReply(aRequest, outcome, aResult.mReason);
+  reply.set_body(aResult.mBody);
+  reply.set_upstream(aResult.mUpstream);
+  return reply;
+}
+
+/// The index of a service in a snapshot.
+inline std::optional<std::size_t>
+FindService(SteeringSnapshot const& aSnapshot, std::string const& aName)
+{
+  for (std::size_t index = 0; index < aSnapshot.mServices.size(); ++index) {
+    if (aSnapshot.mServices[index].mService.mName == aName) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace tarragonsill::Detail
+
+#endif // TARRAGONSILL_CALL_REPLIES_HPP_INCLUDED
--- a/src/tarragonsill/transport/tarragonsill_actor_messages.hpp
+++ b/src/tarragonsill/transport/tarragonsill_actor_messages.hpp
@@ -87,6 +87,7 @@
 struct AdmitSlot
 {
   Endpoint mUpstream;
+  std::uint32_t mPriority = 0;
 };
 
 enum class SlotEnd : std::uint8_t
--- a/src/tarragonsill/transport/tarragonsill_call_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_call_actor.cpp
@@ -79,7 +79,7 @@
 
   SlotAdmission Admit(AdmitSlot const& aSlot)
   {
-    return mSlots.Admit(Clock::now(), aSlot.mUpstream);
+    return mSlots.Admit(Clock::now(), aSlot.mUpstream, aSlot.mPriority);
   }
 
   void End(EndSlot const& aSlot)
--- a/src/tarragonsill/transport/tarragonsill_call_service.cpp
+++ b/src/tarragonsill/transport/tarragonsill_call_service.cpp
@@ -1,6 +1,7 @@
 #include "tarragonsill/transport/tarragonsill_call_service.hpp"
 
 #include "tarragonsill/coordination/tarragonsill_call_placement.hpp"
+#include "tarragonsill/transport/internal/tarragonsill_call_replies.hpp"
 #include "tarragonsill/transport/tarragonsill_log.hpp"
 
 #include <algorithm>
@@ -8,48 +9,15 @@
 
 namespace tarragonsill {
 
+using namespace Detail;
+
 namespace {
 
 constexpr milliseconds kActorTimeout{ 1000 };
-constexpr milliseconds kConnectTimeout{ 150 };
-constexpr milliseconds kQueryTimeout{ 500 };
-constexpr milliseconds kRetryAfter{ 100 };
 constexpr milliseconds kOutcomePoll{ 10 };
-/// A call with less time left is not worth starting.
-constexpr milliseconds kLeastTime{ 5 };
 constexpr std::uint32_t kMaxHops = 4;
-/// Retries may use this share of the first attempts.
-constexpr double kRetryShare = 0.1;
 constexpr double kRetryBurst = 20;
 
-wire::CallReply
-MakeReply(wire::CallRequest const& aRequest,
-          wire::CallOutcome aOutcome,
-          std::string aReason)
-{
-  wire::CallReply reply;
-  reply.set_call_id(aRequest.call_id());
-  reply.set_outcome(aOutcome);
-  reply.set_reason(std::move(aReason));
-  if (aOutcome == wire::NOT_RUN) {
-    reply.set_retry_after_ms(static_cast<std::uint32_t>(kRetryAfter.count()));
-  }
-  return reply;
-}
-
-wire::CallReply
-ToReply(wire::CallRequest const& aRequest, CallResult const& aResult)
-{
-  auto const outcome =
-    aResult.mOutcome == CallOutcome::Answered ? wire::ANSWERED
-    : aResult.mOutcome == CallOutcome::NotRun ? wire::NOT_RUN
-                                              : wire::UNKNOWN;
-  auto reply = MakeReply(aRequest, outcome, aResult.mReason);
-  reply.set_body(aResult.mBody);
-  reply.set_upstream(aResult.mUpstream);
-  return reply;
-}
-
 CallResult
 ToResult(wire::CallReply const& aReply)
 {
@@ -63,19 +31,6 @@
   return result;
 }
 
-char const*
-OutcomeText(wire::CallOutcome aOutcome)
-{
-  switch (aOutcome) {
-    case wire::ANSWERED:
-      return "answered";
-    case wire::NOT_RUN:
-      return "not run";
-    default:
-      return "unknown";
-  }
-}
-
 /// The gRPC deadline for a monotonic one.
 std::chrono::system_clock::time_point
 ToSystemTime(TimePoint aDeadline)
@@ -85,34 +40,6 @@
            aDeadline - Clock::now());
 }
 
-std::optional<std::size_t>
-FindService(SteeringSnapshot const& aSnapshot, std::string const& aName)
-{
-  for (std::size_t index = 0; index < aSnapshot.mServices.size(); ++index) {
-    if (aSnapshot.mServices[index].mService.mName == aName) {
-      return index;
-    }
-  }
-  return std::nullopt;
-}
-
-/// Counts a call for as long as it lives.
-class ProgressGuard
-{
-public:
-  explicit ProgressGuard(std::atomic<std::size_t>& aCount)
-    : mCount(aCount)
-  {
-    ++mCount;
-  }
-  ProgressGuard(ProgressGuard const&) = delete;
-  ProgressGuard& operator=(ProgressGuard const&) = delete;
-  ~ProgressGuard() { --mCount; }
-
-private:
-  std::atomic<std::size_t>& mCount;
-};
-
 } // namespace
 
 CallService::CallService(std::shared_ptr<EntryState> aState,
@@ -157,130 +84,6 @@
   return taken;
 }
 
-std::optional<wire::CallReply>
-CallService::CheckRequest(wire::CallRequest const& aRequest,
-                          TimePoint aDeadline)
-{
-  if (aRequest.call_id().empty()) {
-    return MakeReply(aRequest, wire::NOT_RUN, "call_id is required");
-  }
-  if (mStopped) {
-    return MakeReply(aRequest, wire::NOT_RUN, "this entry VM is leaving");
-  }
-  if (aDeadline - Clock::now() < kLeastTime) {
-    return MakeReply(aRequest, wire::NOT_RUN, "the deadline is over");
-  }
-  auto const view = mState->mView.Value();
-  if (!view.mSnapshot) {
-    return MakeReply(
-      aRequest, wire::NOT_RUN, "this entry VM has no configuration");
-  }
-  if (!FindService(*view.mSnapshot, aRequest.service())) {
-    return MakeReply(aRequest,
-                     wire::NOT_RUN,
-                     "service '" + aRequest.service() + "' is not declared");
-  }
-  return std::nullopt;
-}
-
-wire::CallReply
-CallService::Submit(wire::CallRequest const& aRequest, TimePoint aDeadline)
-{
-  ProgressGuard const guard(mInProgress);
-  auto& counters = mState->mCounters;
-  counters.Add(Counter::CallsReceived);
-  {
-    std::lock_guard const lock(mRetryMutex);
-    mRetries.Deposit(kRetryShare);
-  }
-  if (auto refused = CheckRequest(aRequest, aDeadline)) {
-    counters.Add(Counter::CallsNotRun);
-    return *refused;
-  }
-  auto const view = mState->mView.Value();
-  auto const service = *FindService(*view.mSnapshot, aRequest.service());
-  auto request = aRequest;
-  request.set_attempt(std::max(1U, aRequest.attempt()));
-  request.set_hops(0);
-  request.clear_upstream();
-  auto reply =
-    MakeReply(request, wire::NOT_RUN, "no home of the call can be reached");
-  reply.set_not_home(true);
-  bool const repeated = request.attempt() > 1 && !request.idempotent();
-  if (repeated) {
-    if (auto settled = ClearWithOtherZones(request, view, service)) {
-      return *settled;
-    }
-  }
-  for (auto const home :
-       CallHomes(*view.mSnapshot, service, request.call_id())) {
-    auto const& entry = view.mSnapshot->mEntries[home];
-    std::optional<wire::CallReply> answer =
-      entry.mName == SelfName()
-        ? RunAtHome(request, aDeadline)
-        : Forward(RemoteStep::Home, entry, request, aDeadline);
-    if (answer) {
-      reply = *answer;
-    }
-    bool const elsewhere = !answer || answer->not_home();
-    if (!elsewhere || repeated) {
-      break;
-    }
-  }
-  if (repeated && reply.not_home()) {
-    // An earlier attempt may have run where no record can be read now.
-    reply.set_outcome(wire::UNKNOWN);
-  }
-  counters.Add(reply.outcome() == wire::ANSWERED  ? Counter::CallsAnswered
-               : reply.outcome() == wire::NOT_RUN ? Counter::CallsNotRun
-                                                  : Counter::CallsUnknown);
-  LogInfo("call: " + std::string(OutcomeText(reply.outcome())) +
-          " id=" + request.call_id() + " service=" + request.service() +
-          " upstream=" + reply.upstream() + " reason=" + reply.reason());
-  return reply;
-}
-
-std::optional<wire::CallReply>
-CallService::ClearWithOtherZones(wire::CallRequest const& aRequest,
-                                 CallView const& aView,
-                                 std::size_t aService)
-{
-  auto const homes = CallHomes(*aView.mSnapshot, aService, aRequest.call_id());
-  auto const zones = std::count_if(
-    aView.mSnapshot->mZones.begin(),
-    aView.mSnapshot->mZones.end(),
-    [](Zone const& aZone) { return aZone.mState == ZoneState::In; });
-  bool certain = homes.size() == static_cast<std::size_t>(zones);
-  for (std::size_t index = 1; index < homes.size(); ++index) {
-    auto const& entry = aView.mSnapshot->mEntries[homes[index]];
-    wire::CallQuery query;
-    query.set_service(aRequest.service());
-    query.set_call_id(aRequest.call_id());
-    wire::CallQueryReply answer;
-    if (entry.mName == SelfName()) {
-      answer = Query(query);
-    } else if (mChannels->Connect(entry.mCalls, kConnectTimeout)) {
-      auto const stub = wire::Entry::NewStub(mChannels->To(entry.mCalls));
-      grpc::ClientContext context;
-      context.set_deadline(std::chrono::system_clock::now() + kQueryTimeout);
-      if (!stub->Query(&context, query, &answer).ok()) {
-        certain = false;
-        continue;
-      }
-    }
-    if (answer.verdict() == wire::CallQueryReply::SEEN) {
-      return answer.reply();
-    }
-    certain = certain && answer.verdict() == wire::CallQueryReply::NOT_SEEN;
-  }
-  if (certain) {
-    return std::nullopt;
-  }
-  return MakeReply(aRequest,
-                   wire::UNKNOWN,
-                   "not every zone can say whether an earlier attempt ran");
-}
-
 wire::CallReply
 CallService::RunAtHome(wire::CallRequest const& aRequest, TimePoint aDeadline)
 {
@@ -393,7 +196,8 @@
   if (upstream == nullptr) {
     return MakeReply(aRequest, wire::NOT_RUN, "the upstream is not declared");
   }
-  auto const admission = Ask<SlotAdmission>(AdmitSlot{ upstream->mAddress });
+  auto const admission =
+    Ask<SlotAdmission>(AdmitSlot{ upstream->mAddress, aRequest.priority() });
   if (admission != SlotAdmission::Admitted) {
     return MakeReply(
       aRequest, wire::NOT_RUN, "upstream " + upstream->mName + " has no slot");
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_call_submission.cpp
@@ -0,0 +1,188 @@
+#include "tarragonsill/transport/tarragonsill_call_service.hpp"
+
+#include "tarragonsill/coordination/tarragonsill_call_placement.hpp"
+#include "tarragonsill/transport/internal/tarragonsill_call_replies.hpp"
+#include "tarragonsill/transport/tarragonsill_log.hpp"
+
+#include <algorithm>
+
+namespace tarragonsill {
+
+using namespace Detail;
+
+namespace {
+
+constexpr milliseconds kQueryTimeout{ 500 };
+/// Retries may use this share of the first attempts.
+constexpr double kRetryShare = 0.1;
+
+char const*
+OutcomeText(wire::CallOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case wire::ANSWERED:
+      return "answered";
+    case wire::NOT_RUN:
+      return "not run";
+    default:
+      return "unknown";
+  }
+}
+
+/// How long the first home may take. An idempotent call leaves half of its
+/// time for another home, in case the first one hangs.
+TimePoint
+FirstDeadline(wire::CallRequest const& aRequest, TimePoint aDeadline)
+{
+  auto const now = Clock::now();
+  return aRequest.idempotent() ? now + (aDeadline - now) / 2 : aDeadline;
+}
+
+/// Counts a call for as long as it lives.
+class ProgressGuard
+{
+public:
+  explicit ProgressGuard(std::atomic<std::size_t>& aCount)
+    : mCount(aCount)
+  {
+    ++mCount;
+  }
+  ProgressGuard(ProgressGuard const&) = delete;
+  ProgressGuard& operator=(ProgressGuard const&) = delete;
+  ~ProgressGuard() { --mCount; }
+
+private:
+  std::atomic<std::size_t>& mCount;
+};
+
+} // namespace
+
+std::optional<wire::CallReply>
+CallService::CheckRequest(wire::CallRequest const& aRequest,
+                          TimePoint aDeadline)
+{
+  if (aRequest.call_id().empty()) {
+    return MakeReply(aRequest, wire::NOT_RUN, "call_id is required");
+  }
+  if (mStopped) {
+    return MakeReply(aRequest, wire::NOT_RUN, "this entry VM is leaving");
+  }
+  if (aDeadline - Clock::now() < kLeastTime) {
+    return MakeReply(aRequest, wire::NOT_RUN, "the deadline is over");
+  }
+  auto const view = mState->mView.Value();
+  if (!view.mSnapshot) {
+    return MakeReply(
+      aRequest, wire::NOT_RUN, "this entry VM has no configuration");
+  }
+  if (!FindService(*view.mSnapshot, aRequest.service())) {
+    return MakeReply(aRequest,
+                     wire::NOT_RUN,
+                     "service '" + aRequest.service() + "' is not declared");
+  }
+  return std::nullopt;
+}
+
+wire::CallReply
+CallService::Submit(wire::CallRequest const& aRequest, TimePoint aDeadline)
+{
+  ProgressGuard const guard(mInProgress);
+  auto& counters = mState->mCounters;
+  counters.Add(Counter::CallsReceived);
+  {
+    std::lock_guard const lock(mRetryMutex);
+    mRetries.Deposit(kRetryShare);
+  }
+  if (auto refused = CheckRequest(aRequest, aDeadline)) {
+    counters.Add(Counter::CallsNotRun);
+    return *refused;
+  }
+  auto const view = mState->mView.Value();
+  auto const service = *FindService(*view.mSnapshot, aRequest.service());
+  auto request = aRequest;
+  request.set_attempt(std::max(1U, aRequest.attempt()));
+  request.set_hops(0);
+  request.clear_upstream();
+  auto reply =
+    MakeReply(request, wire::NOT_RUN, "no home of the call can be reached");
+  reply.set_not_home(true);
+  bool const repeated = request.attempt() > 1 && !request.idempotent();
+  if (repeated) {
+    if (auto settled = ClearWithOtherZones(request, view, service)) {
+      return *settled;
+    }
+  }
+  auto deadline = FirstDeadline(request, aDeadline);
+  for (auto const home :
+       CallHomes(*view.mSnapshot, service, request.call_id())) {
+    auto const& entry = view.mSnapshot->mEntries[home];
+    std::optional<wire::CallReply> answer =
+      entry.mName == SelfName()
+        ? RunAtHome(request, deadline)
+        : Forward(RemoteStep::Home, entry, request, deadline);
+    if (answer) {
+      reply = *answer;
+    }
+    bool const elsewhere = !answer || answer->not_home();
+    bool const again =
+      request.idempotent() && reply.outcome() == wire::UNKNOWN && TakeRetry();
+    if ((!elsewhere && !again) || repeated) {
+      break;
+    }
+    deadline = aDeadline;
+  }
+  if (repeated && reply.not_home()) {
+    // An earlier attempt may have run where no record can be read now.
+    reply.set_outcome(wire::UNKNOWN);
+  }
+  counters.Add(reply.outcome() == wire::ANSWERED  ? Counter::CallsAnswered
+               : reply.outcome() == wire::NOT_RUN ? Counter::CallsNotRun
+                                                  : Counter::CallsUnknown);
+  LogInfo("call: " + std::string(OutcomeText(reply.outcome())) +
+          " id=" + request.call_id() + " service=" + request.service() +
+          " upstream=" + reply.upstream() + " reason=" + reply.reason());
+  return reply;
+}
+
+std::optional<wire::CallReply>
+CallService::ClearWithOtherZones(wire::CallRequest const& aRequest,
+                                 CallView const& aView,
+                                 std::size_t aService)
+{
+  auto const homes = CallHomes(*aView.mSnapshot, aService, aRequest.call_id());
+  auto const zones = std::count_if(
+    aView.mSnapshot->mZones.begin(),
+    aView.mSnapshot->mZones.end(),
+    [](Zone const& aZone) { return aZone.mState == ZoneState::In; });
+  bool certain = homes.size() == static_cast<std::size_t>(zones);
+  for (std::size_t index = 1; index < homes.size(); ++index) {
+    auto const& entry = aView.mSnapshot->mEntries[homes[index]];
+    wire::CallQuery query;
+    query.set_service(aRequest.service());
+    query.set_call_id(aRequest.call_id());
+    wire::CallQueryReply answer;
+    if (entry.mName == SelfName()) {
+      answer = Query(query);
+    } else if (mChannels->Connect(entry.mCalls, kConnectTimeout)) {
+      auto const stub = wire::Entry::NewStub(mChannels->To(entry.mCalls));
+      grpc::ClientContext context;
+      context.set_deadline(std::chrono::system_clock::now() + kQueryTimeout);
+      if (!stub->Query(&context, query, &answer).ok()) {
+        certain = false;
+        continue;
+      }
+    }
+    if (answer.verdict() == wire::CallQueryReply::SEEN) {
+      return answer.reply();
+    }
+    certain = certain && answer.verdict() == wire::CallQueryReply::NOT_SEEN;
+  }
+  if (certain) {
+    return std::nullopt;
+  }
+  return MakeReply(aRequest,
+                   wire::UNKNOWN,
+                   "not every zone can say whether an earlier attempt ran");
+}
+
+} // namespace tarragonsill
--- a/tests/coordination/test_call_ledger.cpp
+++ b/tests/coordination/test_call_ledger.cpp
@@ -147,7 +147,7 @@
   void Warm()
   {
     for (int call = 0; call < 24; ++call) {
-      mLedger.Admit(kStart, mUpstream);
+      mLedger.Admit(kStart, mUpstream, 0);
       mLedger.Answered(mUpstream);
     }
   }
@@ -156,48 +156,59 @@
 TEST(SlotLedger, without_a_lease_nothing_is_admitted)
 {
   mLedger.Apply(kStart, mConfiguration, {});
-  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::NoLease);
+  CHECK(mLedger.Admit(kStart, mUpstream, 0) == SlotAdmission::NoLease);
   Hold(1);
-  CHECK(mLedger.Admit(kStart + seconds{ 2 }, mUpstream) ==
+  CHECK(mLedger.Admit(kStart + seconds{ 2 }, mUpstream, 0) ==
         SlotAdmission::NoLease);
 }
 
 TEST(SlotLedger, slots_of_a_cold_upstream_grow_with_answers)
 {
   Hold(1);
-  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::Admitted);
-  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::Cold);
+  CHECK(mLedger.Admit(kStart, mUpstream, 0) == SlotAdmission::Admitted);
+  CHECK(mLedger.Admit(kStart, mUpstream, 0) == SlotAdmission::Cold);
   mLedger.Answered(mUpstream);
   Warm();
   for (int call = 0; call < 4; ++call) {
-    CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::Admitted);
+    CHECK(mLedger.Admit(kStart, mUpstream, 0) == SlotAdmission::Admitted);
   }
-  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::NoSlot);
+  CHECK(mLedger.Admit(kStart, mUpstream, 0) == SlotAdmission::NoSlot);
+}
+
+TEST(SlotLedger, the_last_slot_is_kept_for_calls_that_are_shed_last)
+{
+  Hold(1);
+  Warm();
+  for (int call = 0; call < 3; ++call) {
+    CHECK(mLedger.Admit(kStart, mUpstream, 1) == SlotAdmission::Admitted);
+  }
+  CHECK(mLedger.Admit(kStart, mUpstream, 1) == SlotAdmission::NoSlot);
+  CHECK(mLedger.Admit(kStart, mUpstream, 0) == SlotAdmission::Admitted);
 }
 
 TEST(SlotLedger, a_refusal_starts_the_limit_over)
 {
   Hold(1);
   Warm();
-  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::Admitted);
-  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::Admitted);
+  CHECK(mLedger.Admit(kStart, mUpstream, 0) == SlotAdmission::Admitted);
+  CHECK(mLedger.Admit(kStart, mUpstream, 0) == SlotAdmission::Admitted);
   mLedger.Refused(mUpstream);
-  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::Cold);
+  CHECK(mLedger.Admit(kStart, mUpstream, 0) == SlotAdmission::Cold);
 }
 
 TEST(SlotLedger, calls_of_an_earlier_owner_hold_their_slots_until_they_end)
 {
   Hold(1, 4);
-  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::NoSlot);
+  CHECK(mLedger.Admit(kStart, mUpstream, 0) == SlotAdmission::NoSlot);
   auto const later = kStart + seconds{ 11 };
   Hold(1, 4, later);
-  CHECK(mLedger.Admit(later, mUpstream) == SlotAdmission::Admitted);
+  CHECK(mLedger.Admit(later, mUpstream, 0) == SlotAdmission::Admitted);
 }
 
 TEST(SlotLedger, a_cancelled_call_holds_its_slot_for_the_grace_time)
 {
   Hold(1);
-  mLedger.Admit(kStart, mUpstream);
+  mLedger.Admit(kStart, mUpstream, 0);
   mLedger.Cancelled(kStart, mUpstream);
   LONGS_EQUAL(1, mLedger.Used(kStart, mUpstream));
   LONGS_EQUAL(0, mLedger.Used(kStart + seconds{ 1 }, mUpstream));
@@ -208,5 +219,5 @@
   mConfiguration.mServices.front().mUpstreams[0].mState =
     UpstreamState::Draining;
   Hold(1);
-  CHECK(mLedger.Admit(kStart, mUpstream) == SlotAdmission::NotServing);
+  CHECK(mLedger.Admit(kStart, mUpstream, 0) == SlotAdmission::NotServing);
 }
