Let packet workers wake before control planes in the schedules

Cause: deliberate faults were put into ownership to see whether the tests notice. Two of three passed unnoticed: a lease that is never checked at admission, since every core's timers ran before its packets after a pause.

--- a/tests/coordination/test_ownership.cpp
+++ b/tests/coordination/test_ownership.cpp
@@ -101,6 +101,27 @@
   LONGS_EQUAL(6, UpstreamsHeld(group));
 }
 
+TEST(Ownership, a_packet_worker_that_wakes_first_admits_nothing)
+{
+  auto group = MakeGroup(2);
+  CHECK(group.RunUntilServing());
+  group.Run(seconds{ 2 });
+  group.Pause(0, seconds{ 8 });
+  group.Run(seconds{ 6 });
+  group.ListRemoved(0);
+  // Runs until the core is awake but its control plane has not run yet.
+  for (bool awake = false; !awake;) {
+    group.Run(milliseconds{ 10 }, [&] { awake = group.Runs(0); });
+  }
+  auto const& counters = group.At(0).mCounters;
+  auto const before = counters.Value(Counter::FlowsAdmitted);
+  for (std::uint32_t caller = 0; caller < 50; ++caller) {
+    Follow(group, 0, CallerPacket(caller, TcpFlags::kSyn));
+  }
+  LONGS_EQUAL(before, counters.Value(Counter::FlowsAdmitted));
+  CHECK(counters.Value(Counter::FlowsRefusedNoLease) > 0);
+}
+
 TEST(Ownership, a_join_moves_upstreams_without_overlap)
 {
   auto group = MakeGroup(2);
--- a/tests/coordination/test_schedules.cpp
+++ b/tests/coordination/test_schedules.cpp
@@ -82,7 +82,8 @@
         mGroup.ListLive();
         break;
       case Action::Pause:
-        mGroup.Pause(core, milliseconds{ aAction.mSecond % 6000 });
+        mGroup.Pause(core, milliseconds{ 2 * aAction.mSecond });
+        mPaused = core;
         break;
       case Action::Cut:
         if (core != other) {
@@ -96,6 +97,10 @@
         }
         break;
       case Action::ListRemoved:
+        // The platform may replace a VM that only stands still.
+        if (mDead.empty() && mPaused && !mGroup.Runs(*mPaused)) {
+          mGroup.ListRemoved(*mPaused);
+        }
         for (auto const dead : mDead) {
           mGroup.ListRemoved(dead);
         }
@@ -104,7 +109,7 @@
         break;
     }
     mGroup.Run(milliseconds{ 50 + aAction.mSecond % 1500 },
-               [&] { CheckOwners(); });
+               [&] { AfterStep(); });
   }
 
 private:
@@ -170,6 +175,21 @@
     }
   }
 
+  void AfterStep()
+  {
+    CheckOwners();
+    for (std::size_t core = 0; core < mGroup.Count(); ++core) {
+      bool const woke = mGroup.Runs(core) && mAsleep.erase(core) > 0;
+      if (woke) {
+        // Its packet worker may be faster than its control plane.
+        Open(core);
+      }
+      if (!mGroup.Runs(core)) {
+        mAsleep.insert(core);
+      }
+    }
+  }
+
   void CheckOwners()
   {
     std::set<Endpoint> held;
@@ -191,6 +211,8 @@
   std::uint32_t mNextCaller = 0;
   std::map<Endpoint, std::set<std::uint32_t>> mOpen;
   std::set<std::size_t> mDead;
+  std::set<std::size_t> mAsleep;
+  std::optional<std::size_t> mPaused;
   std::set<std::pair<std::size_t, std::size_t>> mCut;
 };
 
--- a/tests/support/core_group.cpp
+++ b/tests/support/core_group.cpp
@@ -178,7 +178,7 @@
     if (!core.mRunning) {
       continue;
     }
-    if (core.mPausedUntil > mNow) {
+    if (core.mPausedUntil > mNow || core.mWoke) {
       core.mBacklog.push_back(std::move(delivery.mMessage));
       continue;
     }
@@ -208,30 +208,42 @@
   core.mPlane.SetUsage(core.mEngine.Usage(), revision);
 }
 
+void
+CoreGroup::TickCore(std::size_t aIndex)
+{
+  auto& core = *mCores[aIndex];
+  Outbox outbox;
+  // What waited in the socket is read before or after the timers run.
+  bool const timersFirst = mRandom() % 2 == 0;
+  if (timersFirst) {
+    core.mPlane.Tick(mNow, outbox);
+  }
+  for (auto const& message : std::exchange(core.mBacklog, {})) {
+    core.mPlane.Handle(mNow, message, outbox);
+  }
+  if (!timersFirst) {
+    core.mPlane.Tick(mNow, outbox);
+  }
+  Send(aIndex, outbox);
+  Exchange(aIndex);
+}
+
 void
 CoreGroup::Step()
 {
   mNow += kStep;
   Deliver();
   for (std::size_t index = 0; index < mCores.size(); ++index) {
+    auto& core = *mCores[index];
     if (!Runs(index)) {
+      core.mWoke = true;
       continue;
     }
-    auto& core = *mCores[index];
-    Outbox outbox;
-    // What waited in the socket is read before or after the timers run.
-    bool const timersFirst = mRandom() % 2 == 0;
-    if (timersFirst) {
-      core.mPlane.Tick(mNow, outbox);
-    }
-    for (auto const& message : std::exchange(core.mBacklog, {})) {
-      core.mPlane.Handle(mNow, message, outbox);
-    }
-    if (!timersFirst) {
-      core.mPlane.Tick(mNow, outbox);
+    if (core.mWoke) {
+      core.mWoke = false;
+      continue;
     }
-    Send(index, outbox);
-    Exchange(index);
+    TickCore(index);
   }
 }
 
--- a/tests/support/core_group.hpp
+++ b/tests/support/core_group.hpp
@@ -33,6 +33,8 @@
   std::shared_ptr<SteeringSnapshot const> mSnapshot;
   bool mRunning = true;
   TimePoint mPausedUntil{};
+  /// Set for the first step after a pause: packets may come before timers.
+  bool mWoke = false;
   /// What waits while the core is paused.
   std::vector<wire::PeerMessage> mBacklog;
 };
@@ -94,6 +96,7 @@
   void Deliver();
   void Send(std::size_t aFrom, Outbox& aOutbox);
   void Exchange(std::size_t aIndex);
+  void TickCore(std::size_t aIndex);
   std::unique_ptr<Core> MakeCore(std::size_t aIndex,
                                  std::uint64_t aIncarnation);
 
