--- /dev/null
+++ b/tests/transport/test_platform_client.cpp
@@ -0,0 +1,138 @@
+#include "tarragonsill_test.hpp"
+
+#include "tarragonsill/transport/tarragonsill_platform_client.hpp"
+#include "tarragonsill_lab_platform.hpp"
+
+#include <memory>
+
+using namespace tarragonsill;
+
+namespace {
+
+constexpr Endpoint kAddress{ { 0x7F630001 }, 18080 };
+constexpr milliseconds kNoWait{ 50 };
+
+} // namespace
+
+TEST_GROUP(PlatformClient)
+{
+  std::unique_ptr<Lab::Platform> mPlatform;
+  Counters mCounters;
+  std::unique_ptr<PlatformClient> mClient;
+
+  void setup() override
+  {
+    auto platform = Lab::Platform::Start(kAddress, milliseconds{ 0 });
+    CHECK(platform.HasValue());
+    mPlatform = platform.Take();
+    mClient = MakeClient(200);
+  }
+
+  std::unique_ptr<PlatformClient> MakeClient(std::uint32_t aCallsPerSecond)
+  {
+    PlatformClient::Options options;
+    options.mAddress = kAddress;
+    options.mCallsPerSecond = aCallsPerSecond;
+    return std::make_unique<PlatformClient>(options, mCounters);
+  }
+
+  PlatformObject Stored()
+  {
+    auto object = mClient->Read("object");
+    return object ? object.Take() : PlatformObject{};
+  }
+};
+
+TEST(PlatformClient, a_write_on_the_read_version_wins)
+{
+  auto const outcome = mClient->Write("object", {}, "change-1", "text");
+  CHECK(outcome.HasValue());
+  CHECK(outcome->mWon);
+  LONGS_EQUAL(1, Stored().mVersion);
+  STRCMP_EQUAL("text", Stored().mText.c_str());
+}
+
+TEST(PlatformClient, of_two_racing_operators_one_wins_and_one_is_told)
+{
+  auto const first = mClient->Write("object", {}, "change-1", "ours");
+  auto const second = mClient->Write("object", {}, "change-2", "theirs");
+  CHECK(first->mWon);
+  CHECK(second.HasValue());
+  CHECK_FALSE(second->mWon);
+  LONGS_EQUAL(1, second->mCurrent.mVersion);
+  STRCMP_EQUAL("ours", second->mCurrent.mText.c_str());
+}
+
+TEST(PlatformClient, a_lost_answer_is_settled_and_nothing_is_written_twice)
+{
+  mPlatform->LoseNextWriteAnswer();
+  auto const outcome = mClient->Write("object", {}, "change-1", "text");
+  CHECK(outcome.HasValue());
+  CHECK(outcome->mWon);
+  LONGS_EQUAL(1, Stored().mVersion);
+}
+
+TEST(PlatformClient, a_change_that_another_one_followed_still_counts_as_won)
+{
+  CHECK(mClient->Write("object", {}, "change-1", "first")->mWon);
+  CHECK(mClient->Write("object", Stored(), "change-2", "second")->mWon);
+  auto const object = Stored();
+  LONGS_EQUAL(2, object.mChanges.size());
+  STRCMP_EQUAL("change-1", object.mChanges.front().c_str());
+}
+
+TEST(PlatformClient, an_outage_is_a_reason_and_not_an_answer)
+{
+  mPlatform->SetDown(true);
+  auto const object = mClient->Read("object");
+  CHECK_FALSE(object.HasValue());
+  CHECK(object.LastReason().mCode == ReasonCode::Unavailable);
+  CHECK_FALSE(mClient->ListVms().HasValue());
+}
+
+TEST(PlatformClient, an_absent_object_is_not_found)
+{
+  CHECK(mClient->Read("object").LastReason().mCode == ReasonCode::NotFound);
+}
+
+TEST(PlatformClient, a_watch_gives_newer_versions_only)
+{
+  CHECK(mClient->Write("object", {}, "change-1", "text")->mWon);
+  auto const newer = mClient->Watch("object", 0, kNoWait);
+  CHECK(newer.HasValue());
+  auto const none = mClient->Watch("object", 1, kNoWait);
+  CHECK(none.LastReason().mCode == ReasonCode::Timeout);
+}
+
+TEST(PlatformClient, calls_beyond_the_budget_are_not_made)
+{
+  mClient = MakeClient(3);
+  for (int call = 0; call < 3; ++call) {
+    (void)mClient->Read("object");
+  }
+  auto const before = mPlatform->CallCount();
+  auto const refused = mClient->Read("object");
+  CHECK(refused.LastReason().mCode == ReasonCode::LimitReached);
+  LONGS_EQUAL(before, mPlatform->CallCount());
+}
+
+TEST(PlatformClient, the_list_of_vms_is_read)
+{
+  mPlatform->ListVm({ "e1", "a", kAddress, PlatformVm::State::Removed });
+  auto const vms = mClient->ListVms();
+  CHECK(vms.HasValue());
+  LONGS_EQUAL(1, vms->size());
+  CHECK(vms->front().mState == PlatformVm::State::Removed);
+}
+
+TEST(PlatformClient, the_pause_between_attempts_grows_and_stays_bounded)
+{
+  for (unsigned failures = 0; failures < 40; ++failures) {
+    auto const most =
+      std::min<milliseconds::rep>(5000, 100LL << std::min(failures, 20U));
+    for (int draw = 0; draw < 20; ++draw) {
+      auto const pause = mClient->Backoff(failures).count();
+      CHECK(pause >= 1 && pause <= most);
+    }
+  }
+}
