Check control messages where they are read; stop on broken invariants

Cause: the peer message reader was the one of three readers without a property test, and took senders without ports; the core checked none of its invariants. Change: ReadPeerMessage gives a message or a reason; tests with any bytes, damaged messages and 30 random valid messages at a control plane; invariants of ledgers and leases stop the process in builds with the option on (the default). Two words for stages and two readers of two-word settings become one each.

--- a/src/tarragonsill/coordination/tarragonsill_call_ledger.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_call_ledger.cpp
@@ -1,5 +1,7 @@
 #include "tarragonsill/coordination/tarragonsill_call_ledger.hpp"
 
+#include "tarragonsill/state/tarragonsill_invariant.hpp"
+
 namespace tarragonsill {
 
 CallLedger::Entry&
@@ -108,6 +110,8 @@
       found->second.mState = State::Finished;
       continue;
     }
+    RequireInvariant(mBodyBytes >= found->second.mResult.mBody.size(),
+                     "answers are counted when they are kept");
     mBodyBytes -= found->second.mResult.mBody.size();
     mCalls.erase(found);
   }
--- a/src/tarragonsill/coordination/tarragonsill_ownership.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_ownership.cpp
@@ -1,6 +1,7 @@
 #include "tarragonsill/coordination/tarragonsill_ownership.hpp"
 
 #include "tarragonsill/coordination/internal/tarragonsill_lease_items.hpp"
+#include "tarragonsill/state/tarragonsill_invariant.hpp"
 #include "tarragonsill/state/tarragonsill_placement.hpp"
 
 #include <algorithm>
@@ -255,6 +256,8 @@
     if (!seat.Holds() || seat.mUntil <= aNow) {
       continue;
     }
+    RequireInvariant(seat.mFirst == mSelf && !seat.mContested,
+                     "only the first in line owns");
     rights.push_back(
       { key, seat.mUntil, seat.mCeiling, seat.mTerm, seat.mAdopted });
   }
--- a/src/tarragonsill/coordination/tarragonsill_ownership_leases.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_ownership_leases.cpp
@@ -2,6 +2,8 @@
 
 #include "tarragonsill/coordination/internal/tarragonsill_lease_items.hpp"
 
+#include "tarragonsill/state/tarragonsill_invariant.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -45,6 +47,7 @@
     }
     auto& seat = found->second;
     auto const before = seat.mKnowledge;
+    RequireInvariant(!seat.Holds(), "nobody promises what it owns itself");
     seat.mPromise = { aFrom.mName, aNow + mOptions.mLease + mOptions.mMargin };
     if (item.term() != 0) {
       StoreCeiling(seat, { item.term(), LimitOf(item) });
--- a/src/tarragonsill/coordination/tarragonsill_slot_ledger.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_slot_ledger.cpp
@@ -1,5 +1,7 @@
 #include "tarragonsill/coordination/tarragonsill_slot_ledger.hpp"
 
+#include "tarragonsill/state/tarragonsill_invariant.hpp"
+
 #include <algorithm>
 #include <set>
 
@@ -104,6 +106,8 @@
   }
   ++account.mInProgress;
   account.mColdStart.Start();
+  RequireInvariant(account.mInProgress + account.mHeld.size() <= slots,
+                   "calls in progress stay within the slots");
   return SlotAdmission::Admitted;
 }
 
--- a/src/tarragonsill/protocol/tarragonsill_configuration_yaml.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_configuration_yaml.cpp
@@ -21,11 +21,8 @@
 {
   Zone zone;
   zone.mName = aMapping.Text("name");
-  auto const state = aMapping.Text("state", "in");
-  if (state != "in" && state != "out") {
-    aMapping.Fault("state", "'in' or 'out' is expected, found '" + state + "'");
-  }
-  zone.mState = state == "out" ? ZoneState::Out : ZoneState::In;
+  bool const out = aMapping.IsSecondOf("state", "in", "out");
+  zone.mState = out ? ZoneState::Out : ZoneState::In;
   aMapping.Finish();
   return zone;
 }
@@ -59,13 +56,8 @@
     aMapping.Number("connections", 1, kMaxConnections);
   upstream.mLimit.mSlots = aMapping.Number("slots", 0, kMaxSlots, 0);
   upstream.mColdLimit = ReadCold(aMapping, upstream.mLimit);
-  auto const state = aMapping.Text("state", "serving");
-  if (state != "serving" && state != "draining") {
-    aMapping.Fault(
-      "state", "'serving' or 'draining' is expected, found '" + state + "'");
-  }
-  upstream.mState =
-    state == "draining" ? UpstreamState::Draining : UpstreamState::Serving;
+  bool const draining = aMapping.IsSecondOf("state", "serving", "draining");
+  upstream.mState = draining ? UpstreamState::Draining : UpstreamState::Serving;
   aMapping.Finish();
   return upstream;
 }
--- a/src/tarragonsill/protocol/tarragonsill_yaml_reader.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_yaml_reader.cpp
@@ -176,6 +176,20 @@
   return *time;
 }
 
+bool
+YamlMapping::IsSecondOf(std::string const& aName,
+                        std::string const& aFirst,
+                        std::string const& aSecond)
+{
+  auto const word = Text(aName, aFirst);
+  if (word != aFirst && word != aSecond) {
+    Fault(aName,
+          "'" + aFirst + "' or '" + aSecond + "' is expected, found '" + word +
+            "'");
+  }
+  return word == aSecond;
+}
+
 Endpoint
 YamlMapping::Address(std::string const& aName)
 {
--- a/src/tarragonsill/state/tarragonsill_flow_ledger.cpp
+++ b/src/tarragonsill/state/tarragonsill_flow_ledger.cpp
@@ -1,5 +1,6 @@
 #include "tarragonsill/state/tarragonsill_flow_ledger.hpp"
 
+#include "tarragonsill/state/tarragonsill_invariant.hpp"
 #include "tarragonsill/state/tarragonsill_tcp_flags.hpp"
 
 #include <algorithm>
@@ -50,6 +51,8 @@
   entry.mSeen = CoarseTime(aNow);
   entry.mMarks = SinceCold;
   mColdStart.Start();
+  RequireInvariant(Used() <= std::min(mLimit.mConnections, aCeiling),
+                   "admitted flows stay within limit and ceiling");
   return Admission::Admitted;
 }
 
--- a/src/tarragonsill/state/tarragonsill_member.hpp
+++ b/src/tarragonsill/state/tarragonsill_member.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// What is known about one entry VM.
@@ -27,6 +28,9 @@
   Gone,    ///< Proved stopped: it left, or the platform removed its VM.
 };
 
+std::string_view ToText(MemberStage aStage);
+std::string_view ToText(MemberHealth aHealth);
+
 struct Member
 {
   std::string mName;
--- a/src/tarragonsill/transport/tarragonsill_control_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_control_actor.cpp
@@ -28,20 +28,6 @@
   return self;
 }
 
-char const*
-StageText(MemberStage aStage)
-{
-  switch (aStage) {
-    case MemberStage::Joining:
-      return "joining";
-    case MemberStage::Serving:
-      return "serving";
-    case MemberStage::Leaving:
-      return "leaving";
-  }
-  return "undefined";
-}
-
 /// Says whether this member is one of the few of its zone that ask the
 /// platform; the others hear from them.
 bool
@@ -195,7 +181,7 @@
       mPlane.HandedOver() && mReportNumber > mSnapshotReport + 2;
     if (status.mSelf.mStage != mStage) {
       mStage = status.mSelf.mStage;
-      LogInfo(std::string("member: this entry VM is now ") + StageText(mStage));
+      LogInfo("member: this entry VM is now " + std::string(ToText(mStage)));
     }
     mArguments.mState->mStatus.Set(std::move(status));
   }
--- a/src/tarragonsill/transport/tarragonsill_entry_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_entry_daemon.cpp
@@ -1,5 +1,6 @@
 #include "tarragonsill/transport/tarragonsill_entry_daemon.hpp"
 
+#include "tarragonsill/protocol/tarragonsill_peer_message.hpp"
 #include "tarragonsill/transport/tarragonsill_call_actor.hpp"
 #include "tarragonsill/transport/tarragonsill_call_service.hpp"
 #include "tarragonsill/transport/tarragonsill_configuration_actor.hpp"
@@ -70,15 +71,14 @@
     bool const known =
       AnyContains(mState->mSettings.mPeers, aDatagram.mFrom.mAddress) &&
       !mState->IsDenied(aDatagram.mFrom);
-    auto message = std::make_shared<wire::PeerMessage>();
-    bool const valid = known && message->ParseFromArray(
-                                  aDatagram.mBytes.data(),
-                                  static_cast<int>(aDatagram.mBytes.size()));
-    if (!valid) {
+    auto message = ReadPeerMessage(aDatagram.mBytes);
+    if (!known || !message) {
       counters.Add(Counter::ControlMessagesRejected);
       return;
     }
-    caf::anon_send(aControl, DatagramReceived{ std::move(message) });
+    caf::anon_send(aControl,
+                   DatagramReceived{ std::make_shared<wire::PeerMessage const>(
+                     message.Take()) });
   }
 
   UdpSocket mSocket;
--- a/src/tarragonsill/transport/tarragonsill_status_server.cpp
+++ b/src/tarragonsill/transport/tarragonsill_status_server.cpp
@@ -14,36 +14,6 @@
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
 
-char const*
-Text(MemberStage aStage)
-{
-  switch (aStage) {
-    case MemberStage::Joining:
-      return "joining";
-    case MemberStage::Serving:
-      return "serving";
-    case MemberStage::Leaving:
-      return "leaving";
-  }
-  return "";
-}
-
-char const*
-Text(MemberHealth aHealth)
-{
-  switch (aHealth) {
-    case MemberHealth::Alive:
-      return "alive";
-    case MemberHealth::Suspect:
-      return "suspect";
-    case MemberHealth::Failed:
-      return "failed";
-    case MemberHealth::Gone:
-      return "gone";
-  }
-  return "";
-}
-
 nlohmann::json
 MembersJson(EntryStatus const& aStatus)
 {
@@ -51,8 +21,8 @@
   for (auto const& member : aStatus.mMembers) {
     members.push_back({ { "name", member.mName },
                         { "zone", member.mZone },
-                        { "stage", Text(member.mStage) },
-                        { "health", Text(member.mHealth) } });
+                        { "stage", ToText(member.mStage) },
+                        { "health", ToText(member.mHealth) } });
   }
   return members;
 }
@@ -104,7 +74,7 @@
   }
   return { { "entry", status.mSelf.mName },
            { "zone", status.mSelf.mZone },
-           { "stage", Text(status.mSelf.mStage) },
+           { "stage", ToText(status.mSelf.mStage) },
            { "configuration_version", status.mVersion },
            { "watcher", status.mIsWatcher },
            { "leases", status.mRights.size() },
--- a/tests/coordination/test_packet_engine.cpp
+++ b/tests/coordination/test_packet_engine.cpp
@@ -66,6 +66,15 @@
   return wrong;
 }
 
+/// Checks that every flow reaches its upstream through every running core.
+void
+CheckAllHeld(CoreGroup& aGroup, std::map<std::uint32_t, Endpoint> const& aFlows)
+{
+  std::size_t lost = 0;
+  LONGS_EQUAL(0, Misdelivered(aGroup, aFlows, lost));
+  LONGS_EQUAL(0, lost);
+}
+
 } // namespace
 
 TEST_GROUP(PacketEngine){};
@@ -75,9 +84,7 @@
   auto group = MakeGroup();
   auto const flows = OpenFlows(group, 0, kFlows);
   LONGS_EQUAL(kFlows, flows.size());
-  std::size_t lost = 0;
-  LONGS_EQUAL(0, Misdelivered(group, flows, lost));
-  LONGS_EQUAL(0, lost);
+  CheckAllHeld(group, flows);
 }
 
 TEST(PacketEngine, an_answer_leaves_with_the_service_as_its_source)
@@ -115,9 +122,7 @@
     CHECK(count <= 40);
   }
   CHECK(flows.size() > 190);
-  std::size_t lost = 0;
-  LONGS_EQUAL(0, Misdelivered(group, flows, lost));
-  LONGS_EQUAL(0, lost);
+  CheckAllHeld(group, flows);
 }
 
 TEST(PacketEngine, flows_survive_the_death_of_any_core)
@@ -127,9 +132,7 @@
     auto const flows = OpenFlows(group, 0, kFlows);
     group.Kill(victim);
     group.Run(seconds{ 6 });
-    std::size_t lost = 0;
-    LONGS_EQUAL(0, Misdelivered(group, flows, lost));
-    LONGS_EQUAL(0, lost);
+    CheckAllHeld(group, flows);
   }
 }
 
@@ -141,9 +144,7 @@
   group.Run(seconds{ 6 });
   group.Kill(4);
   group.Run(seconds{ 6 });
-  std::size_t lost = 0;
-  LONGS_EQUAL(0, Misdelivered(group, flows, lost));
-  LONGS_EQUAL(0, lost);
+  CheckAllHeld(group, flows);
 }
 
 TEST(PacketEngine, exceptions_opened_between_two_deaths_in_a_zone_survive)
@@ -160,9 +161,7 @@
   }
   group.Kill(3);
   group.Run(seconds{ 6 });
-  std::size_t lost = 0;
-  LONGS_EQUAL(0, Misdelivered(group, flows, lost));
-  LONGS_EQUAL(0, lost);
+  CheckAllHeld(group, flows);
 }
 
 TEST(PacketEngine, flows_survive_a_drain_a_death_during_it_and_a_join)
@@ -183,9 +182,7 @@
   group.Run(seconds{ 8 });
   group.ListRemoved(2);
   group.Run(seconds{ 4 });
-  std::size_t lost = 0;
-  LONGS_EQUAL(0, Misdelivered(group, flows, lost));
-  LONGS_EQUAL(0, lost);
+  CheckAllHeld(group, flows);
   auto const drained = changed.mServices.front().mUpstreams[2].mAddress;
   for (auto const& [caller, upstream] : OpenFlows(group, 1000, 50)) {
     CHECK(upstream != drained);
@@ -203,9 +200,7 @@
   group.Run(seconds{ 6 });
   group.Kill(4); // The other core of zone b: only handed-over state is left.
   group.Run(seconds{ 6 });
-  std::size_t lost = 0;
-  LONGS_EQUAL(0, Misdelivered(group, flows, lost));
-  LONGS_EQUAL(0, lost);
+  CheckAllHeld(group, flows);
 }
 
 TEST(PacketEngine, nothing_goes_to_a_zone_that_is_out)
@@ -266,6 +261,34 @@
   }
 }
 
+TEST(PacketEngine, udp_flows_keep_their_upstream_and_their_limit)
+{
+  auto group = MakeGroup({ 20, 4 });
+  Endpoint const service{ { 0xC6336401 }, 443 };
+  std::map<std::uint32_t, Endpoint> flows;
+  std::map<Endpoint, unsigned> counts;
+  for (std::uint32_t caller = 0; caller < 150; ++caller) {
+    auto const result =
+      Follow(group,
+             caller % group.Count(),
+             MakePacket(CallerAt(caller), service, 0, TransportProtocol::Udp));
+    if (result.mDelivered) {
+      flows[caller] = result.mDestination;
+      CHECK(++counts[result.mDestination] <= 20);
+    }
+  }
+  CHECK(flows.size() >= 115);
+  for (auto const& [caller, upstream] : flows) {
+    for (std::size_t core = 0; core < group.Count(); ++core) {
+      auto const result = Follow(
+        group,
+        core,
+        MakePacket(CallerAt(caller), service, 0, TransportProtocol::Udp));
+      CHECK(result.mDelivered && result.mDestination == upstream);
+    }
+  }
+}
+
 TEST(PacketEngine, without_a_configuration_nothing_is_served)
 {
   Counters counters;
