Split the lab's run into parts and events; name events in verbose runs

Change: RunParts holds stand-ins and entry VMs, EventRunner carries the events out. New scenario down+join: an entry VM joins while the platform is out.

--- a/lab/tarragonsill_lab_events.cpp
+++ b/lab/tarragonsill_lab_events.cpp
@@ -60,6 +60,17 @@
 
 } // namespace
 
+std::string_view
+NameOf(EventKind aKind)
+{
+  for (auto const& kind : kKinds) {
+    if (kind.mKind == aKind) {
+      return kind.mName;
+    }
+  }
+  return "undefined";
+}
+
 Result<Event>
 ParseEvent(std::string const& aText)
 {
--- a/lab/tarragonsill_lab_events.hpp
+++ b/lab/tarragonsill_lab_events.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// The events of a run: `NAME[:ARGUMENT]@SECOND`.
@@ -37,6 +38,9 @@
   double mSecond = 0;
 };
 
+/// The name of a kind, as on the command line.
+std::string_view NameOf(EventKind aKind);
+
 /// Reads an event; the reason is `Malformed` and says what is expected.
 Result<Event> ParseEvent(std::string const& aText);
 
--- /dev/null
+++ b/lab/tarragonsill_lab_run_parts.hpp
@@ -0,0 +1,59 @@
+#ifndef TARRAGONSILL_LAB_RUN_PARTS_HPP_INCLUDED
+#define TARRAGONSILL_LAB_RUN_PARTS_HPP_INCLUDED
+
+#include "tarragonsill_lab_calls.hpp"
+#include "tarragonsill_lab_entries.hpp"
+#include "tarragonsill_lab_fabric.hpp"
+#include "tarragonsill_lab_monitor.hpp"
+#include "tarragonsill_lab_platform.hpp"
+#include "tarragonsill_lab_run.hpp"
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+/// The stand-ins and entry VMs of a run.
+namespace tarragonsill::Lab {
+
+/// How long the run waits for an entry VM to serve.
+constexpr seconds kReadyMost{ 30 };
+/// How often the run looks whether something has come about.
+constexpr milliseconds kPoll{ 50 };
+
+struct RunParts
+{
+  RunParts(RunOptions aOptions, Configuration aConfiguration)
+    : mOptions(std::move(aOptions))
+    , mConfiguration(std::move(aConfiguration))
+  {
+  }
+
+  Result<Done> StartParts();
+  Fabric::Options FabricOptions() const;
+  Result<Done> AddEntry();
+  void List(EntryProcess const& aEntry, PlatformVm::State aState);
+  Result<Done> AwaitReady();
+  static bool IsServing(EntryProcess const& aEntry);
+  /// Tells fabric and callers which entry VMs there are. Needs the lock.
+  void UpdateTargets();
+  /// Runs an operator's command; true if it was accepted.
+  bool Operate(std::vector<std::string> aArguments);
+  void SetInFabric(std::string const& aName, bool aIn);
+  void SetZoneInFabric(std::string const& aZone, bool aIn);
+
+  RunOptions mOptions;
+  Configuration mConfiguration;
+  RunRecord mRecord;
+  std::unique_ptr<Platform> mPlatform;
+  std::unique_ptr<Fabric> mFabric;
+  std::unique_ptr<CallUpstreams> mCallUpstreams;
+  std::unique_ptr<EntryFleet> mFleet;
+  std::unique_ptr<CallLoad> mLoad;
+  std::unique_ptr<Monitor> mMonitor;
+  std::mutex mMutex; ///< Guards the fleet's processes.
+};
+
+} // namespace tarragonsill::Lab
+
+#endif // TARRAGONSILL_LAB_RUN_PARTS_HPP_INCLUDED
--- a/tools/events.py
+++ b/tools/events.py
@@ -35,6 +35,7 @@
     "cut+apply": ["cut-zone@3 apply:{changed}@5 heal-zone@10", 17],
     "out+join": ["zone-out@4 join-entry@4.2 zone-in@11", 16],
     "kill+kill": ["kill-entry@3 kill-entry@5", 13],
+    "down+join": ["platform-down@3 join-entry@4 platform-up@11", 13],
 }
 COLUMNS = [
     ("opened", "flows_opened"), ("broken", "flows_broken"),
