Keep a joining member from spreading what is news to itself only

The joiner learns of 199 members and passed each on with every message, though all others knew them. Change: while joining, a member spreads trouble only.

--- a/src/tarragonsill/coordination/tarragonsill_membership_updates.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_membership_updates.cpp
@@ -111,7 +111,10 @@
   ++mGeneration;
   bool const urgent = aHealth != MemberHealth::Alive ||
                       aPeer.mMember.mStage == MemberStage::Leaving;
-  Spread(aPeer.mMember.mName, urgent);
+  // To a joining member everybody is news, but not to the others.
+  if (urgent || mSelf.mStage != MemberStage::Joining) {
+    Spread(aPeer.mMember.mName, urgent);
+  }
 }
 
 void
