Let no late exception move a flow from its pure choice

During the cut both sides had admitted a repeated first packet; after it the other side's home sent its exception, and this home, which looks at exceptions first, led the flow to an upstream that had never answered it. Ruled out: the time that members take to see each other again (1 to 3 s against 12 s of stall). Change: an exception from elsewhere is not stored for a flow that the own ledger holds at its pure choice; a guess made outside the flow's zone is not recorded.

--- a/src/tarragonsill/coordination/tarragonsill_packet_engine_records.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_packet_engine_records.cpp
@@ -98,7 +98,10 @@
       mCounters.Add(Counter::FlowsGuessed);
       Note(DecisionKind::FlowGuessed, aFlow, upstream);
     }
-    StoreRecord(aNow, aFlow, upstream);
+    if (found || base.mHomeInZone) {
+      // A guess from outside the zone must not outlive a cut.
+      StoreRecord(aNow, aFlow, upstream);
+    }
     return Deliver(aFlow, upstream);
   }
   StoreRecord(aNow, aFlow, aRoute.mUpstream);
@@ -139,7 +142,8 @@
   // The copy was made after the destination had been rewritten.
   aPacket.RewriteDestination(aRoute.mHome);
   if (auto const flow = MakeFlow(aPacket)) {
-    StoreRecord(aNow, *flow, aRoute.mUpstream);
+    StoreException(
+      aNow, { "", flow->mKey.mService, flow->mHash, aRoute.mUpstream });
   }
   return { ActionKind::Consumed, {}, {}, {}, {}, {} };
 }
--- a/src/tarragonsill/coordination/tarragonsill_packet_engine_state.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_packet_engine_state.cpp
@@ -128,9 +128,17 @@
     return;
   }
   auto& table = mExceptions[found->second];
-  if (table.Find(aException.mFlow) != nullptr) {
+  auto const& service = mSnapshot->mServices[found->second];
+  if (service.mTable.Empty() || table.Find(aException.mFlow) != nullptr) {
     return; // What this home recorded itself is at least as recent.
   }
+  auto const share = service.mTable.Pick(aException.mFlow);
+  auto* const ledger = LedgerOf(service.mBase[share].mAddress);
+  if (ledger != nullptr && ledger->Contains(aException.mFlow)) {
+    // The flow is open at its pure choice. The other home admitted a first
+    // packet that the caller repeated, for instance during a cut.
+    return;
+  }
   auto& entry = table.FindOrInsert(aException.mFlow);
   entry.mAddress = aException.mUpstream.mAddress.mValue;
   entry.mPort = aException.mUpstream.mPort;
--- a/tests/coordination/test_packet_engine.cpp
+++ b/tests/coordination/test_packet_engine.cpp
@@ -261,6 +261,27 @@
   }
 }
 
+TEST(PacketEngine, a_late_exception_does_not_move_a_flow_from_its_pure_choice)
+{
+  // After a cut, a home on the other side may send a record of a first packet
+  // that the caller has repeated on this side.
+  auto group = MakeGroup();
+  auto const flows = OpenFlows(group, 0, kFlows);
+  auto const other =
+    MakeConfiguration({ { "a", "b", "c" }, 6 }).mServices.front().mUpstreams;
+  Endpoint const service{ { 0xC6336401 }, 443 };
+  for (auto const& [caller, upstream] : flows) {
+    auto const wrong = upstream == other[0].mAddress ? other[1].mAddress
+                                                     : other[0].mAddress;
+    FlowKey const key{ CallerAt(caller), service, TransportProtocol::Tcp };
+    for (std::size_t core = 0; core < group.Count(); ++core) {
+      group.At(core).mEngine.StoreException(
+        group.Now(), { "late", service, key.Hash(), wrong });
+    }
+  }
+  CheckAllHeld(group, flows);
+}
+
 TEST(PacketEngine, udp_flows_keep_their_upstream_and_their_limit)
 {
   auto group = MakeGroup({ 20, 4 });
--- a/tools/report.sh
+++ b/tools/report.sh
@@ -38,7 +38,7 @@
   echo "processes, counted by the stand-ins."
   echo
   tools/events.py "$build" --flows "$flows" --rate 100 --seeds "$seed" \
-    --jobs 2 --markdown || true
+    --jobs 3 --markdown || true
 } > "$out/report.md.new"
 mv "$out/report.md.new" "$out/report.md"
 tools/plot-control.sh "$out/report.md" "$out/control.png"
