--- a/src/tarragonsill/coordination/tarragonsill_packet_engine_records.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_packet_engine_records.cpp
@@ -142,8 +142,8 @@
   // The copy was made after the destination had been rewritten.
   aPacket.RewriteDestination(aRoute.mHome);
   if (auto const flow = MakeFlow(aPacket)) {
-    StoreException(
-      aNow, { "", flow->mKey.mService, flow->mHash, aRoute.mUpstream });
+    StoreException(aNow,
+                   { "", flow->mKey.mService, flow->mHash, aRoute.mUpstream });
   }
   return { ActionKind::Consumed, {}, {}, {}, {}, {} };
 }
