Show how to embed leased ownership

Cause: the library of coordination parts had no example of its own. Conclusion: the ownership part can be used with two calls and two messages.

--- /dev/null
+++ b/examples/lease.cpp
@@ -0,0 +1,76 @@
+#include "tarragonsill/tarragonsill.hpp"
+
+#include <iostream>
+
+/// Runs the leased ownership of one thing between two members on a virtual
+/// clock: one of them comes to own it, and stops once the other is silent.
+int
+main()
+{
+  using namespace tarragonsill;
+
+  auto const member = [](char const* aName, std::uint32_t aAddress) {
+    Member result;
+    result.mName = aName;
+    result.mZone = "a";
+    result.mControl = { { aAddress }, 7946 };
+    result.mStage = MemberStage::Serving;
+    return result;
+  };
+  auto const left = member("left", 1);
+  auto const right = member("right", 2);
+  OwnedThing const thing{ { { 0x0A000001 }, 8443 }, { 100, 4 }, true };
+  Counters counters;
+  Ownership leftSide({}, "left", counters);
+  Ownership rightSide({}, "right", counters);
+  for (auto* side : { &leftSide, &rightSide }) {
+    side->Configure({ thing });
+    side->SetMembers({ left, right });
+  }
+
+  auto const pass = [](TimePoint aNow,
+                       Outbox& aOutbox,
+                       Member const& aFrom,
+                       Ownership& aTo,
+                       Outbox& aAnswers) {
+    for (auto const& outgoing : aOutbox) {
+      if (outgoing.mMessage.has_lease_ask()) {
+        aTo.HandleAsk(aNow, aFrom, outgoing.mMessage.lease_ask(), aAnswers);
+      }
+      if (outgoing.mMessage.has_lease_grant()) {
+        aTo.HandleGrant(aNow, aFrom, outgoing.mMessage.lease_grant());
+      }
+    }
+    aOutbox.clear();
+  };
+
+  auto now = TimePoint{} + seconds{ 1 };
+  auto const end = now + seconds{ 8 };
+  auto const silentFrom = now + seconds{ 3 };
+  for (; now < end; now += milliseconds{ 100 }) {
+    Outbox fromLeft;
+    Outbox fromRight;
+    leftSide.Tick(now, fromLeft);
+    rightSide.Tick(now, fromRight);
+    bool const connected = now < silentFrom;
+    for (int round = 0; connected && round < 2; ++round) {
+      Outbox toLeft;
+      Outbox toRight;
+      pass(now, fromLeft, left, rightSide, toLeft);
+      pass(now, fromRight, right, leftSide, toRight);
+      fromLeft = std::move(toRight);
+      fromRight = std::move(toLeft);
+    }
+    auto const count =
+      leftSide.Rights(now).size() + rightSide.Rights(now).size();
+    if (count > 1) {
+      std::cerr << "two owners\n";
+      return 1;
+    }
+    if (now.time_since_epoch() % seconds{ 1 } == Duration{}) {
+      std::cout << (connected ? "connected" : "cut off  ") << "  owners "
+                << count << '\n';
+    }
+  }
+  return 0;
+}
