--- a/src/tarragonsill/state/tarragonsill_counters.cpp
+++ b/src/tarragonsill/state/tarragonsill_counters.cpp
@@ -29,6 +29,7 @@
   "tarragonsill_drop_zone_out_total",
   "tarragonsill_drop_no_configuration_total",
   "tarragonsill_drop_send_failed_total",
+  "tarragonsill_drop_stale_total",
   "tarragonsill_flows_admitted_total",
   "tarragonsill_flows_deviated_total",
   "tarragonsill_flows_refused_full_total",
--- a/src/tarragonsill/state/tarragonsill_counters.hpp
+++ b/src/tarragonsill/state/tarragonsill_counters.hpp
@@ -35,6 +35,7 @@
   DropZoneOut,
   DropNoConfiguration,
   DropSendFailed,
+  DropStale,
   FlowsAdmitted,
   FlowsDeviated,
   FlowsRefusedFull,
--- a/src/tarragonsill/transport/tarragonsill_packet_worker.cpp
+++ b/src/tarragonsill/transport/tarragonsill_packet_worker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace tarragonsill {
 
@@ -9,6 +10,8 @@
 
 constexpr milliseconds kReceiveTimeout{ 20 };
 constexpr milliseconds kReportPeriod{ 20 };
+/// A longer round means that the process stood still.
+constexpr milliseconds kPauseLimit{ 500 };
 constexpr milliseconds kSweepPeriod{ 1000 };
 
 Counter
@@ -155,9 +158,16 @@
 {
   auto nextReport = Clock::now();
   auto nextSweep = Clock::now();
+  auto lastRound = Clock::now();
   while (!mStop) {
     auto const batch = mSocket.Receive(kReceiveTimeout);
     auto const now = Clock::now();
+    bool const paused = now - std::exchange(lastRound, now) > kPauseLimit;
+    if (paused) {
+      DropWaiting(batch.size());
+      lastRound = Clock::now();
+      continue;
+    }
     TakeOrders(now);
     HandleBatch(now, batch);
     if (now >= nextReport) {
@@ -171,6 +181,20 @@
   }
 }
 
+void
+PacketWorker::DropWaiting(std::size_t aFirst)
+{
+  constexpr milliseconds kAtOnce{ 0 };
+  // What waited during a pause is old: callers have repeated it, and another
+  // entry VM has answered. An old first packet would open its flow anew.
+  std::size_t dropped = aFirst;
+  for (auto batch = mSocket.Receive(kAtOnce); !batch.empty();
+       batch = mSocket.Receive(kAtOnce)) {
+    dropped += batch.size();
+  }
+  mCounters.Add(Counter::DropStale, dropped);
+}
+
 void
 PacketWorker::HandleBatch(TimePoint aNow, std::span<Datagram const> aBatch)
 {
--- a/src/tarragonsill/transport/tarragonsill_packet_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_packet_worker.hpp
@@ -57,6 +57,8 @@
                UdpSocket aSocket);
 
   void Run();
+  /// Drops what waited in the socket, after `aFirst` packets already read.
+  void DropWaiting(std::size_t aFirst);
   void TakeOrders(TimePoint aNow);
   void Report();
   void HandleBatch(TimePoint aNow, std::span<Datagram const> aBatch);
