Let an owner keep its own count after a pause; wait for servers to run

Change: at its own term an owner trusts its own count; a new term keeps the flows that are still unknown; both HTTP servers wait until they run.

--- a/lab/tarragonsill_lab_platform.cpp
+++ b/lab/tarragonsill_lab_platform.cpp
@@ -192,6 +192,10 @@
                    "cannot serve the platform at " + ToText(aAddress) };
   }
   raw->mThread = std::thread([raw] { raw->mServer.listen_after_bind(); });
+  // A server that is stopped before it runs would never stop.
+  while (!raw->mServer.is_running()) {
+    std::this_thread::sleep_for(milliseconds{ 1 });
+  }
   return std::unique_ptr<Platform>(new Platform(std::move(impl)));
 }
 
--- a/src/tarragonsill/coordination/tarragonsill_ownership.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_ownership.cpp
@@ -92,6 +92,8 @@
     first == mSelf && aSeat.mFirst == mSelf && !aSeat.mContested;
   aSeat.mFirst = first;
   aSeat.mSecond = second;
+  // Once another one may have owned it, the own count is a bound only.
+  aSeat.mKnowledgeIsOwn = aSeat.mKnowledgeIsOwn && first == mSelf;
   if (!stays) {
     StopActing(aSeat);
   }
@@ -121,6 +123,7 @@
 {
   for (auto& [key, seat] : mSeats) {
     seat.mKnowledge.reset();
+    seat.mKnowledgeIsOwn = false;
     seat.mStoppedAt = 0;
   }
 }
@@ -145,6 +148,7 @@
     seat.mStoppedAt = 0;
     if (seat.mKnowledge) {
       seat.mKnowledge->mOpen = seat.mUsed;
+      seat.mKnowledgeIsOwn = seat.mFirst == mSelf;
     }
   }
 }
--- a/src/tarragonsill/coordination/tarragonsill_ownership.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_ownership.hpp
@@ -104,6 +104,8 @@
     /// soon as every member has acknowledged it, so this VM stops before.
     bool mContested = false;
     std::optional<Knowledge> mKnowledge;
+    /// The knowledge is the count of this VM's own ledger.
+    bool mKnowledgeIsOwn = false;
     Promise mPromise;
     /// Own right, if first: valid until the time given, 0 if none.
     TimePoint mUntil{};
--- a/src/tarragonsill/coordination/tarragonsill_ownership_leases.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_ownership_leases.cpp
@@ -82,6 +82,7 @@
 {
   if (!aSeat.mKnowledge || aKnowledge.mTerm >= aSeat.mKnowledge->mTerm) {
     aSeat.mKnowledge = aKnowledge;
+    aSeat.mKnowledgeIsOwn = false;
   }
 }
 
@@ -118,7 +119,9 @@
       ++mRevision;
       continue;
     }
-    if (item.known()) {
+    // At its own term this VM's count is exact; the other holds a ceiling.
+    bool const newer = !seat.mKnowledge || item.term() > seat.mKnowledge->mTerm;
+    if (item.known() && newer) {
       Learn(seat, { item.term(), LimitOf(item) });
     }
     Begin(seat, ask.mSentAt + mOptions.mLease);
@@ -140,7 +143,8 @@
   auto const knowledge =
     aSeat.mKnowledge.value_or(Knowledge{ 0, aSeat.mThing.mLimit });
   aSeat.mTerm = knowledge.mTerm + 1;
-  aSeat.mAdopted = knowledge.mOpen;
+  // Its own flows are still in the ledger; only those of others are adopted.
+  aSeat.mAdopted = aSeat.mKnowledgeIsOwn ? WorkLimit{} : knowledge.mOpen;
   aSeat.mStoppedAt = 0;
   aSeat.mKnowledge = Knowledge{ aSeat.mTerm, knowledge.mOpen };
   mCounters.Add(Counter::LeaseTakeovers);
--- a/src/tarragonsill/state/tarragonsill_flow_ledger.cpp
+++ b/src/tarragonsill/state/tarragonsill_flow_ledger.cpp
@@ -97,7 +97,7 @@
 FlowLedger::Adopt(TimePoint aNow, std::uint32_t aTotal)
 {
   auto const known = static_cast<std::uint32_t>(mFlows.Size());
-  mUnknown = aTotal > known ? aTotal - known : 0;
+  mUnknown = std::max(mUnknown, aTotal > known ? aTotal - known : 0);
   mAdoptedAt = aNow;
   mColdStart.TurnCold();
   mFlows.ForEach([](Entry& aEntry) { aEntry.mMarks &= ~SinceCold; });
--- a/src/tarragonsill/state/tarragonsill_flow_ledger.hpp
+++ b/src/tarragonsill/state/tarragonsill_flow_ledger.hpp
@@ -61,7 +61,8 @@
                            std::uint64_t aFlow,
                            std::uint8_t aFlags);
 
-  /// Takes over from an earlier owner that had admitted `aTotal` flows.
+  /// Begins a new term, after an earlier owner that had admitted `aTotal`
+  /// flows; 0 if the ledger itself was the last to count.
   void Adopt(TimePoint aNow, std::uint32_t aTotal);
   /// Treats a flow as one that an earlier owner admitted; false if there are
   /// no such flows left to account for.
--- a/src/tarragonsill/transport/tarragonsill_status_server.cpp
+++ b/src/tarragonsill/transport/tarragonsill_status_server.cpp
@@ -163,6 +163,10 @@
   }
   impl->mThread =
     std::thread([raw = impl.get()] { raw->mServer.listen_after_bind(); });
+  // A server that is stopped before it runs would never stop.
+  while (!server.is_running()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds{ 1 });
+  }
   return std::unique_ptr<StatusServer>(new StatusServer(std::move(impl)));
 }
 
--- a/tests/coordination/test_ownership.cpp
+++ b/tests/coordination/test_ownership.cpp
@@ -101,6 +101,27 @@
   LONGS_EQUAL(6, UpstreamsHeld(group));
 }
 
+TEST(Ownership, an_owner_that_resumes_after_a_pause_still_knows_every_flow)
+{
+  auto group = MakeGroup(2);
+  CHECK(group.RunUntilServing());
+  group.Run(seconds{ 2 });
+  std::uint32_t opened = 0;
+  for (std::uint32_t caller = 0; caller < 200; ++caller) {
+    opened += OpenFlow(group, caller % 2, caller) ? 1 : 0;
+  }
+  group.Run(seconds{ 1 });
+  group.Pause(0, milliseconds{ 1500 });
+  group.Run(seconds{ 6 });
+  std::uint32_t counted = 0;
+  for (std::size_t core = 0; core < group.Count(); ++core) {
+    for (auto const& usage : group.At(core).mEngine.Usage()) {
+      counted += usage.mUsed.mConnections;
+    }
+  }
+  LONGS_EQUAL(opened, counted);
+}
+
 TEST(Ownership, a_packet_worker_that_wakes_first_admits_nothing)
 {
   auto group = MakeGroup(2);
