--- a/src/tarragonsill/cli/tarragonsill_cli.hpp
+++ b/src/tarragonsill/cli/tarragonsill_cli.hpp
@@ -31,6 +31,9 @@
 
 /// Runs an entry VM until SIGTERM or SIGINT.
 int RunEntry(std::string const& aSettingsFile);
+/// Runs an entry VM on the operators' platform until SIGTERM or SIGINT. An
+/// empty name means the file that the platform names in the environment.
+int RunNode(std::string const& aSettingsFile);
 /// Checks a configuration or settings file.
 int CheckFile(std::string const& aFile, bool aJson);
 /// Puts a configuration into force.
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -0,0 +1,413 @@
+#include "tarragonsill/coordination/tarragonsill_directory.hpp"
+
+#include "tarragonsill/state/tarragonsill_hash.hpp"
+
+#include <algorithm>
+
+namespace tarragonsill {
+
+namespace {
+
+/// A missing registration is back within about two seconds of the store's
+/// return (platform); until then it says nothing about the upstream.
+constexpr milliseconds kReturnPatience{ 2000 };
+/// Upstreams report changes with a delay of up to this time beyond a heartbeat
+/// (platform); a zone that returns is taken for cold until they have.
+constexpr milliseconds kReportDelay{ 800 };
+/// Flows of a removed upstream have ended after this many times the longest
+/// flow's age.
+constexpr int kForgetFactor = 2;
+
+} // namespace
+
+std::uint32_t
+CookieOf(std::string const& aUpstream)
+{
+  auto const hash = HashText(aUpstream);
+  auto const cookie = static_cast<std::uint32_t>(hash ^ (hash >> 32));
+  return cookie == 0 ? 1 : cookie;
+}
+
+Directory::Directory(NodeSettings const& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+std::uint64_t
+Directory::ConfigurationVersion() const
+{
+  return mConfiguration ? mConfiguration->mVersion : 0;
+}
+
+bool
+Directory::IsComplete() const
+{
+  constexpr std::size_t kKinds = 3;
+  return mConfiguration && mListed.size() == kKinds;
+}
+
+bool
+Directory::HasChanged(TimePoint aNow) const
+{
+  return mIsDirty || (mNextChange != TimePoint{} && aNow >= mNextChange);
+}
+
+void
+Directory::NoteStore(TimePoint aNow, bool aAnswers)
+{
+  if (aAnswers && !mStoreAnswers) {
+    mStoreBackAt = aNow;
+    mIsDirty = true;
+  }
+  mStoreAnswers = aAnswers;
+}
+
+void
+Directory::SetDeciders(std::vector<std::uint64_t> aDeciders,
+                       std::uint64_t aSelf)
+{
+  mIsDirty = mIsDirty || aDeciders != mDeciders;
+  mDeciders = std::move(aDeciders);
+  mSelf = aSelf;
+}
+
+std::vector<BeliefChange>
+Directory::Apply(TimePoint aNow, StoreNews const& aNews)
+{
+  Changes changes;
+  for (auto const& change : aNews.mChanges) {
+    switch (aNews.mKind) {
+      case ObjectKind::Configuration:
+        ApplyConfiguration(change, changes);
+        break;
+      case ObjectKind::Upstreams:
+        ApplyUpstream(aNow, change, changes);
+        break;
+      case ObjectKind::Evacuations:
+        ApplyEvacuation(aNow, change, changes);
+        break;
+    }
+  }
+  if (aNews.mIsWholeList) {
+    RemoveUnlisted(aNow, aNews, changes);
+    mIsDirty = mListed.insert(aNews.mKind).second || mIsDirty;
+  }
+  mIsDirty = mIsDirty || !changes.empty();
+  return changes;
+}
+
+void
+Directory::ApplyConfiguration(ObjectChange const& aChange, Changes& aChanges)
+{
+  if (auto const* unusable = std::get_if<UnusableRecord>(&aChange.mContent)) {
+    aChanges.push_back({ "configuration",
+                         aChange.mName,
+                         "refused: " + unusable->mWhy,
+                         aChange.mRevision });
+    return;
+  }
+  auto const* next = std::get_if<RoutingConfiguration>(&aChange.mContent);
+  if (next == nullptr || aChange.mRemoved ||
+      next->mVersion <= ConfigurationVersion()) {
+    return;
+  }
+  if (mConfiguration) {
+    for (auto const& route : mConfiguration->mRoutes) {
+      auto& removed = mRemovedRoutes[route.mAddress];
+      removed.mName = route.mName;
+      removed.mKind = route.mKind;
+      removed.mRemoved = true;
+    }
+  }
+  for (auto const& route : next->mRoutes) {
+    mRemovedRoutes.erase(route.mAddress);
+  }
+  mConfiguration = *next;
+  aChanges.push_back({ "configuration",
+                       "version " + std::to_string(next->mVersion),
+                       "in force",
+                       aChange.mRevision });
+}
+
+void
+Directory::ApplyUpstream(TimePoint aNow,
+                         ObjectChange const& aChange,
+                         Changes& aChanges)
+{
+  auto const known = mSlots.find(aChange.mName);
+  if (known != mSlots.end() &&
+      aChange.mRevision <= mUpstreams[known->second].mRevision) {
+    // A tombstone may carry the revision of the object's last change.
+    if (aChange.mRemoved &&
+        aChange.mRevision == mUpstreams[known->second].mRevision) {
+      RemoveUpstream(aNow, aChange.mName, aChange.mRevision, aChanges);
+    }
+    return;
+  }
+  auto const* record = std::get_if<UpstreamRecord>(&aChange.mContent);
+  if (aChange.mRemoved || record == nullptr) {
+    RemoveUpstream(aNow, aChange.mName, aChange.mRevision, aChanges);
+    if (auto const* unusable = std::get_if<UnusableRecord>(&aChange.mContent);
+        unusable != nullptr && !aChange.mRemoved) {
+      aChanges.push_back({ "upstream",
+                           aChange.mName,
+                           "ignored: " + unusable->mWhy,
+                           aChange.mRevision });
+    }
+    return;
+  }
+  auto& upstream = mUpstreams[SlotFor(aNow, aChange.mName)];
+  upstream.mRecord = *record;
+  upstream.mRevision = aChange.mRevision;
+  upstream.mIsRegistered = true;
+  upstream.mColdUntil = record->mColdLeft > milliseconds{ 0 }
+                          ? aNow + record->mColdLeft
+                          : TimePoint{};
+  auto const cold =
+    record->mColdLeft > milliseconds{ 0 }
+      ? " cold for " + std::to_string(record->mColdLeft.count()) + " ms"
+      : std::string();
+  aChanges.push_back({ "upstream",
+                       aChange.mName,
+                       (record->mDraining ? "draining" : "serving") + cold,
+                       aChange.mRevision });
+}
+
+void
+Directory::RemoveUpstream(TimePoint aNow,
+                          std::string const& aName,
+                          std::uint64_t aRevision,
+                          Changes& aChanges)
+{
+  auto const known = mSlots.find(aName);
+  if (known == mSlots.end()) {
+    return;
+  }
+  auto& upstream = mUpstreams[known->second];
+  upstream.mRevision = std::max(upstream.mRevision, aRevision);
+  if (!upstream.mIsRegistered) {
+    return;
+  }
+  upstream.mIsRegistered = false;
+  upstream.mRemovedAt = aNow;
+  aChanges.push_back({ "upstream", aName, "registration removed", aRevision });
+}
+
+void
+Directory::ApplyEvacuation(TimePoint aNow,
+                           ObjectChange const& aChange,
+                           Changes& aChanges)
+{
+  auto& zone = mZones[aChange.mName];
+  bool const evacuated = !aChange.mRemoved;
+  if (aChange.mRevision < zone.mRevision || zone.mIsEvacuated == evacuated) {
+    return;
+  }
+  zone.mRevision = aChange.mRevision;
+  zone.mIsEvacuated = evacuated;
+  if (!evacuated) {
+    zone.mReturnedAt = aNow;
+  }
+  aChanges.push_back({ "zone",
+                       aChange.mName,
+                       evacuated ? "evacuated" : "taken back",
+                       aChange.mRevision });
+}
+
+void
+Directory::RemoveUnlisted(TimePoint aNow,
+                          StoreNews const& aNews,
+                          Changes& aChanges)
+{
+  std::set<std::string> listed;
+  for (auto const& change : aNews.mChanges) {
+    listed.insert(change.mName);
+  }
+  if (aNews.mKind == ObjectKind::Upstreams) {
+    for (auto const& [name, slot] : mSlots) {
+      // A list that is older than the entry says nothing about it.
+      if (listed.count(name) > 0 ||
+          mUpstreams[slot].mRevision > aNews.mRevision) {
+        continue;
+      }
+      RemoveUpstream(aNow, name, aNews.mRevision, aChanges);
+    }
+  }
+  if (aNews.mKind == ObjectKind::Evacuations) {
+    for (auto& [name, zone] : mZones) {
+      if (listed.count(name) > 0 || zone.mRevision > aNews.mRevision) {
+        continue;
+      }
+      ObjectChange removal;
+      removal.mName = name;
+      removal.mRevision = aNews.mRevision;
+      removal.mRemoved = true;
+      ApplyEvacuation(aNow, removal, aChanges);
+    }
+  }
+}
+
+std::uint32_t
+Directory::SlotFor(TimePoint aNow, std::string const& aName)
+{
+  auto const known = mSlots.find(aName);
+  if (known != mSlots.end()) {
+    return known->second;
+  }
+  auto const forget = mSettings.mBounds.mLongestFlow * kForgetFactor;
+  for (std::uint32_t slot = 0; slot < mUpstreams.size(); ++slot) {
+    auto& upstream = mUpstreams[slot];
+    if (upstream.mIsRegistered || aNow < upstream.mRemovedAt + forget) {
+      continue;
+    }
+    mSlots.erase(upstream.mRecord.mName);
+    upstream = {};
+    mSlots[aName] = slot;
+    return slot;
+  }
+  auto const slot = static_cast<std::uint32_t>(mUpstreams.size());
+  mUpstreams.emplace_back();
+  mSlots[aName] = slot;
+  return slot;
+}
+
+UpstreamUse
+Directory::UseOf(TimePoint aNow, KnownUpstream const& aUpstream) const
+{
+  if (aUpstream.mIsRegistered) {
+    return aUpstream.mRecord.mDraining ? UpstreamUse::Draining
+                                       : UpstreamUse::Serving;
+  }
+  if (aUpstream.mRecord.mDraining) {
+    return UpstreamUse::Gone;
+  }
+  // With the store away nothing new is known, and right after its return not
+  // everything is back.
+  auto const lapseEnd =
+    std::max(aUpstream.mRemovedAt, mStoreBackAt) + kReturnPatience;
+  return !mStoreAnswers || aNow < lapseEnd ? UpstreamUse::Missing
+                                           : UpstreamUse::Gone;
+}
+
+ServiceRule const*
+Directory::FindRule(std::string const& aService) const
+{
+  for (auto const& rule : mConfiguration->mServices) {
+    if (rule.mName == aService) {
+      return &rule;
+    }
+  }
+  return nullptr;
+}
+
+TimePoint
+Directory::ColdUntil(KnownUpstream const& aUpstream) const
+{
+  auto const zone = mZones.find(aUpstream.mRecord.mZone);
+  if (zone == mZones.end() || zone->second.mReturnedAt == TimePoint{}) {
+    return aUpstream.mColdUntil;
+  }
+  // The zone's upstreams may have turned cold shortly before its return, and
+  // their own reports of it come later.
+  auto const* rule = FindRule(aUpstream.mRecord.mService);
+  auto const cold = rule != nullptr ? rule->mColdTime : milliseconds{ 0 };
+  auto const until = zone->second.mReturnedAt +
+                     std::max(cold, mSettings.mHeartbeat + kReportDelay);
+  return std::max(aUpstream.mColdUntil, until);
+}
+
+RoutingViewPointer
+Directory::BuildView(TimePoint aNow)
+{
+  auto view = std::make_shared<RoutingView>();
+  mIsDirty = false;
+  mNextChange = {};
+  view->mZones = mSettings.mZones;
+  auto const own =
+    std::find(view->mZones.begin(), view->mZones.end(), mSettings.mZone);
+  view->mOwnZone = static_cast<std::uint32_t>(own - view->mZones.begin());
+  view->mLongestFlow = mSettings.mBounds.mLongestFlow;
+  view->mDeciders = mDeciders;
+  view->mSelf = mSelf;
+  if (!mConfiguration) {
+    return view;
+  }
+  view->mVersion = mConfiguration->mVersion;
+  view->mIdleTimeout = mConfiguration->mIdleTimeout;
+  AddRoutes(*view);
+  AddUpstreams(aNow, *view);
+  return view;
+}
+
+void
+Directory::AddRoutes(RoutingView& aView) const
+{
+  std::map<std::string, std::uint32_t> indices;
+  for (auto const& rule : mConfiguration->mServices) {
+    indices[rule.mName] = static_cast<std::uint32_t>(aView.mServices.size());
+    aView.mServices.push_back({ rule.mName, {} });
+  }
+  aView.mRoutes = mRemovedRoutes;
+  for (auto const& route : mConfiguration->mRoutes) {
+    RouteEntry entry;
+    entry.mName = route.mName;
+    entry.mKind = route.mKind;
+    for (auto const& share : route.mShares) {
+      auto const service = indices.find(share.mService);
+      if (service == indices.end()) {
+        continue;
+      }
+      entry.mShares.push_back({ service->second, share.mWeight });
+    }
+    aView.mRoutes[route.mAddress] = std::move(entry);
+  }
+}
+
+void
+Directory::AddUpstreams(TimePoint aNow, RoutingView& aView)
+{
+  for (std::uint32_t slot = 0; slot < mUpstreams.size(); ++slot) {
+    auto const& known = mUpstreams[slot];
+    UpstreamEntry upstream;
+    upstream.mRecord = known.mRecord;
+    upstream.mCookie = CookieOf(known.mRecord.mName);
+    upstream.mUse = UseOf(aNow, known);
+    auto const zone =
+      std::find(aView.mZones.begin(), aView.mZones.end(), known.mRecord.mZone);
+    upstream.mZone = static_cast<std::uint32_t>(zone - aView.mZones.begin());
+    auto const evacuation = mZones.find(known.mRecord.mZone);
+    upstream.mEvacuated =
+      evacuation != mZones.end() && evacuation->second.mIsEvacuated;
+    upstream.mColdUntil = ColdUntil(known);
+    if (auto const* rule = FindRule(known.mRecord.mService)) {
+      upstream.mColdLimit =
+        rule->mColdFlowsPerSecond * mSettings.mBounds.mColdFactor +
+        mSettings.mBounds.mColdAllowance;
+    }
+    auto const [place, first] =
+      aView.mSlotByCookie.try_emplace(upstream.mCookie, slot);
+    if (!first) {
+      // Two names with one cookie: the older upstream keeps it, on every VM,
+      // and the other one takes no flows at all.
+      auto& other = aView.mUpstreams[place->second];
+      bool const otherIsOlder =
+        std::pair(other.mRecord.mStartMark, other.mRecord.mName) <
+        std::pair(known.mRecord.mStartMark, known.mRecord.mName);
+      (otherIsOlder ? upstream : other).mUse = UpstreamUse::Gone;
+      place->second = otherIsOlder ? place->second : slot;
+    }
+    if (upstream.mUse == UpstreamUse::Missing) {
+      auto const end = aNow + kReturnPatience;
+      mNextChange =
+        mNextChange == TimePoint{} ? end : std::min(mNextChange, end);
+    }
+    for (auto& service : aView.mServices) {
+      if (service.mName == known.mRecord.mService) {
+        service.mUpstreams.push_back(slot);
+      }
+    }
+    aView.mUpstreams.push_back(std::move(upstream));
+  }
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_directory.hpp
@@ -0,0 +1,118 @@
+#ifndef TARRAGONSILL_DIRECTORY_HPP_INCLUDED
+#define TARRAGONSILL_DIRECTORY_HPP_INCLUDED
+
+#include "tarragonsill/protocol/tarragonsill_stored_object.hpp"
+#include "tarragonsill/state/tarragonsill_node_settings.hpp"
+#include "tarragonsill/state/tarragonsill_routing_view.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+/// What a VM knows from the store and its peers: configuration, upstreams and
+/// evacuated zones. It never goes back to an older state.
+namespace tarragonsill {
+
+/// Changes of one kind, or the whole list of a kind.
+struct StoreNews
+{
+  ObjectKind mKind = ObjectKind::Configuration;
+  std::vector<ObjectChange> mChanges;
+  /// The changes are the whole list: what is not in it is not there.
+  bool mIsWholeList = false;
+  std::uint64_t mRevision = 0; ///< Of the store.
+};
+
+/// One line for the log: what changed in the VM's belief, and why.
+struct BeliefChange
+{
+  std::string mWhat;    ///< For instance "upstream".
+  std::string mSubject; ///< Its name.
+  std::string mOutcome; ///< The state now.
+  std::uint64_t mRevision = 0;
+};
+
+class Directory
+{
+public:
+  explicit Directory(NodeSettings const& aSettings);
+
+  /// Takes news; returns what it changed.
+  std::vector<BeliefChange> Apply(TimePoint aNow, StoreNews const& aNews);
+  /// Notes whether the store answers. Registrations that lapse while it does
+  /// not, or right after its return, are taken for missing, not for gone.
+  void NoteStore(TimePoint aNow, bool aAnswers);
+  /// The VMs of the zone that decide, this one included.
+  void SetDeciders(std::vector<std::uint64_t> aDeciders, std::uint64_t aSelf);
+
+  /// Each kind has been listed at least once, and a configuration is there.
+  bool IsComplete() const;
+  /// Whether a view built now would differ from the last one.
+  bool HasChanged(TimePoint aNow) const;
+  RoutingViewPointer BuildView(TimePoint aNow);
+
+  std::uint64_t ConfigurationVersion() const;
+
+private:
+  struct KnownUpstream
+  {
+    UpstreamRecord mRecord;
+    std::uint64_t mRevision = 0;
+    TimePoint mColdUntil{};
+    bool mIsRegistered = true;
+    TimePoint mRemovedAt{};
+  };
+  struct KnownZone
+  {
+    std::uint64_t mRevision = 0;
+    bool mIsEvacuated = false;
+    TimePoint mReturnedAt{};
+  };
+  using Changes = std::vector<BeliefChange>;
+
+  void ApplyConfiguration(ObjectChange const& aChange, Changes& aChanges);
+  void ApplyUpstream(TimePoint aNow,
+                     ObjectChange const& aChange,
+                     Changes& aChanges);
+  void RemoveUpstream(TimePoint aNow,
+                      std::string const& aName,
+                      std::uint64_t aRevision,
+                      Changes& aChanges);
+  void ApplyEvacuation(TimePoint aNow,
+                       ObjectChange const& aChange,
+                       Changes& aChanges);
+  void RemoveUnlisted(TimePoint aNow,
+                      StoreNews const& aNews,
+                      Changes& aChanges);
+  std::uint32_t SlotFor(TimePoint aNow, std::string const& aName);
+  UpstreamUse UseOf(TimePoint aNow, KnownUpstream const& aUpstream) const;
+  TimePoint ColdUntil(KnownUpstream const& aUpstream) const;
+  ServiceRule const* FindRule(std::string const& aService) const;
+  void AddRoutes(RoutingView& aView) const;
+  void AddUpstreams(TimePoint aNow, RoutingView& aView);
+
+  NodeSettings mSettings;
+  std::optional<RoutingConfiguration> mConfiguration;
+  /// Routes that a former version had.
+  std::map<Endpoint, RouteEntry> mRemovedRoutes;
+  std::vector<KnownUpstream> mUpstreams; ///< By slot.
+  std::map<std::string, std::uint32_t> mSlots;
+  std::map<std::string, KnownZone> mZones;
+  std::set<ObjectKind> mListed;
+  std::vector<std::uint64_t> mDeciders;
+  std::uint64_t mSelf = 0;
+  bool mStoreAnswers = true;
+  TimePoint mStoreBackAt{};
+  bool mIsDirty = true;
+  /// When time alone changes the view next.
+  TimePoint mNextChange{};
+};
+
+/// The cookie of an upstream, the same on every VM; never 0.
+std::uint32_t CookieOf(std::string const& aUpstream);
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_DIRECTORY_HPP_INCLUDED
--- a/src/tarragonsill/main.cpp
+++ b/src/tarragonsill/main.cpp
@@ -50,6 +50,14 @@
     ->required();
   entry->callback([&] { aStatus = RunEntry(aArguments.mFile); });
 
+  auto* node =
+    aApp.add_subcommand("node", "Run an entry VM on the operators' platform");
+  node->add_option("--settings",
+                   aArguments.mFile,
+                   "Settings file (TOML); by default the one that the "
+                   "environment names");
+  node->callback([&] { aStatus = RunNode(aArguments.mFile); });
+
   auto* check = aApp.add_subcommand(
     "check", "Check a configuration or settings file; exits with 0, 1 or 2");
   check->add_option("FILE", aArguments.mFile, "The file (YAML)")->required();
--- /dev/null
+++ b/src/tarragonsill/platform/tarragonsill_platform_objects.cpp
@@ -0,0 +1,127 @@
+#include "tarragonsill/platform/tarragonsill_platform_objects.hpp"
+
+#include "tarragonsill/platform/internal/tarragonsill_platform_records.hpp"
+
+#include <algorithm>
+
+namespace tarragonsill::Platform {
+
+namespace {
+
+char const*
+KindName(ObjectKind aKind)
+{
+  switch (aKind) {
+    case ObjectKind::Configuration:
+      return "config";
+    case ObjectKind::Upstreams:
+      return "servers";
+    case ObjectKind::Evacuations:
+      return "evacuations";
+  }
+  return "";
+}
+
+/// Parses a body. Bytes of a foreign writer that are no text must not hide the
+/// objects around them, so they are replaced and the body is read again.
+nlohmann::json
+ParseBody(std::string const& aBody)
+{
+  auto parsed = nlohmann::json::parse(aBody, nullptr, false);
+  if (!parsed.is_discarded()) {
+    return parsed;
+  }
+  auto cleaned = aBody;
+  std::replace_if(
+    cleaned.begin(),
+    cleaned.end(),
+    [](char aByte) {
+      constexpr unsigned char kFirstPrintable = 0x20;
+      constexpr unsigned char kFirstBeyondAscii = 0x80;
+      auto const byte = static_cast<unsigned char>(aByte);
+      return byte < kFirstPrintable || byte >= kFirstBeyondAscii;
+    },
+    ' ');
+  return nlohmann::json::parse(cleaned, nullptr, false);
+}
+
+ObjectChange
+DecodeObject(ObjectKind aKind, nlohmann::json const& aObject)
+{
+  ObjectChange change;
+  auto const meta = Member(aObject, "meta");
+  change.mName = Text(meta, "name").value_or("");
+  change.mRevision = Unsigned(meta, "revision").value_or(0);
+  auto const& spec = Member(aObject, "spec");
+  auto const take = [&](auto aResult) {
+    if (aResult) {
+      change.mContent = aResult.Take();
+    } else {
+      change.mContent = UnusableRecord{ aResult.LastReason().mText };
+    }
+  };
+  switch (aKind) {
+    case ObjectKind::Configuration:
+      take(DecodeConfiguration(spec));
+      break;
+    case ObjectKind::Upstreams:
+      take(DecodeUpstream(change.mName, spec));
+      break;
+    case ObjectKind::Evacuations:
+      change.mContent = EvacuationRecord{};
+      break;
+  }
+  return change;
+}
+
+} // namespace
+
+std::string
+ObjectFormat::Path(ObjectQuery const& aQuery)
+{
+  auto path = std::string("/objects/") + KindName(aQuery.mKind);
+  char separator = '?';
+  auto const add = [&](std::string const& aName, std::string const& aValue) {
+    path += separator + aName + "=" + aValue;
+    separator = '&';
+  };
+  if (!aQuery.mAfter.empty()) {
+    add("after", aQuery.mAfter);
+  }
+  if (aQuery.mWatchFrom > 0) {
+    add("watch", std::to_string(aQuery.mWatchFrom));
+    add("waitMs", std::to_string(aQuery.mWait.count()));
+  }
+  if (aQuery.mMayBeStale) {
+    add("serializable", "1");
+  }
+  return path;
+}
+
+Result<ObjectPage>
+ObjectFormat::Decode(ObjectQuery const& aQuery, std::string const& aBody)
+{
+  auto const body = ParseBody(aBody);
+  auto const revision = Unsigned(body, "currentRev");
+  bool const isWatch = aQuery.mWatchFrom > 0;
+  auto const& items = Member(body, isWatch ? "events" : "items");
+  if (!revision || !items.is_array()) {
+    return Reason{ ReasonCode::Malformed,
+                   "the store's answer has no list or no revision" };
+  }
+  ObjectPage page;
+  page.mRevision = *revision;
+  page.mMore = Flag(body, "more");
+  for (auto const& item : items) {
+    if (!isWatch) {
+      page.mChanges.push_back(DecodeObject(aQuery.mKind, item));
+      continue;
+    }
+    auto change = DecodeObject(aQuery.mKind, Member(item, "object"));
+    change.mRemoved = Flag(item, "tombstone");
+    page.mChanges.push_back(std::move(change));
+  }
+  return page;
+}
+
+} // namespace tarragonsill::Platform
--- /dev/null
+++ b/src/tarragonsill/platform/tarragonsill_platform_objects.hpp
@@ -0,0 +1,23 @@
+#ifndef TARRAGONSILL_PLATFORM_OBJECTS_HPP_INCLUDED
+#define TARRAGONSILL_PLATFORM_OBJECTS_HPP_INCLUDED
+
+#include "tarragonsill/protocol/tarragonsill_stored_object.hpp"
+
+/// The paths and bodies (JSON) of the platform's object store.
+namespace tarragonsill::Platform {
+
+struct ObjectFormat
+{
+  /// The path and query of a call.
+  static std::string Path(ObjectQuery const& aQuery);
+  /// Decodes an answer. An object that cannot be used becomes an
+  /// `UnusableRecord`; the reason `Malformed` is for the answer as a whole.
+  static Result<ObjectPage> Decode(ObjectQuery const& aQuery,
+                                   std::string const& aBody);
+};
+
+static_assert(ObjectStoreFormat<ObjectFormat>);
+
+} // namespace tarragonsill::Platform
+
+#endif // TARRAGONSILL_PLATFORM_OBJECTS_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/platform/tarragonsill_platform_settings.cpp
@@ -0,0 +1,200 @@
+#include "tarragonsill/platform/tarragonsill_platform_settings.hpp"
+
+#include <toml++/toml.h>
+
+namespace tarragonsill::Platform {
+
+namespace {
+
+/// Reads checked values by their dotted key.
+class SettingsReader
+{
+public:
+  SettingsReader(toml::table const& aRoot, FileFaults& aFaults)
+    : mRoot(aRoot)
+    , mFaults(aFaults)
+  {
+  }
+
+  std::string Text(char const* aKey)
+  {
+    auto const node = mRoot.at_path(aKey);
+    auto const value = node.value_exact<std::string>();
+    if (!value || value->empty()) {
+      Fault(aKey, "a text is expected");
+      return {};
+    }
+    return *value;
+  }
+
+  Endpoint Address(char const* aKey)
+  {
+    auto const text = Text(aKey);
+    auto const address = ParseEndpoint(text);
+    if (!address && !text.empty()) {
+      Fault(aKey, "ADDRESS:PORT is expected");
+    }
+    return address ? *address : Endpoint{};
+  }
+
+  /// A number that is not negative.
+  double Number(char const* aKey, double aDefault)
+  {
+    auto const node = mRoot.at_path(aKey);
+    if (!node) {
+      return aDefault;
+    }
+    auto const value = node.value<double>();
+    if (!value || !(*value >= 0.0)) {
+      Fault(aKey, "a number of at least 0 is expected");
+      return aDefault;
+    }
+    return *value;
+  }
+
+  milliseconds Milliseconds(char const* aKey, milliseconds aDefault)
+  {
+    auto const count = Number(aKey, static_cast<double>(aDefault.count()));
+    return milliseconds{ static_cast<milliseconds::rep>(count) };
+  }
+
+  milliseconds Seconds(char const* aKey, milliseconds aDefault)
+  {
+    constexpr double kMillisecondsPerSecond = 1000.0;
+    auto const count = Number(
+      aKey, static_cast<double>(aDefault.count()) / kMillisecondsPerSecond);
+    return milliseconds{ static_cast<milliseconds::rep>(
+      count * kMillisecondsPerSecond) };
+  }
+
+  std::vector<Endpoint> Addresses(char const* aKey)
+  {
+    std::vector<Endpoint> addresses;
+    auto const* const list = mRoot.at_path(aKey).as_array();
+    if (list == nullptr) {
+      return addresses;
+    }
+    for (auto const& item : *list) {
+      auto const text = item.value<std::string>();
+      auto const address = ParseEndpoint(text ? *text : std::string());
+      if (!address) {
+        Fault(aKey, "a list of ADDRESS:PORT is expected");
+        continue;
+      }
+      addresses.push_back(*address);
+    }
+    return addresses;
+  }
+
+  /// The first ports of the range that the VMs may use among themselves.
+  std::uint16_t InternalPort(std::size_t aIndex)
+  {
+    constexpr char const* kKey = "internalPortRange";
+    constexpr std::int64_t kMostPort = 65535;
+    auto const* const range = mRoot.at_path(kKey).as_array();
+    auto const first = range != nullptr && range->size() == 2
+                         ? range->get(0)->value<std::int64_t>().value_or(0)
+                         : 0;
+    auto const port = first + static_cast<std::int64_t>(aIndex);
+    if (first <= 0 || port > kMostPort) {
+      Fault(kKey, "the first and the last of several ports are expected");
+      return 0;
+    }
+    return static_cast<std::uint16_t>(port);
+  }
+
+  std::vector<std::string> Keys(char const* aKey)
+  {
+    std::vector<std::string> keys;
+    auto const* const table = mRoot.at_path(aKey).as_table();
+    if (table == nullptr) {
+      Fault(aKey, "a table is expected");
+      return keys;
+    }
+    for (auto const& [key, ignored] : *table) {
+      keys.emplace_back(key.str());
+    }
+    return keys;
+  }
+
+  void Fault(char const* aKey, char const* aExpected)
+  {
+    auto const node = mRoot.at_path(aKey);
+    int const line =
+      node ? static_cast<int>(node.node()->source().begin.line) : 0;
+    mFaults.AddAtLine(line, aKey, aExpected);
+  }
+
+private:
+  toml::table const& mRoot;
+  FileFaults& mFaults;
+};
+
+std::optional<toml::table>
+ParseTable(std::string_view aText, FileFaults& aFaults)
+{
+  try {
+    return toml::parse(aText);
+  } catch (toml::parse_error const& error) {
+    // The library reports by exception; here it becomes a value.
+    aFaults.AddAtLine(static_cast<int>(error.source().begin.line),
+                      "",
+                      std::string(error.description()));
+    return std::nullopt;
+  }
+}
+
+NodeBounds
+ReadBounds(SettingsReader& aReader)
+{
+  NodeBounds bounds;
+  bounds.mConfiguration =
+    aReader.Milliseconds("bounds.configPropagationMs", bounds.mConfiguration);
+  bounds.mDrain = aReader.Milliseconds("bounds.drainMs", bounds.mDrain);
+  bounds.mEvacuation =
+    aReader.Milliseconds("bounds.evacuationDelayMs", bounds.mEvacuation);
+  bounds.mGrace = aReader.Seconds("bounds.graceS", bounds.mGrace);
+  bounds.mLongestFlow = aReader.Seconds("bounds.maxFlowS", bounds.mLongestFlow);
+  bounds.mColdFactor =
+    aReader.Number("bounds.warmupBurstFactor", bounds.mColdFactor);
+  bounds.mColdAllowance =
+    aReader.Number("bounds.coldSlack", bounds.mColdAllowance);
+  return bounds;
+}
+
+} // namespace
+
+std::optional<NodeSettings>
+ReadNodeSettings(std::string_view aText, FileFaults& aFaults)
+{
+  auto const table = ParseTable(aText, aFaults);
+  if (!table) {
+    return std::nullopt;
+  }
+  auto const before = aFaults.All().size();
+  SettingsReader reader(*table, aFaults);
+  NodeSettings settings;
+  settings.mName = reader.Text("nodeName");
+  settings.mZone = reader.Text("zone");
+  settings.mZones = reader.Keys("zones");
+  settings.mPackets = reader.Address("listen.packetAddr");
+  settings.mReadiness = reader.Address("listen.ready");
+  auto const address = settings.mPackets.mAddress;
+  settings.mPeers = { address, reader.InternalPort(0) };
+  settings.mMetrics = { address, reader.InternalPort(1) };
+  // Seeds are named by another port of theirs; peers listen on the same one
+  // everywhere.
+  for (auto const& seed : reader.Addresses("seeds")) {
+    settings.mSeeds.push_back({ seed.mAddress, settings.mPeers.mPort });
+  }
+  settings.mStore = reader.Address("platform.address");
+  settings.mHeartbeat =
+    reader.Milliseconds("heartbeatIntervalMs", settings.mHeartbeat);
+  settings.mBounds = ReadBounds(reader);
+  if (aFaults.All().size() != before) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
+} // namespace tarragonsill::Platform
--- a/src/tarragonsill/protocol/tarragonsill_yaml_reader.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_yaml_reader.cpp
@@ -36,16 +36,6 @@
 
 } // namespace
 
-std::string
-YamlFault::ToText() const
-{
-  auto text = mFile;
-  if (mLine > 0) {
-    text += ":" + std::to_string(mLine);
-  }
-  return text + ": " + (mKey.empty() ? "document" : mKey) + ": " + mExpected;
-}
-
 void
 YamlFaults::Add(YAML::Node const& aNode,
                 std::string aKey,
@@ -55,12 +45,6 @@
   AddAtLine(line, std::move(aKey), std::move(aExpected));
 }
 
-void
-YamlFaults::AddAtLine(int aLine, std::string aKey, std::string aExpected)
-{
-  mFaults.push_back({ mFile, aLine, std::move(aKey), std::move(aExpected) });
-}
-
 std::optional<YAML::Node>
 LoadYaml(std::string const& aText, YamlFaults& aFaults)
 {
--- a/src/tarragonsill/protocol/tarragonsill_yaml_reader.hpp
+++ b/src/tarragonsill/protocol/tarragonsill_yaml_reader.hpp
@@ -2,6 +2,7 @@
 #define TARRAGONSILL_YAML_READER_HPP_INCLUDED
 
 #include "tarragonsill/state/tarragonsill_address.hpp"
+#include "tarragonsill/state/tarragonsill_file_faults.hpp"
 #include "tarragonsill/state/tarragonsill_time.hpp"
 
 #include <cstdint>
@@ -15,32 +16,12 @@
 /// Checked reading of YAML: every fault is collected with file, line and key.
 namespace tarragonsill {
 
-/// One fault in a YAML file.
-struct YamlFault
-{
-  std::string mFile;
-  int mLine = 0; ///< Counted from 1; 0 where no line can be named.
-  std::string mKey;
-  std::string mExpected;
-
-  std::string ToText() const;
-};
-
-/// Collects the faults of one file.
-class YamlFaults
+/// Collects the faults of one YAML file.
+class YamlFaults : public FileFaults
 {
 public:
-  explicit YamlFaults(std::string aFile)
-    : mFile(std::move(aFile))
-  {
-  }
+  using FileFaults::FileFaults;
   void Add(YAML::Node const& aNode, std::string aKey, std::string aExpected);
-  void AddAtLine(int aLine, std::string aKey, std::string aExpected);
-  std::vector<YamlFault> const& All() const { return mFaults; }
-
-private:
-  std::string mFile;
-  std::vector<YamlFault> mFaults;
 };
 
 /// Parses a document; a syntax error is added to the faults.
--- a/src/tarragonsill/state/tarragonsill_counters.cpp
+++ b/src/tarragonsill/state/tarragonsill_counters.cpp
@@ -64,6 +64,12 @@
   "tarragonsill_platform_calls_over_budget_total",
   "tarragonsill_configurations_applied_total",
   "tarragonsill_configurations_refused_total",
+  "tarragonsill_opening_copies_total",
+  "tarragonsill_resets_removed_route_total",
+  "tarragonsill_store_calls_total",
+  "tarragonsill_store_failures_total",
+  "tarragonsill_store_events_total",
+  "tarragonsill_log_lines_dropped_total",
 };
 
 } // namespace
--- a/src/tarragonsill/state/tarragonsill_counters.hpp
+++ b/src/tarragonsill/state/tarragonsill_counters.hpp
@@ -70,6 +70,12 @@
   PlatformCallsOverBudget,
   ConfigurationsApplied,
   ConfigurationsRefused,
+  OpeningCopies,
+  ResetsRemovedRoute,
+  StoreCalls,
+  StoreFailures,
+  StoreEvents,
+  LogLinesDropped,
   Count,
 };
 
--- /dev/null
+++ b/src/tarragonsill/state/tarragonsill_file_faults.hpp
@@ -0,0 +1,39 @@
+#ifndef TARRAGONSILL_FILE_FAULTS_HPP_INCLUDED
+#define TARRAGONSILL_FILE_FAULTS_HPP_INCLUDED
+
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Faults of a file that an operator wrote, each with file, line and key.
+namespace tarragonsill {
+
+struct FileFault
+{
+  std::string mFile;
+  int mLine = 0; ///< Counted from 1; 0 where no line can be named.
+  std::string mKey;
+  std::string mExpected;
+
+  std::string ToText() const;
+};
+
+/// Collects the faults of one file.
+class FileFaults
+{
+public:
+  explicit FileFaults(std::string aFile)
+    : mFile(std::move(aFile))
+  {
+  }
+  void AddAtLine(int aLine, std::string aKey, std::string aExpected);
+  std::vector<FileFault> const& All() const { return mFaults; }
+
+private:
+  std::string mFile;
+  std::vector<FileFault> mFaults;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_FILE_FAULTS_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -0,0 +1,152 @@
+#ifndef TARRAGONSILL_COOKIE_WORKER_HPP_INCLUDED
+#define TARRAGONSILL_COOKIE_WORKER_HPP_INCLUDED
+
+#include "tarragonsill/coordination/tarragonsill_cookie_steering.hpp"
+#include "tarragonsill/protocol/tarragonsill_byte_order.hpp"
+#include "tarragonsill/state/tarragonsill_counters.hpp"
+#include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
+
+#include <array>
+#include <atomic>
+#include <memory>
+#include <thread>
+
+/// The thread that forwards packets of flows that carry a cookie.
+namespace tarragonsill {
+
+template<FlowPacketFormat Format>
+class CookieWorker
+{
+public:
+  /// Binds the socket and starts the thread; the reason is `SystemFailure`.
+  static Result<std::unique_ptr<CookieWorker>> Start(Endpoint aPackets,
+                                                     std::uint64_t aSeed,
+                                                     Counters& aCounters)
+  {
+    auto socket = UdpSocket::Bind(aPackets);
+    if (!socket) {
+      return socket.LastReason();
+    }
+    auto worker = std::unique_ptr<CookieWorker>(
+      new CookieWorker(socket.Take(), aPackets.mPort, aSeed, aCounters));
+    worker->mThread = std::thread([raw = worker.get()] { raw->Run(); });
+    return worker;
+  }
+
+  ~CookieWorker()
+  {
+    mStop = true;
+    if (mThread.joinable()) {
+      mThread.join();
+    }
+  }
+
+  /// Steers by another view from the next batch on.
+  void Post(RoutingViewPointer aView)
+  {
+    std::atomic_store(&mPosted, std::move(aView));
+  }
+
+private:
+  /// The identity of the intended upstream goes before each packet.
+  static constexpr std::size_t kIdentityBytes = 8;
+  static constexpr milliseconds kReceiveTimeout{ 50 };
+  static constexpr milliseconds kSweepPeriod{ 250 };
+
+  CookieWorker(UdpSocket aSocket,
+               std::uint16_t aCallerPort,
+               std::uint64_t aSeed,
+               Counters& aCounters)
+    : mSocket(std::move(aSocket))
+    , mCallerPort(aCallerPort)
+    , mCounters(aCounters)
+    , mSteering(aSeed)
+  {
+  }
+
+  void Run()
+  {
+    while (!mStop) {
+      auto const batch = mSocket.Receive(kReceiveTimeout);
+      auto const now = Clock::now();
+      if (auto const posted = std::atomic_load(&mPosted);
+          posted && posted != mUsed) {
+        mUsed = posted;
+        mSteering.Use(now, posted);
+      }
+      mHeads = 0;
+      for (auto const& datagram : batch) {
+        Handle(now, datagram);
+      }
+      mCounters.Add(Counter::DropSendFailed, mSocket.Flush());
+      if (now >= mNextSweep) {
+        mNextSweep = now + kSweepPeriod;
+        mSteering.Sweep(now);
+      }
+    }
+  }
+
+  void Handle(TimePoint aNow, Datagram const& aDatagram)
+  {
+    mCounters.Add(Counter::PacketsReceived);
+    auto const packet = Format::Read(aDatagram.mBytes);
+    if (!packet) {
+      mCounters.Add(Counter::DropTruncated);
+      return;
+    }
+    auto const verdict = mSteering.Steer(aNow, *packet);
+    if (auto const counter = CounterOf(verdict.mCause)) {
+      mCounters.Add(*counter);
+    }
+    auto& head = mHeadBytes[mHeads++];
+    switch (verdict.mAction) {
+      case SteeringAction::Forward:
+        Forward(verdict, aDatagram, head);
+        break;
+      case SteeringAction::Reset:
+        Format::WriteReset(
+          head, packet->mDestination, packet->mSource, packet->mAcknowledged);
+        mSocket.Queue({ packet->mSource.mAddress, mCallerPort }, head, {});
+        mCounters.Add(Counter::PacketsToCaller);
+        break;
+      case SteeringAction::Drop:
+        break;
+    }
+  }
+
+  void Forward(SteeringVerdict const& aVerdict,
+               Datagram const& aDatagram,
+               std::span<std::byte> aHead)
+  {
+    constexpr unsigned kWordBits = 32;
+    auto const& record = mSteering.View().mUpstreams[aVerdict.mSlot].mRecord;
+    auto const identity = aHead.first(kIdentityBytes);
+    StoreU32(
+      identity, 0, static_cast<std::uint32_t>(record.mIdentity >> kWordBits));
+    StoreU32(identity,
+             sizeof(std::uint32_t),
+             static_cast<std::uint32_t>(record.mIdentity));
+    Format::WriteCookie(aDatagram.mBytes, aVerdict.mCookie);
+    mSocket.Queue(record.mAddress, identity, aDatagram.mBytes);
+    mCounters.Add(Counter::PacketsToUpstream);
+  }
+
+  using Head = std::array<std::byte, Format::kHeadBytes>;
+
+  UdpSocket mSocket;
+  std::uint16_t mCallerPort;
+  Counters& mCounters;
+  CookieSteering mSteering;
+  RoutingViewPointer mPosted;
+  RoutingViewPointer mUsed;
+  /// Heads of the datagrams that are queued.
+  std::array<Head, UdpSocket::kBatch> mHeadBytes{};
+  std::size_t mHeads = 0;
+  TimePoint mNextSweep{};
+  std::atomic<bool> mStop{ false };
+  std::thread mThread;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_COOKIE_WORKER_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_http_connection.cpp
@@ -0,0 +1,96 @@
+#include "tarragonsill/transport/tarragonsill_http_connection.hpp"
+
+#include <httplib.h>
+#include <netinet/tcp.h>
+
+namespace tarragonsill {
+
+namespace {
+
+// A connection that went silent is found by keep-alive probes: idle time,
+// interval (s) and number of probes without an answer.
+constexpr int kKeepAliveIdle = 1;
+constexpr int kKeepAliveInterval = 1;
+constexpr int kKeepAliveProbes = 2;
+/// Sent bytes that stay unacknowledged for this long end the connection.
+constexpr unsigned kUnacknowledgedMilliseconds = 2000;
+
+void
+SetSocketOptions(socket_t aSocket)
+{
+  auto const set = [&](int aLevel, int aOption, auto aValue) {
+    // An option that is refused only delays the discovery of a dead peer.
+    (void)::setsockopt(aSocket, aLevel, aOption, &aValue, sizeof(aValue));
+  };
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdle);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveInterval);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMilliseconds);
+}
+
+Reason
+ReasonOf(httplib::Error aError)
+{
+  bool const timeout =
+    aError == httplib::Error::Read || aError == httplib::Error::Write;
+  return { timeout ? ReasonCode::Timeout : ReasonCode::Unavailable,
+           "the platform did not answer (" + httplib::to_string(aError) + ")" };
+}
+
+} // namespace
+
+struct HttpConnection::Impl
+{
+  explicit Impl(Options const& aOptions)
+    : mClient(ToText(aOptions.mAddress.mAddress), aOptions.mAddress.mPort)
+  {
+    mClient.set_connection_timeout(aOptions.mConnectTimeout);
+    mClient.set_keep_alive(aOptions.mKeepOpen);
+    mClient.set_tcp_nodelay(true);
+    mClient.set_socket_options(SetSocketOptions);
+  }
+
+  template<typename Call>
+  Result<HttpAnswer> Run(milliseconds aTimeout, Call aCall)
+  {
+    mClient.set_read_timeout(aTimeout);
+    mClient.set_write_timeout(aTimeout);
+    auto const result = aCall();
+    if (!result) {
+      mClient.stop();
+      return ReasonOf(result.error());
+    }
+    return HttpAnswer{ result->status, result->body };
+  }
+
+  httplib::Client mClient;
+};
+
+HttpConnection::HttpConnection(Options aOptions)
+  : mImpl(std::make_unique<Impl>(aOptions))
+{
+}
+
+HttpConnection::~HttpConnection() = default;
+HttpConnection::HttpConnection(HttpConnection&&) noexcept = default;
+
+Result<HttpAnswer>
+HttpConnection::Get(std::string const& aPath, milliseconds aTimeout)
+{
+  return mImpl->Run(aTimeout, [&] { return mImpl->mClient.Get(aPath); });
+}
+
+Result<HttpAnswer>
+HttpConnection::Put(std::string const& aPath,
+                    std::multimap<std::string, std::string> const& aHeaders,
+                    std::string const& aBody,
+                    milliseconds aTimeout)
+{
+  httplib::Headers const headers(aHeaders.begin(), aHeaders.end());
+  return mImpl->Run(aTimeout, [&] {
+    return mImpl->mClient.Put(aPath, headers, aBody, "application/json");
+  });
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_http_connection.hpp
@@ -0,0 +1,55 @@
+#ifndef TARRAGONSILL_HTTP_CONNECTION_HPP_INCLUDED
+#define TARRAGONSILL_HTTP_CONNECTION_HPP_INCLUDED
+
+#include "tarragonsill/state/tarragonsill_address.hpp"
+#include "tarragonsill/state/tarragonsill_reason.hpp"
+#include "tarragonsill/state/tarragonsill_time.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+
+/// An HTTP connection with time limits, kept open between calls. One thread
+/// uses it at a time.
+namespace tarragonsill {
+
+struct HttpAnswer
+{
+  int mStatus = 0;
+  std::string mBody;
+};
+
+class HttpConnection
+{
+public:
+  static constexpr int kStatusOk = 200;
+
+  struct Options
+  {
+    Endpoint mAddress;
+    milliseconds mConnectTimeout{ 500 };
+    /// Keeps the connection open for the next call.
+    bool mKeepOpen = true;
+  };
+
+  explicit HttpConnection(Options aOptions);
+  ~HttpConnection();
+  HttpConnection(HttpConnection&&) noexcept;
+
+  /// Reasons: `Unavailable` if nothing was sent, `Timeout` if the answer is
+  /// missing and the effect unknown.
+  Result<HttpAnswer> Get(std::string const& aPath, milliseconds aTimeout);
+  Result<HttpAnswer> Put(
+    std::string const& aPath,
+    std::multimap<std::string, std::string> const& aHeaders,
+    std::string const& aBody,
+    milliseconds aTimeout);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_HTTP_CONNECTION_HPP_INCLUDED
--- a/src/tarragonsill/transport/tarragonsill_log.cpp
+++ b/src/tarragonsill/transport/tarragonsill_log.cpp
@@ -41,6 +41,18 @@
   root->setLevel(log4cxx::Level::toLevel(aLevel));
 }
 
+void
+ConfigureStructuredLog()
+{
+  auto const layout =
+    std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
+  auto const root = log4cxx::Logger::getRootLogger();
+  root->removeAllAppenders();
+  root->addAppender(std::make_shared<log4cxx::ConsoleAppender>(
+    layout, log4cxx::ConsoleAppender::getSystemOut()));
+  root->setLevel(log4cxx::Level::getInfo());
+}
+
 void
 LogDebug(std::string const& aLine)
 {
--- a/src/tarragonsill/transport/tarragonsill_log.hpp
+++ b/src/tarragonsill/transport/tarragonsill_log.hpp
@@ -11,6 +11,9 @@
 /// Sets level and target; an empty file means standard error.
 void ConfigureLog(std::string const& aLevel, std::string const& aFile);
 
+/// Lines go to standard output as they are, each an object of its own.
+void ConfigureStructuredLog();
+
 void LogDebug(std::string const& aLine);
 void LogInfo(std::string const& aLine);
 void LogWarn(std::string const& aLine);
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -0,0 +1,231 @@
+#include "tarragonsill/transport/tarragonsill_node_daemon.hpp"
+
+#include "tarragonsill/platform/tarragonsill_platform_objects.hpp"
+#include "tarragonsill/platform/tarragonsill_platform_packet.hpp"
+#include "tarragonsill/transport/tarragonsill_cookie_worker.hpp"
+#include "tarragonsill/transport/tarragonsill_directory_actor.hpp"
+#include "tarragonsill/transport/tarragonsill_page_server.hpp"
+#include "tarragonsill/transport/tarragonsill_store_watch.hpp"
+
+#include <thread>
+
+namespace tarragonsill {
+
+namespace {
+
+/// One scheduler thread drives every actor that does not wait for the store.
+constexpr int kSchedulerThreads = 1;
+/// Routers ask twice a second and turn away after two misses (platform); a
+/// third of a second more lets packets on their way arrive.
+constexpr milliseconds kTurnAwayTime{ 1800 };
+constexpr int kStatusUnavailable = 503;
+
+using Watch = StoreWatch<Platform::ObjectFormat>;
+using Worker = CookieWorker<Platform::PacketFormat>;
+
+caf::actor_system_config&
+PrepareNodeConfig(caf::actor_system_config& aConfig)
+{
+  aConfig.add_message_types<caf::id_block::tarragonsill>();
+  aConfig.add_message_types<caf::id_block::tarragonsill_node>();
+  aConfig.set("scheduler.max-threads", kSchedulerThreads);
+  // The default policy polls for work; this one waits.
+  aConfig.set("scheduler.policy", caf::atom("sharing"));
+  return aConfig;
+}
+
+/// Logs the first failure of a row and its end.
+class DependencyLog
+{
+public:
+  DependencyLog(NodeLog& aLog, ObjectKind aKind)
+    : mLog(aLog)
+    , mKind(ToText(aKind))
+  {
+  }
+
+  void Note(WatchStep const& aStep)
+  {
+    if (!aStep.mAnswered && mFailures++ == 0) {
+      mLog.Write("config",
+                 "store_lost",
+                 { { "kind", mKind }, { "reason", aStep.mFailure } });
+    }
+    if (aStep.mAnswered && mFailures > 0) {
+      mLog.Write("config",
+                 "store_regained",
+                 { { "kind", mKind }, { "failures", mFailures } });
+      mFailures = 0;
+    }
+  }
+
+private:
+  NodeLog& mLog;
+  std::string mKind;
+  std::int64_t mFailures = 0;
+};
+
+/// Follows one kind of objects; runs on a thread of its own, as each call waits
+/// for its answer.
+caf::behavior
+StoreWatchActor(caf::event_based_actor* aSelf,
+                std::shared_ptr<NodeState> aState,
+                caf::actor aDirectory,
+                ObjectKind aKind)
+{
+  auto const seed =
+    MixHash(HashText(aState->mSettings.mName), static_cast<unsigned>(aKind));
+  auto const watch = std::make_shared<Watch>(
+    aState->mSettings.mStore, aKind, seed, aState->mCounters);
+  auto const dependency = std::make_shared<DependencyLog>(aState->mLog, aKind);
+  aSelf->send(aSelf, TickAtom::value);
+  return { [=](TickAtom) {
+    auto step = watch->Step();
+    dependency->Note(step);
+    aSelf->send(aDirectory, StoreAnswered{ aKind, step.mAnswered });
+    if (step.mNews) {
+      aSelf->send(aDirectory,
+                  StoreNewsReceived{ std::make_shared<StoreNews const>(
+                    std::move(*step.mNews)) });
+    }
+    if (step.mPause > milliseconds{ 0 }) {
+      aSelf->delayed_send(aSelf, step.mPause, TickAtom::value);
+    } else {
+      aSelf->send(aSelf, TickAtom::value);
+    }
+  } };
+}
+
+} // namespace
+
+struct NodeDaemon::Impl
+{
+  explicit Impl(NodeSettings aSettings)
+    : mState(std::make_shared<NodeState>(std::move(aSettings)))
+    , mSystem(PrepareNodeConfig(mConfig))
+  {
+  }
+  ~Impl()
+  {
+    for (auto const& actor : mActors) {
+      caf::anon_send_exit(actor, caf::exit_reason::kill);
+    }
+    mActors.clear();
+    mSystem.await_all_actors_done();
+  }
+
+  void StartActors();
+  Result<Done> StartPages();
+
+  std::shared_ptr<NodeState> mState;
+  std::unique_ptr<Worker> mWorker;
+  caf::actor_system_config mConfig;
+  caf::actor_system mSystem;
+  std::vector<caf::actor> mActors;
+  std::vector<std::unique_ptr<PageServer>> mPages;
+};
+
+void
+NodeDaemon::Impl::StartActors()
+{
+  DirectoryActorArguments arguments{ mState,
+                                     [worker = mWorker.get()](
+                                       RoutingViewPointer aView) {
+                                       worker->Post(std::move(aView));
+                                     } };
+  auto const directory = mSystem.spawn(DirectoryActor, std::move(arguments));
+  for (auto const kind : { ObjectKind::Configuration,
+                           ObjectKind::Upstreams,
+                           ObjectKind::Evacuations }) {
+    mActors.push_back(
+      mSystem.spawn<caf::detached>(StoreWatchActor, mState, directory, kind));
+  }
+  mActors.push_back(directory);
+}
+
+Result<Done>
+NodeDaemon::Impl::StartPages()
+{
+  auto const readiness = [state = mState](auto const&) {
+    bool const ready = state->mIsComplete && !state->mIsLeaving;
+    return Page{ ready ? HttpConnection::kStatusOk : kStatusUnavailable,
+                 "text/plain",
+                 ready ? "ready\n" : "not ready\n" };
+  };
+  auto const metrics = [state = mState](auto const&) {
+    Page page;
+    page.mBody = state->mCounters.ToExposition(state->mSettings.mName);
+    return page;
+  };
+  auto const& settings = mState->mSettings;
+  for (auto const& [address, path, handler] :
+       { std::tuple(settings.mReadiness,
+                    std::string("/readiness"),
+                    PageServer::Handler(readiness)),
+         std::tuple(settings.mMetrics,
+                    std::string("/metrics"),
+                    PageServer::Handler(metrics)) }) {
+    auto server = PageServer::Start(address, { { path, handler } });
+    if (!server) {
+      return server.LastReason();
+    }
+    mPages.push_back(server.Take());
+  }
+  return Done{};
+}
+
+NodeDaemon::NodeDaemon(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+NodeDaemon::~NodeDaemon() = default;
+
+Result<std::unique_ptr<NodeDaemon>>
+NodeDaemon::Start(NodeSettings aSettings)
+{
+  auto impl = std::make_unique<Impl>(std::move(aSettings));
+  auto const& settings = impl->mState->mSettings;
+  impl->mState->mLog.Write("entry",
+                           "started",
+                           { { "zone", settings.mZone },
+                             { "packets", ToText(settings.mPackets) },
+                             { "store", ToText(settings.mStore) } });
+  auto worker = Worker::Start(
+    settings.mPackets, HashText(settings.mName), impl->mState->mCounters);
+  if (!worker) {
+    return worker.LastReason();
+  }
+  impl->mWorker = worker.Take();
+  impl->StartActors();
+  auto const pages = impl->StartPages();
+  if (!pages) {
+    return pages.LastReason();
+  }
+  return std::unique_ptr<NodeDaemon>(new NodeDaemon(std::move(impl)));
+}
+
+void
+NodeDaemon::Reload(NodeSettings const& aSettings)
+{
+  auto const& current = mImpl->mState->mSettings;
+  bool const needsRestart = aSettings.mPackets != current.mPackets ||
+                            aSettings.mStore != current.mStore;
+  mImpl->mState->mLog.Write(
+    "entry",
+    "reloaded",
+    { { "outcome",
+        needsRestart ? "addresses changed; they need a restart"
+                     : "no address changed" } });
+}
+
+void
+NodeDaemon::Leave()
+{
+  mImpl->mState->mLog.Write("entry", "leaving", {});
+  mImpl->mState->mIsLeaving = true;
+  std::this_thread::sleep_for(kTurnAwayTime);
+  mImpl->mState->mLog.Write("entry", "stopped", {});
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_node_log.hpp
@@ -0,0 +1,56 @@
+#ifndef TARRAGONSILL_NODE_LOG_HPP_INCLUDED
+#define TARRAGONSILL_NODE_LOG_HPP_INCLUDED
+
+#include "tarragonsill/state/tarragonsill_counters.hpp"
+
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <variant>
+#include <vector>
+
+/// Structured lines on standard output, one JSON object each. Writers never
+/// wait: lines go through a bounded queue, and what does not fit is counted.
+namespace tarragonsill {
+
+/// A field of a line.
+using LogField =
+  std::pair<char const*, std::variant<std::string, std::int64_t, double>>;
+
+class NodeLog
+{
+public:
+  NodeLog(std::string aNode, Counters& aCounters);
+  ~NodeLog();
+
+  /// Queues a line of a part, for instance `steer`, about an event.
+  void Write(char const* aPart,
+             char const* aEvent,
+             std::vector<LogField> aFields);
+
+private:
+  struct Line
+  {
+    std::int64_t mUnixMilliseconds = 0;
+    char const* mPart = "";
+    char const* mEvent = "";
+    std::vector<LogField> mFields;
+  };
+
+  void Run();
+  void Print(Line const& aLine) const;
+
+  std::string mNode;
+  Counters& mCounters;
+  std::mutex mMutex;
+  std::condition_variable mWakeUp;
+  std::vector<Line> mQueue;
+  bool mStop = false;
+  std::thread mThread;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_NODE_LOG_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_store_watch.hpp
@@ -0,0 +1,139 @@
+#ifndef TARRAGONSILL_STORE_WATCH_HPP_INCLUDED
+#define TARRAGONSILL_STORE_WATCH_HPP_INCLUDED
+
+#include "tarragonsill/coordination/tarragonsill_directory.hpp"
+#include "tarragonsill/state/tarragonsill_counters.hpp"
+#include "tarragonsill/transport/tarragonsill_http_connection.hpp"
+
+#include <algorithm>
+#include <random>
+
+/// Follows one kind of objects in an object store: lists them, then watches for
+/// changes, and lists again when the store has lost the history in between.
+namespace tarragonsill {
+
+/// What the next call brought.
+struct WatchStep
+{
+  bool mAnswered = false;
+  std::string mFailure; ///< Why there was no answer that can be used.
+  /// Changes, or a whole list; nothing while a list is incomplete.
+  std::optional<StoreNews> mNews;
+  /// The pause before the next call.
+  milliseconds mPause{ 0 };
+};
+
+template<ObjectStoreFormat Format>
+class StoreWatch
+{
+public:
+  StoreWatch(Endpoint aStore,
+             ObjectKind aKind,
+             std::uint64_t aSeed,
+             Counters& aCounters)
+    : mConnection({ aStore, kConnectTimeout, true })
+    , mCounters(aCounters)
+    , mRandom(aSeed)
+  {
+    mQuery.mKind = aKind;
+  }
+
+  /// Makes one call and waits for its answer.
+  WatchStep Step()
+  {
+    mCounters.Add(Counter::StoreCalls);
+    bool const isWatch = mQuery.mWatchFrom > 0;
+    mQuery.mWait = isWatch ? kWatchWait : milliseconds{ 0 };
+    mQuery.mMayBeStale = isWatch;
+    auto const answer =
+      mConnection.Get(Format::Path(mQuery), mQuery.mWait + kAnswerTimeout);
+    if (!answer) {
+      return Failed(answer.LastReason().mText);
+    }
+    if (answer->mStatus == kStatusGone) {
+      Restart();
+      return { true, {}, {}, milliseconds{ 0 } };
+    }
+    if (answer->mStatus != HttpConnection::kStatusOk) {
+      return Failed("status " + std::to_string(answer->mStatus));
+    }
+    auto page = Format::Decode(mQuery, answer->mBody);
+    if (!page) {
+      return Failed(page.LastReason().mText);
+    }
+    mFailures = 0;
+    return isWatch ? TakeEvents(page.Take()) : TakeListPage(page.Take());
+  }
+
+private:
+  static constexpr int kStatusGone = 410;
+  /// Watches wait this long, so that a watch that hears nothing is soon made
+  /// anew; well under the bound for a new configuration.
+  static constexpr milliseconds kWatchWait{ 1500 };
+  /// An answer takes some milliseconds (platform); a connection without one
+  /// is given up after this time.
+  static constexpr milliseconds kAnswerTimeout{ 700 };
+  static constexpr milliseconds kConnectTimeout{ 500 };
+  static constexpr milliseconds kLeastBackoff{ 50 };
+  static constexpr milliseconds kMostBackoff{ 400 };
+
+  WatchStep TakeEvents(ObjectPage aPage)
+  {
+    mQuery.mWatchFrom = std::max(mQuery.mWatchFrom, aPage.mRevision);
+    mCounters.Add(Counter::StoreEvents, aPage.mChanges.size());
+    StoreNews news{
+      mQuery.mKind, std::move(aPage.mChanges), false, aPage.mRevision
+    };
+    return { true, {}, std::move(news), milliseconds{ 0 } };
+  }
+
+  WatchStep TakeListPage(ObjectPage aPage)
+  {
+    auto const last =
+      aPage.mChanges.empty() ? std::string() : aPage.mChanges.back().mName;
+    if (mListed.empty()) {
+      mListRevision = aPage.mRevision;
+    }
+    std::move(aPage.mChanges.begin(),
+              aPage.mChanges.end(),
+              std::back_inserter(mListed));
+    if (aPage.mMore && !last.empty()) {
+      mQuery.mAfter = last;
+      return { true, {}, {}, milliseconds{ 0 } };
+    }
+    StoreNews news{ mQuery.mKind, std::move(mListed), true, mListRevision };
+    auto const revision = mListRevision;
+    Restart();
+    mQuery.mWatchFrom = revision;
+    return { true, {}, std::move(news), milliseconds{ 0 } };
+  }
+
+  void Restart()
+  {
+    mQuery.mWatchFrom = 0;
+    mQuery.mAfter.clear();
+    mListed.clear();
+  }
+
+  WatchStep Failed(std::string aWhy)
+  {
+    mCounters.Add(Counter::StoreFailures);
+    auto const most = std::min(kMostBackoff, kLeastBackoff * (1 << mFailures));
+    mFailures = std::min(mFailures + 1, 10);
+    std::uniform_int_distribution<milliseconds::rep> draw(most.count() / 2,
+                                                          most.count());
+    return { false, std::move(aWhy), {}, milliseconds{ draw(mRandom) } };
+  }
+
+  HttpConnection mConnection;
+  Counters& mCounters;
+  ObjectQuery mQuery;
+  std::vector<ObjectChange> mListed;
+  std::uint64_t mListRevision = 0;
+  int mFailures = 0;
+  std::mt19937_64 mRandom;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_STORE_WATCH_HPP_INCLUDED
--- a/tests/protocol/test_yaml.cpp
+++ b/tests/protocol/test_yaml.cpp
@@ -23,7 +23,7 @@
                               "platform:\n"
                               "  address: 127.0.0.3:80\n";
 
-std::vector<YamlFault>
+std::vector<FileFault>
 ConfigurationFaults(std::string const& aText)
 {
   YamlFaults faults("file");
