--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 constexpr std::uint32_t kNoSlot = std::numeric_limits<std::uint32_t>::max();
-/// An upstream of another zone is chosen when it has this many flows fewer.
-constexpr double kOtherZoneCost = 4.0;
+/// Added for an upstream of another zone: a cut between zones harms no flow that
+/// stays inside one.
+constexpr double kOtherZoneCost = 1e3;
 /// Added for an upstream whose registration is missing.
 constexpr double kMissingCost = 1e6;
 
