Detect silent upstreams from passing packets and give up their flows

Change: a watch of each upstream (handshakes, repeated data, answers), copies of opening packets to another upstream, resets for flows of silent upstreams.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -1,17 +1,23 @@
 #include "tarragonsill/coordination/tarragonsill_cookie_steering.hpp"
 
-#include <limits>
-
 namespace tarragonsill {
 
 namespace {
 
-constexpr std::uint32_t kNoSlot = std::numeric_limits<std::uint32_t>::max();
-/// Added for an upstream of another zone: a cut between zones harms no flow that
-/// stays inside one.
-constexpr double kOtherZoneCost = 1e3;
-/// Added for an upstream whose registration is missing.
-constexpr double kMissingCost = 1e6;
+/// Some upstream must have answered this recently before another one's silence
+/// is held against it.
+constexpr milliseconds kOthersAnswered{ 400 };
+/// The last packets of a closed flow come within this time.
+constexpr milliseconds kClosedTime{ 3000 };
+/// Notes that wait to be taken; more are dropped.
+constexpr std::size_t kMostNotes = 256;
+
+/// Whether a sequence number comes after another one, across the wrap.
+bool
+IsAfter(std::uint32_t aLeft, std::uint32_t aRight)
+{
+  return static_cast<std::int32_t>(aLeft - aRight) > 0;
+}
 
 std::uint64_t
 KeyOf(FlowPacket const& aPacket)
@@ -52,8 +58,10 @@
       return "unknown_cookie";
     case SteeringCause::NotFromCaller:
       return "not_from_caller";
-    case SteeringCause::Count:
-      break;
+    case SteeringCause::SecondChoice:
+      return "second_choice";
+    case SteeringCause::SilentUpstream:
+      return "silent_upstream";
   }
   return "unknown";
 }
@@ -78,8 +86,11 @@
       return Counter::DropUnknownFlow;
     case SteeringCause::NotFromCaller:
       return Counter::DropForeignSender;
+    case SteeringCause::SecondChoice:
+      return Counter::FlowsSecondChoice;
+    case SteeringCause::SilentUpstream:
+      return Counter::ResetsSilentUpstream;
     case SteeringCause::OpenFlow:
-    case SteeringCause::Count:
       break;
   }
   return std::nullopt;
@@ -87,21 +98,36 @@
 
 CookieSteering::CookieSteering(std::uint64_t aSeed)
   : mView(std::make_shared<RoutingView>())
-  , mRandom(aSeed)
+  , mChoice(aSeed)
 {
 }
 
 void
-CookieSteering::Use(TimePoint, RoutingViewPointer aView)
+CookieSteering::Use(RoutingViewPointer aView)
 {
+  auto const& before = mView->mUpstreams;
+  for (std::size_t slot = 0; slot < before.size(); ++slot) {
+    // A new process, or another upstream in the same slot, starts afresh.
+    auto const& was = before[slot].mRecord;
+    auto const& is = aView->mUpstreams[slot].mRecord;
+    if (was.mName != is.mName || was.mStartMark != is.mStartMark) {
+      mLoads[slot].mWatch = {};
+    }
+  }
   mView = std::move(aView);
   mLoads.resize(mView->mUpstreams.size());
 }
 
-std::uint32_t
-CookieSteering::FlowsAt(std::uint32_t aSlot) const
+std::vector<UnaskedReset>
+CookieSteering::TakeResets()
+{
+  return std::exchange(mResets, {});
+}
+
+std::vector<SteeringNote>
+CookieSteering::TakeNotes()
 {
-  return aSlot < mLoads.size() ? mLoads[aSlot].mFlows : 0;
+  return std::exchange(mNotes, {});
 }
 
 SteeringVerdict
@@ -141,155 +167,229 @@
 {
   auto const key = KeyOf(aPacket);
   auto* const known = mFlows.Find(key);
-  if (known != nullptr && known->mFirstSequence == aPacket.mSequence &&
-      MayTake(mView->mUpstreams[known->mSlot])) {
-    known->mSeen = aNow;
-    return ForwardTo(known->mSlot, SteeringCause::OpeningCopy);
+  bool const isCopy = known != nullptr && known->mIsOpening &&
+                      known->mFirstSequence == aPacket.mSequence;
+  std::optional<std::uint32_t> avoid;
+  if (isCopy) {
+    auto const slot = known->mSlot;
+    auto const health = mLoads[slot].mWatch.Health(aNow);
+    if (UpstreamChoice::MayTake(mView->mUpstreams[slot]) &&
+        health == UpstreamHealth::Answering) {
+      known->mSeen = aNow;
+      return ForwardTo(slot, SteeringCause::OpeningCopy);
+    }
+    avoid = slot;
   }
   if (aRoute.mShares.empty()) {
     return Refuse(SteeringAction::Reset, SteeringCause::NoUpstream);
   }
-  auto const& service = mView->mServices[PickService(aRoute)];
-  auto const slot = PickUpstream(aNow, service);
-  if (slot == kNoSlot) {
+  auto const& service = mView->mServices[mChoice.PickService(aRoute)];
+  auto const pick = mChoice.Pick(aNow, *mView, service, mLoads, avoid);
+  if (!pick) {
     return Refuse(SteeringAction::Drop, SteeringCause::NoUpstream);
   }
   Forget(key);
-  Track(aNow, aPacket, slot);
-  return ForwardTo(slot, SteeringCause::NewFlow);
+  auto& flow = Track(aNow, aPacket, pick->mSlot);
+  flow.mIsOpening = true;
+  flow.mWasOfferedTwice = isCopy && pick->mSlot != *avoid;
+  auto& watch = mLoads[pick->mSlot].mWatch;
+  auto const cause =
+    flow.mWasOfferedTwice ? SteeringCause::SecondChoice : SteeringCause::NewFlow;
+  Note(cause, aPacket, *pick, watch.Health(aNow));
+  watch.OpeningSent(aNow);
+  return ForwardTo(pick->mSlot, cause);
 }
 
 SteeringVerdict
 CookieSteering::Continue(TimePoint aNow, FlowPacket const& aPacket)
 {
+  auto const key = KeyOf(aPacket);
+  auto* known = mFlows.Find(key);
   auto const found = mView->mSlotByCookie.find(aPacket.mCookie);
-  if (found == mView->mSlotByCookie.end()) {
+  // Of two upstreams that were offered a flow the caller took the first that
+  // answered; a late answer of the other one may still change the cookie.
+  bool const isPinned =
+    known != nullptr && known->mWasOfferedTwice && !known->mIsOpening;
+  if (!isPinned && found == mView->mSlotByCookie.end()) {
     return Refuse(SteeringAction::Drop, SteeringCause::UnknownCookie);
   }
-  auto const slot = found->second;
-  auto const key = KeyOf(aPacket);
-  auto* const known = mFlows.Find(key);
-  if (aPacket.mCloses || aPacket.mResets) {
+  auto const slot = isPinned ? known->mSlot : found->second;
+  if (aPacket.mResets) {
     Forget(key);
-  } else if (known == nullptr || known->mSlot != slot) {
+    return ForwardTo(slot, SteeringCause::OpenFlow);
+  }
+  if (known == nullptr || known->mSlot != slot) {
+    bool const offeredTwice = known != nullptr && known->mWasOfferedTwice;
     Forget(key);
-    Track(aNow, aPacket, slot);
-  } else {
-    known->mSeen = aNow;
+    known = &Track(aNow, aPacket, slot);
+    known->mWasOfferedTwice = offeredTwice;
+    known->mIsOpening = offeredTwice;
+  }
+  Learn(aNow, aPacket, *known);
+  if (IsLost(aNow, slot)) {
+    Note(SteeringCause::SilentUpstream,
+         aPacket,
+         { slot, 0.0, 0 },
+         UpstreamHealth::Silent);
+    Forget(key);
+    return Refuse(SteeringAction::Reset, SteeringCause::SilentUpstream);
   }
   return ForwardTo(slot, SteeringCause::OpenFlow);
 }
 
-std::uint32_t
-CookieSteering::PickService(RouteEntry const& aRoute)
+void
+CookieSteering::Learn(TimePoint aNow,
+                      FlowPacket const& aPacket,
+                      Detail::TrackedFlow& aFlow)
 {
-  std::uint32_t total = 0;
-  for (auto const& share : aRoute.mShares) {
-    total += share.mWeight;
+  auto& load = mLoads[aFlow.mSlot];
+  aFlow.mSeen = aNow;
+  bool const answered =
+    aFlow.mIsOpening || (aPacket.mAcknowledges &&
+                         IsAfter(aPacket.mAcknowledged, aFlow.mAcknowledged));
+  if (answered) {
+    load.mWatch.Answered(aNow);
+    mLastAnswer = aNow;
+    aFlow.mCopies = 0;
+    aFlow.mAcknowledged = aPacket.mAcknowledged;
   }
-  if (total == 0) {
-    return aRoute.mShares.front().mService;
+  if (answered && aFlow.mInProgress) {
+    aFlow.mInProgress = false;
+    --load.mInProgress;
   }
-  auto point =
-    std::uniform_int_distribution<std::uint32_t>(0, total - 1)(mRandom);
-  for (auto const& share : aRoute.mShares) {
-    if (point < share.mWeight) {
-      return share.mService;
-    }
-    point -= share.mWeight;
+  aFlow.mIsOpening = false;
+  if (aPacket.mDataBytes > 0 || aPacket.mCloses) {
+    LearnData(aNow, aPacket, aFlow);
   }
-  return aRoute.mShares.back().mService;
-}
-
-bool
-CookieSteering::MayTake(UpstreamEntry const& aUpstream) const
-{
-  bool const inUse = aUpstream.mUse == UpstreamUse::Serving ||
-                     aUpstream.mUse == UpstreamUse::Missing;
-  return inUse && !aUpstream.mEvacuated;
 }
 
-double
-CookieSteering::Cost(TimePoint, std::uint32_t aSlot) const
+void
+CookieSteering::LearnData(TimePoint aNow,
+                          FlowPacket const& aPacket,
+                          Detail::TrackedFlow& aFlow)
 {
-  auto const& upstream = mView->mUpstreams[aSlot];
-  double cost = mLoads[aSlot].mFlows;
-  if (upstream.mZone != mView->mOwnZone) {
-    cost += kOtherZoneCost;
+  auto& load = mLoads[aFlow.mSlot];
+  auto const end =
+    aPacket.mSequence + aPacket.mDataBytes + (aPacket.mCloses ? 1 : 0);
+  if (!IsAfter(end, aFlow.mDataEnd)) {
+    load.mWatch.DataRepeated(aFlow.mDataSent, aFlow.mCopies == 0);
+    ++aFlow.mCopies;
+    return;
+  }
+  aFlow.mDataEnd = end;
+  aFlow.mDataSent = aNow;
+  aFlow.mCopies = 0;
+  if (aPacket.mCloses) {
+    Release(aFlow);
   }
-  if (upstream.mUse == UpstreamUse::Missing) {
-    cost += kMissingCost;
+  if (aPacket.mDataBytes > 0 && !aFlow.mInProgress && !aFlow.mIsClosed) {
+    aFlow.mInProgress = true;
+    ++load.mInProgress;
   }
-  return cost;
 }
 
-std::uint32_t
-CookieSteering::PickUpstream(TimePoint aNow, ServiceEntry const& aService)
+bool
+CookieSteering::IsLost(TimePoint aNow, std::uint32_t aSlot) const
 {
-  auto best = kNoSlot;
-  double bestCost = 0.0;
-  std::uint32_t ties = 0;
-  for (auto const slot : aService.mUpstreams) {
-    auto const& upstream = mView->mUpstreams[slot];
-    if (!MayTake(upstream) || aNow < upstream.mColdUntil) {
-      continue;
-    }
-    auto const cost = Cost(aNow, slot);
-    if (best != kNoSlot && cost > bestCost) {
-      continue;
-    }
-    ties = best != kNoSlot && cost == bestCost ? ties + 1 : 1;
-    // Equal candidates get equal chances.
-    bool const taken =
-      ties == 1 ||
-      std::uniform_int_distribution<std::uint32_t>(1, ties)(mRandom) == 1;
-    best = taken ? slot : best;
-    bestCost = cost;
-  }
-  return best;
+  return mLoads[aSlot].mWatch.Health(aNow) == UpstreamHealth::Silent &&
+         aNow < mLastAnswer + kOthersAnswered;
 }
 
 SteeringVerdict
 CookieSteering::ForwardTo(std::uint32_t aSlot, SteeringCause aCause) const
 {
-  return {
-    SteeringAction::Forward, aCause, aSlot, mView->mUpstreams[aSlot].mCookie
-  };
+  return { SteeringAction::Forward,
+           aCause,
+           aSlot,
+           mView->mUpstreams[aSlot].mCookie };
 }
 
-void
+Detail::TrackedFlow&
 CookieSteering::Track(TimePoint aNow,
                       FlowPacket const& aPacket,
                       std::uint32_t aSlot)
 {
   auto& flow = mFlows.FindOrInsert(KeyOf(aPacket));
+  flow.mCaller = aPacket.mSource;
+  flow.mRoute = aPacket.mDestination;
   flow.mSlot = aSlot;
   flow.mFirstSequence = aPacket.mSequence;
+  flow.mDataEnd = aPacket.mSequence + (aPacket.mOpens ? 1 : 0);
+  flow.mAcknowledged = aPacket.mAcknowledged;
   flow.mSeen = aNow;
+  flow.mDataSent = aNow;
   ++mLoads[aSlot].mFlows;
+  return flow;
+}
+
+void
+CookieSteering::Release(Detail::TrackedFlow& aFlow)
+{
+  if (aFlow.mIsClosed) {
+    return;
+  }
+  auto& load = mLoads[aFlow.mSlot];
+  --load.mFlows;
+  load.mInProgress -= aFlow.mInProgress ? 1 : 0;
+  aFlow.mInProgress = false;
+  aFlow.mIsClosed = true;
 }
 
 void
 CookieSteering::Forget(std::uint64_t aKey)
 {
-  auto const* const flow = mFlows.Find(aKey);
+  auto* const flow = mFlows.Find(aKey);
   if (flow == nullptr) {
     return;
   }
-  --mLoads[flow->mSlot].mFlows;
+  Release(*flow);
   mFlows.Erase(aKey);
 }
 
 void
 CookieSteering::Sweep(TimePoint aNow)
 {
-  mFlows.EraseIf([&](Detail::TrackedFlow const& aFlow) {
-    bool const ended = aNow > aFlow.mSeen + mView->mIdleTimeout;
-    if (ended) {
-      --mLoads[aFlow.mSlot].mFlows;
+  mFlows.EraseIf([&](Detail::TrackedFlow& aFlow) {
+    auto const patience =
+      aFlow.mIsClosed ? Duration(kClosedTime) : Duration(mView->mIdleTimeout);
+    bool const isIdle = aNow > aFlow.mSeen + patience;
+    bool const isLost = !isIdle && IsLost(aNow, aFlow.mSlot);
+    if (!isIdle && !isLost) {
+      return false;
     }
-    return ended;
+    if (isLost && !aFlow.mIsOpening && !aFlow.mIsClosed) {
+      mResets.push_back(
+        { aFlow.mCaller, aFlow.mRoute, aFlow.mAcknowledged });
+    }
+    Release(aFlow);
+    return true;
   });
 }
 
+void
+CookieSteering::Forgive(TimePoint aNow)
+{
+  for (auto& load : mLoads) {
+    load.mWatch.Forgive(aNow);
+  }
+}
+
+void
+CookieSteering::Note(SteeringCause aCause,
+                     FlowPacket const& aPacket,
+                     UpstreamPick const& aPick,
+                     UpstreamHealth aHealth)
+{
+  if (mNotes.size() >= kMostNotes) {
+    return;
+  }
+  mNotes.push_back({ aCause,
+                     aPacket.mSource,
+                     aPacket.mDestination,
+                     aPick.mSlot,
+                     aPick.mCost,
+                     aPick.mCandidates,
+                     aHealth });
+}
+
 } // namespace tarragonsill
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -1,14 +1,13 @@
 #ifndef TARRAGONSILL_COOKIE_STEERING_HPP_INCLUDED
 #define TARRAGONSILL_COOKIE_STEERING_HPP_INCLUDED
 
+#include "tarragonsill/coordination/tarragonsill_upstream_choice.hpp"
 #include "tarragonsill/protocol/tarragonsill_flow_packet.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
 #include "tarragonsill/state/tarragonsill_flow_table.hpp"
-#include "tarragonsill/state/tarragonsill_routing_view.hpp"
 
 #include <cstdint>
 #include <optional>
-#include <random>
 #include <string_view>
 #include <vector>
 
@@ -29,13 +28,14 @@
   NewFlow,
   OpenFlow,
   OpeningCopy,
+  SecondChoice, ///< A copy of an opening packet, sent to another upstream.
   NoConfiguration,
   UnknownRoute,
   RemovedRoute,
   NoUpstream,
   UnknownCookie,
   NotFromCaller,
-  Count,
+  SilentUpstream,
 };
 
 std::string_view ToText(SteeringCause aCause);
@@ -50,15 +50,45 @@
   std::uint32_t mCookie = 0; ///< To write before forwarding.
 };
 
+/// A reset that is sent without a packet that asks for it.
+struct UnaskedReset
+{
+  Endpoint mCaller;
+  Endpoint mRoute;
+  std::uint32_t mSequence = 0;
+};
+
+/// A decision worth a line in the log.
+struct SteeringNote
+{
+  SteeringCause mCause = SteeringCause::NewFlow;
+  Endpoint mCaller;
+  Endpoint mRoute;
+  std::uint32_t mSlot = 0;
+  double mCost = 0.0;
+  std::uint32_t mCandidates = 0;
+  UpstreamHealth mHealth = UpstreamHealth::Answering;
+};
+
 namespace Detail {
 
 /// A flow that passes this VM.
 struct TrackedFlow
 {
   std::uint64_t mKey = 0;
+  Endpoint mCaller;
+  Endpoint mRoute;
   std::uint32_t mSlot = 0;
-  std::uint32_t mFirstSequence = 0;
+  std::uint32_t mFirstSequence = 0; ///< Of the opening packet.
+  std::uint32_t mDataEnd = 0;       ///< After the last byte seen.
+  std::uint32_t mAcknowledged = 0;
   TimePoint mSeen{};
+  TimePoint mDataSent{}; ///< When the newest data was forwarded first.
+  std::uint8_t mCopies = 0;
+  bool mIsOpening = false;   ///< No packet after the opening one yet.
+  bool mInProgress = false;  ///< Data was sent and nothing came back.
+  bool mWasOfferedTwice = false;
+  bool mIsClosed = false; ///< The caller is done; it weighs nothing.
 };
 
 } // namespace Detail
@@ -69,40 +99,56 @@
   explicit CookieSteering(std::uint64_t aSeed);
 
   /// Uses another view from now on.
-  void Use(TimePoint aNow, RoutingViewPointer aView);
+  void Use(RoutingViewPointer aView);
   /// Decides about a packet that a caller sent.
   SteeringVerdict Steer(TimePoint aNow, FlowPacket const& aPacket);
-  /// Forgets flows that must have ended; to be called several times a second.
+  /// Forgets flows that must have ended and gives up those of upstreams that
+  /// fell silent; to be called several times a second.
   void Sweep(TimePoint aNow);
+  /// This VM stood still until now.
+  void Forgive(TimePoint aNow);
+
+  std::vector<UnaskedReset> TakeResets();
+  std::vector<SteeringNote> TakeNotes();
 
   RoutingView const& View() const { return *mView; }
   std::size_t TrackedFlows() const { return mFlows.Size(); }
-  /// Flows of an upstream that pass this VM.
-  std::uint32_t FlowsAt(std::uint32_t aSlot) const;
+  std::vector<UpstreamLoad> const& Loads() const { return mLoads; }
 
 private:
-  struct UpstreamLoad
-  {
-    std::uint32_t mFlows = 0;
-  };
-
   SteeringVerdict Open(TimePoint aNow,
                        FlowPacket const& aPacket,
                        RouteEntry const& aRoute);
   SteeringVerdict Continue(TimePoint aNow, FlowPacket const& aPacket);
-  std::uint32_t PickService(RouteEntry const& aRoute);
-  bool MayTake(UpstreamEntry const& aUpstream) const;
-  /// The best upstream for a new flow; `kNoSlot` if there is none.
-  std::uint32_t PickUpstream(TimePoint aNow, ServiceEntry const& aService);
-  double Cost(TimePoint aNow, std::uint32_t aSlot) const;
+  /// Learns from a packet of an open flow what the upstream did.
+  void Learn(TimePoint aNow,
+             FlowPacket const& aPacket,
+             Detail::TrackedFlow& aFlow);
+  void LearnData(TimePoint aNow,
+                 FlowPacket const& aPacket,
+                 Detail::TrackedFlow& aFlow);
+  /// Whether the flows of an upstream may be given up: it is silent while
+  /// others answer.
+  bool IsLost(TimePoint aNow, std::uint32_t aSlot) const;
   SteeringVerdict ForwardTo(std::uint32_t aSlot, SteeringCause aCause) const;
-  void Track(TimePoint aNow, FlowPacket const& aPacket, std::uint32_t aSlot);
+  Detail::TrackedFlow& Track(TimePoint aNow,
+                             FlowPacket const& aPacket,
+                             std::uint32_t aSlot);
+  /// Takes a flow off its upstream's load.
+  void Release(Detail::TrackedFlow& aFlow);
   void Forget(std::uint64_t aKey);
+  void Note(SteeringCause aCause,
+            FlowPacket const& aPacket,
+            UpstreamPick const& aPick,
+            UpstreamHealth aHealth);
 
   RoutingViewPointer mView;
   std::vector<UpstreamLoad> mLoads; ///< By slot.
   FlowTable<Detail::TrackedFlow> mFlows;
-  std::mt19937_64 mRandom;
+  UpstreamChoice mChoice;
+  TimePoint mLastAnswer{}; ///< Of any upstream.
+  std::vector<UnaskedReset> mResets;
+  std::vector<SteeringNote> mNotes;
 };
 
 } // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
@@ -0,0 +1,153 @@
+#include "tarragonsill/coordination/tarragonsill_upstream_choice.hpp"
+
+#include "tarragonsill/state/tarragonsill_placement.hpp"
+
+#include <algorithm>
+
+namespace tarragonsill {
+
+namespace {
+
+/// A request in progress weighs as much as this many open flows, as most flows
+/// rest most of the time.
+constexpr double kInProgressWeight = 2.0;
+/// Added for an upstream of another zone: a cut between zones harms no flow
+/// that stays inside one.
+constexpr double kOtherZoneCost = 1e3;
+/// Added for an upstream whose queue is as long as its slots.
+constexpr double kSaturatedCost = 2e3;
+constexpr double kSaturation = 2.0; ///< Requests in progress per slot.
+/// Added for an upstream whose registration is missing.
+constexpr double kMissingCost = 1e5;
+/// Added for an upstream that owes answers; those that go silent come last.
+constexpr double kDoubtfulCost = 1e6;
+constexpr double kSilentCost = 1e7;
+/// Views may differ for a while, so that two VMs take themselves for the one
+/// that gives work to a cold upstream; each uses this part of its limit.
+constexpr double kColdShare = 0.5;
+
+} // namespace
+
+std::uint32_t
+UpstreamChoice::PickService(RouteEntry const& aRoute)
+{
+  std::uint32_t total = 0;
+  for (auto const& share : aRoute.mShares) {
+    total += share.mWeight;
+  }
+  if (total == 0) {
+    return aRoute.mShares.front().mService;
+  }
+  std::uniform_int_distribution<std::uint32_t> draw(0, total - 1);
+  auto point = draw(mRandom);
+  for (auto const& share : aRoute.mShares) {
+    if (point < share.mWeight) {
+      return share.mService;
+    }
+    point -= share.mWeight;
+  }
+  return aRoute.mShares.back().mService;
+}
+
+bool
+UpstreamChoice::MayTake(UpstreamEntry const& aUpstream)
+{
+  bool const inUse = aUpstream.mUse == UpstreamUse::Serving ||
+                     aUpstream.mUse == UpstreamUse::Missing;
+  return inUse && !aUpstream.mEvacuated;
+}
+
+bool
+UpstreamChoice::MayTakeCold(TimePoint aNow,
+                            RoutingView const& aView,
+                            UpstreamEntry const& aUpstream,
+                            UpstreamLoad& aLoad)
+{
+  if (aView.mDeciders.empty()) {
+    return false;
+  }
+  auto const first = RankCandidates(aUpstream.mCookie, aView.mDeciders, 1);
+  if (aView.mDeciders[first.front()] != aView.mSelf) {
+    return false;
+  }
+  auto& starts = aLoad.mColdStarts;
+  while (!starts.empty() && aNow >= starts.front() + seconds{ 1 }) {
+    starts.pop_front();
+  }
+  return static_cast<double>(starts.size() + 1) <=
+         aUpstream.mColdLimit * kColdShare;
+}
+
+double
+UpstreamChoice::Cost(TimePoint aNow,
+                     RoutingView const& aView,
+                     UpstreamEntry const& aUpstream,
+                     UpstreamLoad const& aLoad)
+{
+  auto const slots = static_cast<double>(aUpstream.mRecord.mSlots);
+  double cost = (aLoad.mFlows + kInProgressWeight * aLoad.mInProgress) / slots;
+  if (aLoad.mInProgress >= kSaturation * slots) {
+    cost += kSaturatedCost;
+  }
+  if (aUpstream.mZone != aView.mOwnZone) {
+    cost += kOtherZoneCost;
+  }
+  if (aUpstream.mUse == UpstreamUse::Missing) {
+    cost += kMissingCost;
+  }
+  switch (aLoad.mWatch.Health(aNow)) {
+    case UpstreamHealth::Answering:
+      break;
+    case UpstreamHealth::Doubtful:
+      cost += kDoubtfulCost;
+      break;
+    case UpstreamHealth::Silent:
+      cost += kSilentCost;
+      break;
+  }
+  return cost;
+}
+
+std::optional<UpstreamPick>
+UpstreamChoice::Pick(TimePoint aNow,
+                     RoutingView const& aView,
+                     ServiceEntry const& aService,
+                     std::vector<UpstreamLoad>& aLoads,
+                     std::optional<std::uint32_t> aAvoid)
+{
+  std::optional<UpstreamPick> best;
+  std::uint32_t candidates = 0;
+  std::uint32_t ties = 0;
+  for (auto const slot : aService.mUpstreams) {
+    auto const& upstream = aView.mUpstreams[slot];
+    bool const isCold = aNow < upstream.mColdUntil;
+    if (!MayTake(upstream) ||
+        (isCold && !MayTakeCold(aNow, aView, upstream, aLoads[slot]))) {
+      continue;
+    }
+    ++candidates;
+    auto cost = Cost(aNow, aView, upstream, aLoads[slot]);
+    if (aAvoid == slot) {
+      cost += kSilentCost;
+    }
+    if (best && cost > best->mCost) {
+      continue;
+    }
+    ties = best && cost == best->mCost ? ties + 1 : 1;
+    // Equal candidates get equal chances.
+    std::uniform_int_distribution<std::uint32_t> draw(1, ties);
+    if (draw(mRandom) == 1) {
+      best = UpstreamPick{ slot, cost, 0 };
+    }
+  }
+  if (!best) {
+    return std::nullopt;
+  }
+  best->mCandidates = candidates;
+  if (aNow < aView.mUpstreams[best->mSlot].mColdUntil) {
+    aLoads[best->mSlot].mColdStarts.push_back(aNow);
+  }
+  return best;
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_choice.hpp
@@ -0,0 +1,72 @@
+#ifndef TARRAGONSILL_UPSTREAM_CHOICE_HPP_INCLUDED
+#define TARRAGONSILL_UPSTREAM_CHOICE_HPP_INCLUDED
+
+#include "tarragonsill/coordination/tarragonsill_upstream_watch.hpp"
+#include "tarragonsill/state/tarragonsill_routing_view.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <limits>
+#include <optional>
+#include <random>
+#include <vector>
+
+/// Chooses the upstream of a new flow: its own zone first, then the least
+/// loaded, with no work for the overdue and little for the cold.
+namespace tarragonsill {
+
+/// What this VM has seen of an upstream.
+struct UpstreamLoad
+{
+  std::uint32_t mFlows = 0;      ///< Flows that pass this VM.
+  std::uint32_t mInProgress = 0; ///< Requests without an answer yet.
+  UpstreamWatch mWatch;
+  /// When this VM gave it new flows while it was cold; the last second.
+  std::deque<TimePoint> mColdStarts;
+};
+
+/// A choice and what decided it.
+struct UpstreamPick
+{
+  std::uint32_t mSlot = 0;
+  double mCost = 0.0;
+  std::uint32_t mCandidates = 0;
+};
+
+class UpstreamChoice
+{
+public:
+  explicit UpstreamChoice(std::uint64_t aSeed)
+    : mRandom(aSeed)
+  {
+  }
+
+  /// Draws one of a route's services by weight; the route has at least one.
+  std::uint32_t PickService(RouteEntry const& aRoute);
+  /// Picks the upstream for a new flow, other than `aAvoid` if there is any.
+  std::optional<UpstreamPick> Pick(TimePoint aNow,
+                                   RoutingView const& aView,
+                                   ServiceEntry const& aService,
+                                   std::vector<UpstreamLoad>& aLoads,
+                                   std::optional<std::uint32_t> aAvoid);
+
+  /// Says whether an upstream may be given any new flow.
+  static bool MayTake(UpstreamEntry const& aUpstream);
+
+private:
+  /// Whether a cold upstream may be given one more flow by this VM.
+  static bool MayTakeCold(TimePoint aNow,
+                          RoutingView const& aView,
+                          UpstreamEntry const& aUpstream,
+                          UpstreamLoad& aLoad);
+  static double Cost(TimePoint aNow,
+                     RoutingView const& aView,
+                     UpstreamEntry const& aUpstream,
+                     UpstreamLoad const& aLoad);
+
+  std::mt19937_64 mRandom;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_UPSTREAM_CHOICE_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_watch.cpp
@@ -0,0 +1,90 @@
+#include "tarragonsill/coordination/tarragonsill_upstream_watch.hpp"
+
+#include <algorithm>
+
+namespace tarragonsill {
+
+std::string_view
+ToText(UpstreamHealth aHealth)
+{
+  switch (aHealth) {
+    case UpstreamHealth::Answering:
+      return "answering";
+    case UpstreamHealth::Doubtful:
+      return "doubtful";
+    case UpstreamHealth::Silent:
+      return "silent";
+  }
+  return "unknown";
+}
+
+void
+UpstreamWatch::OpeningSent(TimePoint aNow)
+{
+  if (mOpeningSince == TimePoint{}) {
+    mOpeningSince = aNow;
+  }
+}
+
+void
+UpstreamWatch::DataRepeated(TimePoint aFirstSent, bool aIsFirstCopyOfFlow)
+{
+  ++mCopies;
+  mRepeatingFlows += aIsFirstCopyOfFlow ? 1 : 0;
+  // Data that was sent before the last answer was overdue only from then on.
+  auto const since = std::max(aFirstSent, mLastAnswer);
+  mRepeatingSince = mRepeatingSince == TimePoint{}
+                      ? since
+                      : std::min(mRepeatingSince, since);
+}
+
+void
+UpstreamWatch::Answered(TimePoint aNow)
+{
+  mLastAnswer = aNow;
+  mOpeningSince = {};
+  mRepeatingSince = {};
+  mRepeatingFlows = 0;
+  mCopies = 0;
+}
+
+void
+UpstreamWatch::Forgive(TimePoint aNow)
+{
+  for (auto* since : { &mOpeningSince, &mRepeatingSince }) {
+    if (*since != TimePoint{}) {
+      *since = aNow;
+    }
+  }
+  mRepeatingFlows = 0;
+  mCopies = 0;
+}
+
+UpstreamHealth
+UpstreamWatch::Health(TimePoint aNow) const
+{
+  bool const repeating = mRepeatingSince != TimePoint{} && mCopies > 0;
+  if (repeating) {
+    auto const silence = aNow - mRepeatingSince;
+    bool const several =
+      mRepeatingFlows >= kSilentFlows && silence >= kSilentAfter;
+    bool const alone =
+      mCopies >= kSilentAloneCopies && silence >= kSilentAloneAfter;
+    return several || alone ? UpstreamHealth::Silent : UpstreamHealth::Doubtful;
+  }
+  bool const overdue =
+    mOpeningSince != TimePoint{} && aNow >= mOpeningSince + kHandshakeMost;
+  return overdue ? UpstreamHealth::Doubtful : UpstreamHealth::Answering;
+}
+
+bool
+UpstreamWatch::TakeProbe(TimePoint aNow)
+{
+  if (aNow < mLastProbe + kProbation) {
+    return false;
+  }
+  mLastProbe = aNow;
+  return true;
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_watch.hpp
@@ -0,0 +1,73 @@
+#ifndef TARRAGONSILL_UPSTREAM_WATCH_HPP_INCLUDED
+#define TARRAGONSILL_UPSTREAM_WATCH_HPP_INCLUDED
+
+#include "tarragonsill/state/tarragonsill_time.hpp"
+
+#include <cstdint>
+#include <string_view>
+
+/// Judges from the packets that callers send whether an upstream answers.
+///
+/// A VM sees only the way from callers to upstreams. What a caller sends still
+/// tells what it received: the end of a handshake, a higher acknowledgement, or
+/// the same bytes once more.
+namespace tarragonsill {
+
+enum class UpstreamHealth : std::uint8_t
+{
+  Answering,
+  /// Something it should have answered is overdue: no new flows while others
+  /// can take them.
+  Doubtful,
+  /// Several flows repeat themselves and nothing at all comes back: its flows
+  /// are lost to their callers.
+  Silent,
+};
+
+std::string_view ToText(UpstreamHealth aHealth);
+
+class UpstreamWatch
+{
+public:
+  /// A handshake is overdue after this time: several times the way to a caller
+  /// and back in the operators' deployments (7 ms).
+  static constexpr milliseconds kHandshakeMost{ 60 };
+  /// Bytes are repeated 200 ms after they were sent (platform). With fewer
+  /// repeated flows or less time than this, lost packets explain the silence.
+  static constexpr milliseconds kSilentAfter{ 350 };
+  static constexpr milliseconds kSilentAloneAfter{ 900 };
+  static constexpr std::uint32_t kSilentFlows = 2;
+  static constexpr std::uint32_t kSilentAloneCopies = 3;
+  /// A doubtful upstream gets one new flow in this time, to find out.
+  static constexpr milliseconds kProbation{ 1000 };
+
+  /// An opening packet was forwarded.
+  void OpeningSent(TimePoint aNow);
+  /// A caller repeated data that was forwarded first at `aFirstSent`.
+  void DataRepeated(TimePoint aFirstSent, bool aIsFirstCopyOfFlow);
+  /// A caller's packet shows that the upstream answered.
+  void Answered(TimePoint aNow);
+  /// This VM stood still: what seems overdue may be waiting in its own queue.
+  void Forgive(TimePoint aNow);
+
+  UpstreamHealth Health(TimePoint aNow) const;
+  /// Says whether a doubtful upstream may be tried once more, and notes it.
+  bool TakeProbe(TimePoint aNow);
+  TimePoint LastAnswer() const { return mLastAnswer; }
+  /// Flows that repeated data since the last answer.
+  std::uint32_t RepeatingFlows() const { return mRepeatingFlows; }
+
+private:
+  TimePoint mLastAnswer{};
+  TimePoint mLastProbe{};
+  /// The first opening packet since the last answer.
+  TimePoint mOpeningSince{};
+  /// When the oldest data that was repeated since then was sent first.
+  TimePoint mRepeatingSince{};
+  std::uint32_t mRepeatingFlows = 0;
+  std::uint32_t mCopies = 0;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_UPSTREAM_WATCH_HPP_INCLUDED
--- a/src/tarragonsill/state/tarragonsill_counters.cpp
+++ b/src/tarragonsill/state/tarragonsill_counters.cpp
@@ -66,6 +66,8 @@
   "tarragonsill_configurations_refused_total",
   "tarragonsill_opening_copies_total",
   "tarragonsill_resets_removed_route_total",
+  "tarragonsill_flows_second_choice_total",
+  "tarragonsill_resets_silent_upstream_total",
   "tarragonsill_store_calls_total",
   "tarragonsill_store_failures_total",
   "tarragonsill_store_events_total",
--- a/src/tarragonsill/state/tarragonsill_counters.hpp
+++ b/src/tarragonsill/state/tarragonsill_counters.hpp
@@ -72,6 +72,8 @@
   ConfigurationsRefused,
   OpeningCopies,
   ResetsRemovedRoute,
+  FlowsSecondChoice,
+  ResetsSilentUpstream,
   StoreCalls,
   StoreFailures,
   StoreEvents,
--- a/src/tarragonsill/state/tarragonsill_flow_table.hpp
+++ b/src/tarragonsill/state/tarragonsill_flow_table.hpp
@@ -73,7 +73,7 @@
   }
 
   /// Removes every entry for which the predicate holds.
-  template<std::predicate<T const&> Predicate>
+  template<std::predicate<T&> Predicate>
   std::size_t EraseIf(Predicate aPredicate)
   {
     std::size_t erased = 0;
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -4,6 +4,7 @@
 #include "tarragonsill/coordination/tarragonsill_cookie_steering.hpp"
 #include "tarragonsill/protocol/tarragonsill_byte_order.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
+#include "tarragonsill/transport/tarragonsill_node_log.hpp"
 #include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
 
 #include <array>
@@ -21,14 +22,16 @@
   /// Binds the socket and starts the thread; the reason is `SystemFailure`.
   static Result<std::unique_ptr<CookieWorker>> Start(Endpoint aPackets,
                                                      std::uint64_t aSeed,
-                                                     Counters& aCounters)
+                                                     Counters& aCounters,
+                                                     NodeLog& aLog)
   {
     auto socket = UdpSocket::Bind(aPackets);
     if (!socket) {
       return socket.LastReason();
     }
     auto worker = std::unique_ptr<CookieWorker>(
-      new CookieWorker(socket.Take(), aPackets.mPort, aSeed, aCounters));
+      new CookieWorker(
+        socket.Take(), aPackets.mPort, aSeed, aCounters, aLog));
     worker->mThread = std::thread([raw = worker.get()] { raw->Run(); });
     return worker;
   }
@@ -51,29 +54,36 @@
   /// The identity of the intended upstream goes before each packet.
   static constexpr std::size_t kIdentityBytes = 8;
   static constexpr milliseconds kReceiveTimeout{ 50 };
-  static constexpr milliseconds kSweepPeriod{ 250 };
+  static constexpr milliseconds kSweepPeriod{ 100 };
+  /// A loop that takes longer than this was suspended or starved.
+  static constexpr milliseconds kStandstill{ 150 };
+  /// Lines on ordinary choices in one sweep period.
+  static constexpr std::size_t kMostOrdinaryNotes = 2;
 
   CookieWorker(UdpSocket aSocket,
                std::uint16_t aCallerPort,
                std::uint64_t aSeed,
-               Counters& aCounters)
+               Counters& aCounters,
+               NodeLog& aLog)
     : mSocket(std::move(aSocket))
     , mCallerPort(aCallerPort)
     , mCounters(aCounters)
+    , mLog(aLog)
     , mSteering(aSeed)
   {
   }
 
   void Run()
   {
+    auto last = Clock::now();
     while (!mStop) {
       auto const batch = mSocket.Receive(kReceiveTimeout);
       auto const now = Clock::now();
-      if (auto const posted = std::atomic_load(&mPosted);
-          posted && posted != mUsed) {
-        mUsed = posted;
-        mSteering.Use(now, posted);
+      if (now > last + kStandstill) {
+        mSteering.Forgive(now);
       }
+      last = now;
+      TakeView();
       mHeads = 0;
       for (auto const& datagram : batch) {
         Handle(now, datagram);
@@ -82,10 +92,59 @@
       if (now >= mNextSweep) {
         mNextSweep = now + kSweepPeriod;
         mSteering.Sweep(now);
+        SendResets();
+        WriteNotes();
       }
     }
   }
 
+  void TakeView()
+  {
+    if (auto posted = std::atomic_load(&mPosted); posted && posted != mUsed) {
+      mUsed = posted;
+      mSteering.Use(std::move(posted));
+    }
+  }
+
+  void SendResets()
+  {
+    for (auto const& reset : mSteering.TakeResets()) {
+      Head head;
+      Format::WriteReset(head, reset.mRoute, reset.mCaller, reset.mSequence);
+      (void)mSocket.Send({ reset.mCaller.mAddress, mCallerPort }, head);
+      mCounters.Add(Counter::ResetsSilentUpstream);
+      mCounters.Add(Counter::PacketsToCaller);
+    }
+  }
+
+  /// Every decision that deviates gets a line, ordinary ones while there are
+  /// few of them.
+  void WriteNotes()
+  {
+    std::size_t ordinary = 0;
+    for (auto const& note : mSteering.TakeNotes()) {
+      bool const isOrdinary = note.mCause == SteeringCause::NewFlow &&
+                              note.mHealth == UpstreamHealth::Answering;
+      if (isOrdinary && ++ordinary > kMostOrdinaryNotes) {
+        mCounters.Add(Counter::LogLinesDropped);
+        continue;
+      }
+      auto const& upstream = mSteering.View().mUpstreams[note.mSlot];
+      mLog.Write(
+        "steer",
+        ToText(note.mCause).data(),
+        { { "flow", ToText(note.mCaller) },
+          { "route", ToText(note.mRoute) },
+          { "upstream", upstream.mRecord.mName },
+          { "zone", upstream.mRecord.mZone },
+          { "cost", note.mCost },
+          { "candidates", static_cast<std::int64_t>(note.mCandidates) },
+          { "health", std::string(ToText(note.mHealth)) },
+          { "version",
+            static_cast<std::int64_t>(mSteering.View().mVersion) } });
+    }
+  }
+
   void Handle(TimePoint aNow, Datagram const& aDatagram)
   {
     mCounters.Add(Counter::PacketsReceived);
@@ -136,6 +195,7 @@
   UdpSocket mSocket;
   std::uint16_t mCallerPort;
   Counters& mCounters;
+  NodeLog& mLog;
   CookieSteering mSteering;
   RoutingViewPointer mPosted;
   RoutingViewPointer mUsed;
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -191,8 +191,10 @@
                            { { "zone", settings.mZone },
                              { "packets", ToText(settings.mPackets) },
                              { "store", ToText(settings.mStore) } });
-  auto worker = Worker::Start(
-    settings.mPackets, HashText(settings.mName), impl->mState->mCounters);
+  auto worker = Worker::Start(settings.mPackets,
+                              HashText(settings.mName),
+                              impl->mState->mCounters,
+                              impl->mState->mLog);
   if (!worker) {
     return worker.LastReason();
   }
