Take overtaken data for what it is

Change: data counts as repeated only 150 ms after the newest data (callers repeat after 200 ms); each flow that is given up gets a line in the log.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -7,6 +7,9 @@
 /// Some upstream must have answered this recently before another one's silence
 /// is held against it.
 constexpr milliseconds kOthersAnswered{ 400 };
+/// Callers repeat data after 200 ms (platform); what comes again sooner was only
+/// overtaken by later packets.
+constexpr milliseconds kRepeatAfter{ 150 };
 /// The last packets of a closed flow come within this time.
 constexpr milliseconds kClosedTime{ 3000 };
 /// Notes that wait to be taken; more are dropped.
@@ -195,7 +198,11 @@
   auto& watch = mLoads[pick->mSlot].mWatch;
   auto const cause =
     flow.mWasOfferedTwice ? SteeringCause::SecondChoice : SteeringCause::NewFlow;
-  Note(cause, aPacket, *pick, watch.Health(aNow));
+  Note(cause,
+       aPacket.mSource,
+       aPacket.mDestination,
+       *pick,
+       watch.Health(aNow));
   watch.OpeningSent(aNow);
   return ForwardTo(pick->mSlot, cause);
 }
@@ -228,7 +235,8 @@
   Learn(aNow, aPacket, *known);
   if (IsLost(aNow, slot)) {
     Note(SteeringCause::SilentUpstream,
-         aPacket,
+         aPacket.mSource,
+         aPacket.mDestination,
          { slot, 0.0, 0 },
          UpstreamHealth::Silent);
     Forget(key);
@@ -272,6 +280,9 @@
   auto const end =
     aPacket.mSequence + aPacket.mDataBytes + (aPacket.mCloses ? 1 : 0);
   if (!IsAfter(end, aFlow.mDataEnd)) {
+    if (aNow < aFlow.mDataSent + kRepeatAfter) {
+      return; // Overtaken on the way, not sent again.
+    }
     load.mWatch.DataRepeated(aFlow.mDataSent, aFlow.mCopies == 0);
     ++aFlow.mCopies;
     return;
@@ -358,8 +369,12 @@
       return false;
     }
     if (isLost && !aFlow.mIsOpening && !aFlow.mIsClosed) {
-      mResets.push_back(
-        { aFlow.mCaller, aFlow.mRoute, aFlow.mAcknowledged });
+      mResets.push_back({ aFlow.mCaller, aFlow.mRoute, aFlow.mAcknowledged });
+      Note(SteeringCause::SilentUpstream,
+           aFlow.mCaller,
+           aFlow.mRoute,
+           { aFlow.mSlot, 0.0, 0 },
+           UpstreamHealth::Silent);
     }
     Release(aFlow);
     return true;
@@ -376,7 +391,8 @@
 
 void
 CookieSteering::Note(SteeringCause aCause,
-                     FlowPacket const& aPacket,
+                     Endpoint aCaller,
+                     Endpoint aRoute,
                      UpstreamPick const& aPick,
                      UpstreamHealth aHealth)
 {
@@ -384,8 +400,8 @@
     return;
   }
   mNotes.push_back({ aCause,
-                     aPacket.mSource,
-                     aPacket.mDestination,
+                     aCaller,
+                     aRoute,
                      aPick.mSlot,
                      aPick.mCost,
                      aPick.mCandidates,
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -138,7 +138,8 @@
   void Release(Detail::TrackedFlow& aFlow);
   void Forget(std::uint64_t aKey);
   void Note(SteeringCause aCause,
-            FlowPacket const& aPacket,
+            Endpoint aCaller,
+            Endpoint aRoute,
             UpstreamPick const& aPick,
             UpstreamHealth aHealth);
 
