Let entry VMs hand what they know of the store to each other

Change: membership by gossip through the seeds, digests of what each VM knows in its messages, and a gRPC call that fetches a peer's knowledge when a VM knows too little to serve or lags behind.

--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -46,6 +46,76 @@
   return mConfiguration && mListed.size() == kKinds;
 }
 
+std::uint64_t
+Directory::LastUpstreamChange() const
+{
+  std::uint64_t last = 0;
+  for (auto const& upstream : mUpstreams) {
+    last = std::max(last, upstream.mRevision);
+  }
+  return last;
+}
+
+std::uint64_t
+Directory::LastEvacuationChange() const
+{
+  std::uint64_t last = 0;
+  for (auto const& [name, zone] : mZones) {
+    last = std::max(last, zone.mRevision);
+  }
+  return last;
+}
+
+KnowledgeDigest
+Directory::Digest() const
+{
+  bool const upstreams = mListed.count(ObjectKind::Upstreams) > 0;
+  bool const evacuations = mListed.count(ObjectKind::Evacuations) > 0;
+  // A list without any object is knowledge, too, hence the 1.
+  return { ConfigurationVersion(),
+           upstreams ? std::max<std::uint64_t>(1, LastUpstreamChange()) : 0,
+           evacuations ? std::max<std::uint64_t>(1, LastEvacuationChange())
+                       : 0 };
+}
+
+StoreLists
+Directory::Lists(TimePoint aNow) const
+{
+  StoreLists lists;
+  if (mConfiguration) {
+    lists.mConfiguration.mRevision = mConfigurationRevision;
+    lists.mConfiguration.mChanges.push_back(
+      { "configuration", mConfigurationRevision, false, *mConfiguration });
+  }
+  if (auto const listed = mListed.find(ObjectKind::Upstreams);
+      listed != mListed.end()) {
+    lists.mUpstreams.mRevision = listed->second;
+    for (auto const& upstream : mUpstreams) {
+      if (!upstream.mIsRegistered) {
+        continue;
+      }
+      auto record = upstream.mRecord;
+      record.mColdLeft = std::max(
+        milliseconds{ 0 },
+        std::chrono::duration_cast<milliseconds>(upstream.mColdUntil - aNow));
+      lists.mUpstreams.mChanges.push_back(
+        { record.mName, upstream.mRevision, false, record });
+    }
+  }
+  if (auto const listed = mListed.find(ObjectKind::Evacuations);
+      listed != mListed.end()) {
+    lists.mEvacuations.mRevision = listed->second;
+    for (auto const& [name, zone] : mZones) {
+      if (!zone.mIsEvacuated) {
+        continue;
+      }
+      lists.mEvacuations.mChanges.push_back(
+        { name, zone.mRevision, false, EvacuationRecord{} });
+    }
+  }
+  return lists;
+}
+
 bool
 Directory::HasChanged(TimePoint aNow) const
 {
@@ -88,9 +158,14 @@
         break;
     }
   }
+  auto const listed = mListed.find(aNews.mKind);
   if (aNews.mIsWholeList) {
     RemoveUnlisted(aNow, aNews, changes);
-    mIsDirty = mListed.insert(aNews.mKind).second || mIsDirty;
+    mIsDirty = mIsDirty || listed == mListed.end();
+  }
+  if (aNews.mIsWholeList || listed != mListed.end()) {
+    auto& reached = mListed[aNews.mKind];
+    reached = std::max(reached, aNews.mRevision);
   }
   mIsDirty = mIsDirty || !changes.empty();
   return changes;
@@ -123,6 +198,7 @@
     mRemovedRoutes.erase(route.mAddress);
   }
   mConfiguration = *next;
+  mConfigurationRevision = aChange.mRevision;
   aChanges.push_back({ "configuration",
                        "version " + std::to_string(next->mVersion),
                        "in force",
--- a/src/tarragonsill/coordination/tarragonsill_directory.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.hpp
@@ -1,13 +1,13 @@
 #ifndef TARRAGONSILL_DIRECTORY_HPP_INCLUDED
 #define TARRAGONSILL_DIRECTORY_HPP_INCLUDED
 
-#include "tarragonsill/protocol/tarragonsill_stored_object.hpp"
+#include "tarragonsill/coordination/tarragonsill_knowledge_sync.hpp"
+#include "tarragonsill/protocol/tarragonsill_knowledge_message.hpp"
 #include "tarragonsill/state/tarragonsill_node_settings.hpp"
 #include "tarragonsill/state/tarragonsill_routing_view.hpp"
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +54,10 @@
   RoutingViewPointer BuildView(TimePoint aNow);
 
   std::uint64_t ConfigurationVersion() const;
+  KnowledgeDigest Digest() const;
+  /// Everything that is known, for a peer; kinds that were never listed whole
+  /// are left out.
+  StoreLists Lists(TimePoint aNow) const;
 
 private:
   struct KnownUpstream
@@ -83,6 +87,8 @@
   void ApplyEvacuation(TimePoint aNow,
                        ObjectChange const& aChange,
                        Changes& aChanges);
+  std::uint64_t LastUpstreamChange() const;
+  std::uint64_t LastEvacuationChange() const;
   void RemoveUnlisted(TimePoint aNow,
                       StoreNews const& aNews,
                       Changes& aChanges);
@@ -100,7 +106,9 @@
   std::vector<KnownUpstream> mUpstreams; ///< By slot.
   std::map<std::string, std::uint32_t> mSlots;
   std::map<std::string, KnownZone> mZones;
-  std::set<ObjectKind> mListed;
+  std::uint64_t mConfigurationRevision = 0;
+  /// Kinds of which a whole list was taken, and the revision they reach.
+  std::map<ObjectKind, std::uint64_t> mListed;
   std::vector<std::uint64_t> mDeciders;
   std::uint64_t mSelf = 0;
   bool mStoreAnswers = true;
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_knowledge_sync.cpp
@@ -0,0 +1,50 @@
+#include "tarragonsill/coordination/tarragonsill_knowledge_sync.hpp"
+
+namespace tarragonsill {
+
+void
+KnowledgeSync::Hear(TimePoint,
+                    std::string const& aPeer,
+                    KnowledgeDigest const& aDigest)
+{
+  mPeers[aPeer] = aDigest;
+}
+
+void
+KnowledgeSync::Forget(std::string const& aPeer)
+{
+  mPeers.erase(aPeer);
+}
+
+std::optional<std::string>
+KnowledgeSync::NextQuestion(TimePoint aNow,
+                            KnowledgeDigest const& aOwn,
+                            bool aIsComplete)
+{
+  std::optional<std::string> first;
+  std::optional<std::string> next;
+  for (auto const& [name, digest] : mPeers) {
+    if (!aOwn.IsBehind(digest)) {
+      continue;
+    }
+    first = first ? first : name;
+    // Peers are asked in turn, in case one of them does not answer.
+    next = !next && name > mLastAsked ? std::optional(name) : next;
+  }
+  if (!first) {
+    mBehindSince = {};
+    return std::nullopt;
+  }
+  if (mBehindSince == TimePoint{}) {
+    mBehindSince = aNow;
+  }
+  bool const isPatient = aIsComplete && aNow < mBehindSince + kPatience;
+  if (isPatient || aNow < mNextQuestion) {
+    return std::nullopt;
+  }
+  mNextQuestion = aNow + kRetry;
+  mLastAsked = next ? *next : *first;
+  return mLastAsked;
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_knowledge_sync.hpp
@@ -0,0 +1,59 @@
+#ifndef TARRAGONSILL_KNOWLEDGE_SYNC_HPP_INCLUDED
+#define TARRAGONSILL_KNOWLEDGE_SYNC_HPP_INCLUDED
+
+#include "tarragonsill/state/tarragonsill_time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+/// Decides when a VM asks a peer for what the store would tell it.
+namespace tarragonsill {
+
+/// How far a VM's knowledge goes; each number only rises.
+struct KnowledgeDigest
+{
+  std::uint64_t mConfiguration = 0; ///< Version.
+  std::uint64_t mUpstreams = 0;     ///< Revision of the last change.
+  std::uint64_t mEvacuations = 0;   ///< Revision of the last change.
+
+  bool IsBehind(KnowledgeDigest const& aOther) const
+  {
+    return mConfiguration < aOther.mConfiguration ||
+           mUpstreams < aOther.mUpstreams ||
+           mEvacuations < aOther.mEvacuations;
+  }
+};
+
+class KnowledgeSync
+{
+public:
+  /// A change reaches a watch within some milliseconds; a VM that is behind a
+  /// peer for longer asks it.
+  static constexpr milliseconds kPatience{ 250 };
+  /// The pause after a question, answered or not.
+  static constexpr milliseconds kRetry{ 200 };
+
+  /// A peer said how far its knowledge goes.
+  void Hear(TimePoint aNow,
+            std::string const& aPeer,
+            KnowledgeDigest const& aDigest);
+  /// A peer is gone or fell silent.
+  void Forget(std::string const& aPeer);
+  /// The peer to ask now, if any. A VM that knows too little to serve asks at
+  /// once, one that is behind asks after some patience.
+  std::optional<std::string> NextQuestion(TimePoint aNow,
+                                          KnowledgeDigest const& aOwn,
+                                          bool aIsComplete);
+
+private:
+  std::map<std::string, KnowledgeDigest> mPeers;
+  TimePoint mBehindSince{};
+  TimePoint mNextQuestion{};
+  std::string mLastAsked;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_KNOWLEDGE_SYNC_HPP_INCLUDED
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -0,0 +1,171 @@
+#include "tarragonsill/coordination/tarragonsill_node_peers.hpp"
+
+#include <algorithm>
+
+namespace tarragonsill {
+
+namespace {
+
+/// A VM that knows no peer asks its seeds this often, one that does asks a
+/// peer now and then for members that it never heard of.
+constexpr milliseconds kLonelyPeriod{ 400 };
+constexpr milliseconds kRefreshPeriod{ 10000 };
+/// Peers are found within this time of the start, or are not there.
+constexpr milliseconds kJoinTime{ 2000 };
+/// Keeps an answer below the usual MTU.
+constexpr std::size_t kMembersPerAnswer = 16;
+/// Added to a start mark that others take for outdated, as the time of day had
+/// jumped back when it was read.
+constexpr std::uint64_t kIncarnationStep = 60'000;
+
+Membership::Options
+OptionsFor(std::uint64_t aSeed)
+{
+  Membership::Options options;
+  options.mSeed = aSeed;
+  return options;
+}
+
+} // namespace
+
+NodePeers::NodePeers(Member aSelf,
+                     std::vector<Endpoint> aSeeds,
+                     std::uint64_t aSeed,
+                     Counters& aCounters)
+  : mMembership(OptionsFor(aSeed), std::move(aSelf), aCounters)
+  , mSeeds(std::move(aSeeds))
+{
+}
+
+void
+NodePeers::Tick(TimePoint aNow, Outbox& aOutbox)
+{
+  if (mStarted == TimePoint{}) {
+    mStarted = aNow;
+  }
+  if (mMembership.DeclaredGone()) {
+    auto const stage = mMembership.Self().mStage;
+    mMembership.Rejoin(mMembership.Self().mIncarnation + kIncarnationStep);
+    mMembership.SetSelfStage(stage);
+  }
+  mMembership.SetConfigurationVersion(mDigest.mConfiguration);
+  mMembership.Tick(aNow, aOutbox);
+  if (aNow >= mNextAsk) {
+    AskForMembers(aNow, aOutbox);
+  }
+}
+
+bool
+NodePeers::KnowsServingPeer() const
+{
+  auto const members = mMembership.Members();
+  return std::any_of(
+    members.begin(), members.end(), [&](Member const& aMember) {
+      return aMember.IsServing() &&
+             aMember.mName != mMembership.Self().mName;
+    });
+}
+
+void
+NodePeers::AskForMembers(TimePoint aNow, Outbox& aOutbox)
+{
+  bool const isLonely = !KnowsServingPeer();
+  mNextAsk = aNow + (isLonely ? kLonelyPeriod : kRefreshPeriod);
+  for (auto const& seed : mSeeds) {
+    if (seed == mMembership.Self().mControl) {
+      continue;
+    }
+    AddMessage(aOutbox, seed).mutable_join_request()->set_offset(0);
+  }
+}
+
+void
+NodePeers::Handle(TimePoint aNow,
+                  wire::PeerMessage const& aMessage,
+                  Outbox& aOutbox)
+{
+  if (!mMembership.Handle(aNow, aMessage, aOutbox)) {
+    return;
+  }
+  auto const& sender = aMessage.sender().name();
+  auto const* from = mMembership.Find(sender);
+  if (from == nullptr) {
+    return;
+  }
+  mSync.Hear(aNow,
+             sender,
+             { aMessage.configuration_version(),
+               aMessage.upstreams_revision(),
+               aMessage.evacuations_revision() });
+  if (aMessage.has_join_request()) {
+    AnswerJoinRequest(*from, aMessage.join_request().offset(), aOutbox);
+  }
+  if (aMessage.has_join_ack() && aMessage.join_ack().next_offset() > 0) {
+    AddMessage(aOutbox, from->mControl)
+      .mutable_join_request()
+      ->set_offset(aMessage.join_ack().next_offset());
+  }
+}
+
+void
+NodePeers::AnswerJoinRequest(Member const& aFrom,
+                             std::uint32_t aOffset,
+                             Outbox& aOutbox) const
+{
+  auto* answer = AddMessage(aOutbox, aFrom.mControl).mutable_join_ack();
+  auto const members = mMembership.Members();
+  auto index = std::size_t{ aOffset };
+  auto const end = std::min(members.size(), index + kMembersPerAnswer);
+  for (; index < end; ++index) {
+    auto const& name = members[index].mName;
+    if (name == aFrom.mName || name == mMembership.Self().mName) {
+      continue;
+    }
+    *answer->add_members() = mMembership.UpdateOf(name);
+  }
+  if (index < members.size()) {
+    answer->set_next_offset(static_cast<std::uint32_t>(index));
+  }
+}
+
+void
+NodePeers::Decorate(Outbox& aOutbox)
+{
+  for (auto& outgoing : aOutbox) {
+    mMembership.Decorate(outgoing.mMessage);
+    outgoing.mMessage.set_upstreams_revision(mDigest.mUpstreams);
+    outgoing.mMessage.set_evacuations_revision(mDigest.mEvacuations);
+  }
+}
+
+std::optional<Member>
+NodePeers::NextQuestion(TimePoint aNow, bool aIsComplete)
+{
+  for (auto const& member : mMembership.Members()) {
+    if (member.mHealth == MemberHealth::Failed ||
+        member.mHealth == MemberHealth::Gone) {
+      mSync.Forget(member.mName);
+    }
+  }
+  auto const name = mSync.NextQuestion(aNow, mDigest, aIsComplete);
+  auto const* member = name ? mMembership.Find(*name) : nullptr;
+  return member != nullptr ? std::optional(*member) : std::nullopt;
+}
+
+std::vector<std::uint64_t>
+NodePeers::Deciders(TimePoint aNow) const
+{
+  std::vector<std::uint64_t> deciders;
+  if (mStarted == TimePoint{} || aNow < mStarted + kJoinTime) {
+    return deciders;
+  }
+  auto const& self = mMembership.Self();
+  for (auto const& member : mMembership.Members()) {
+    if (member.mZone == self.mZone && member.IsServing()) {
+      deciders.push_back(member.NameHash());
+    }
+  }
+  return deciders;
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -0,0 +1,58 @@
+#ifndef TARRAGONSILL_NODE_PEERS_HPP_INCLUDED
+#define TARRAGONSILL_NODE_PEERS_HPP_INCLUDED
+
+#include "tarragonsill/coordination/tarragonsill_knowledge_sync.hpp"
+#include "tarragonsill/coordination/tarragonsill_membership.hpp"
+
+#include <optional>
+#include <vector>
+
+/// The other entry VMs of a deployment without a list of them: found through
+/// seeds, followed by gossip, asked for what the store would tell.
+namespace tarragonsill {
+
+class NodePeers
+{
+public:
+  NodePeers(Member aSelf,
+            std::vector<Endpoint> aSeeds,
+            std::uint64_t aSeed,
+            Counters& aCounters);
+
+  /// Advances timers; to be called at least every 50 ms.
+  void Tick(TimePoint aNow, Outbox& aOutbox);
+  void Handle(TimePoint aNow,
+              wire::PeerMessage const& aMessage,
+              Outbox& aOutbox);
+  /// Fills in what every message carries; to be called before sending.
+  void Decorate(Outbox& aOutbox);
+
+  void SetDigest(KnowledgeDigest const& aDigest) { mDigest = aDigest; }
+  void SetStage(MemberStage aStage) { mMembership.SetSelfStage(aStage); }
+  /// The peer to ask for its knowledge now, if any.
+  std::optional<Member> NextQuestion(TimePoint aNow, bool aIsComplete);
+  /// The VMs that decide about the zone's upstreams, this one included; empty
+  /// until this VM has had time to find them.
+  std::vector<std::uint64_t> Deciders(TimePoint aNow) const;
+  std::uint64_t SelfHash() const { return mMembership.Self().NameHash(); }
+  Membership const& Members() const { return mMembership; }
+
+private:
+  void AskForMembers(TimePoint aNow, Outbox& aOutbox);
+  void AnswerJoinRequest(Member const& aFrom,
+                         std::uint32_t aOffset,
+                         Outbox& aOutbox) const;
+  bool KnowsServingPeer() const;
+
+  Membership mMembership;
+  std::vector<Endpoint> mSeeds;
+  KnowledgeSync mSync;
+  KnowledgeDigest mDigest;
+  TimePoint mStarted{};
+  TimePoint mNextAsk{};
+  std::size_t mAskCount = 0;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_NODE_PEERS_HPP_INCLUDED
--- a/src/tarragonsill/platform/tarragonsill_platform_settings.cpp
+++ b/src/tarragonsill/platform/tarragonsill_platform_settings.cpp
@@ -182,6 +182,7 @@
   auto const address = settings.mPackets.mAddress;
   settings.mPeers = { address, reader.InternalPort(0) };
   settings.mMetrics = { address, reader.InternalPort(1) };
+  settings.mKnowledge = { address, reader.InternalPort(2) };
   // Seeds are named by another port of theirs; peers listen on the same one
   // everywhere.
   for (auto const& seed : reader.Addresses("seeds")) {
--- /dev/null
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
@@ -0,0 +1,150 @@
+#include "tarragonsill/protocol/tarragonsill_knowledge_message.hpp"
+
+#include <algorithm>
+
+namespace tarragonsill {
+
+namespace {
+
+void
+Write(RoutingConfiguration const& aConfiguration,
+      wire::KnownConfiguration& aMessage)
+{
+  aMessage.set_version(aConfiguration.mVersion);
+  aMessage.set_idle_timeout_ms(
+    static_cast<std::uint32_t>(aConfiguration.mIdleTimeout.count()));
+  for (auto const& route : aConfiguration.mRoutes) {
+    auto& known = *aMessage.add_routes();
+    known.set_name(route.mName);
+    known.set_address(route.mAddress.mAddress.mValue);
+    known.set_port(route.mAddress.mPort);
+    known.set_idempotent(route.mKind == RequestKind::Idempotent);
+    for (auto const& share : route.mShares) {
+      auto& part = *known.add_shares();
+      part.set_service(share.mService);
+      part.set_weight(share.mWeight);
+    }
+  }
+  for (auto const& rule : aConfiguration.mServices) {
+    auto& known = *aMessage.add_services();
+    known.set_name(rule.mName);
+    known.set_cold_time_ms(static_cast<std::uint32_t>(rule.mColdTime.count()));
+    known.set_cold_flows_per_second(rule.mColdFlowsPerSecond);
+  }
+}
+
+RoutingConfiguration
+Read(wire::KnownConfiguration const& aMessage)
+{
+  RoutingConfiguration configuration;
+  configuration.mVersion = aMessage.version();
+  configuration.mIdleTimeout = milliseconds{ aMessage.idle_timeout_ms() };
+  for (auto const& known : aMessage.routes()) {
+    ServiceRoute route;
+    route.mName = known.name();
+    route.mAddress = { { known.address() },
+                       static_cast<std::uint16_t>(known.port()) };
+    route.mKind = known.idempotent() ? RequestKind::Idempotent
+                                     : RequestKind::NotIdempotent;
+    for (auto const& part : known.shares()) {
+      route.mShares.push_back({ part.service(), part.weight() });
+    }
+    configuration.mRoutes.push_back(std::move(route));
+  }
+  for (auto const& known : aMessage.services()) {
+    configuration.mServices.push_back({ known.name(),
+                                        milliseconds{ known.cold_time_ms() },
+                                        known.cold_flows_per_second() });
+  }
+  return configuration;
+}
+
+void
+Write(UpstreamRecord const& aRecord, wire::KnownUpstream& aMessage)
+{
+  aMessage.set_identity(aRecord.mIdentity);
+  aMessage.set_address(aRecord.mAddress.mAddress.mValue);
+  aMessage.set_port(aRecord.mAddress.mPort);
+  aMessage.set_service(aRecord.mService);
+  aMessage.set_zone(aRecord.mZone);
+  aMessage.set_slots(aRecord.mSlots);
+  aMessage.set_draining(aRecord.mDraining);
+  aMessage.set_cold_left_ms(
+    static_cast<std::uint32_t>(aRecord.mColdLeft.count()));
+  aMessage.set_start_mark(aRecord.mStartMark);
+}
+
+UpstreamRecord
+Read(wire::KnownUpstream const& aMessage)
+{
+  UpstreamRecord record;
+  record.mName = aMessage.name();
+  record.mIdentity = aMessage.identity();
+  record.mAddress = { { aMessage.address() },
+                      static_cast<std::uint16_t>(aMessage.port()) };
+  record.mService = aMessage.service();
+  record.mZone = aMessage.zone();
+  record.mSlots = std::max(1U, aMessage.slots());
+  record.mDraining = aMessage.draining();
+  record.mColdLeft = milliseconds{ aMessage.cold_left_ms() };
+  record.mStartMark = aMessage.start_mark();
+  return record;
+}
+
+} // namespace
+
+wire::KnowledgeReply
+ToMessage(StoreLists const& aLists)
+{
+  wire::KnowledgeReply reply;
+  for (auto const& change : aLists.mConfiguration.mChanges) {
+    if (auto const* known =
+          std::get_if<RoutingConfiguration>(&change.mContent)) {
+      Write(*known, *reply.mutable_configuration());
+      reply.mutable_configuration()->set_revision(change.mRevision);
+    }
+  }
+  reply.set_upstreams_revision(aLists.mUpstreams.mRevision);
+  for (auto const& change : aLists.mUpstreams.mChanges) {
+    auto const* record = std::get_if<UpstreamRecord>(&change.mContent);
+    if (record == nullptr) {
+      continue;
+    }
+    auto& known = *reply.add_upstreams();
+    known.set_name(change.mName);
+    known.set_revision(change.mRevision);
+    Write(*record, known);
+  }
+  reply.set_evacuations_revision(aLists.mEvacuations.mRevision);
+  for (auto const& change : aLists.mEvacuations.mChanges) {
+    auto& known = *reply.add_evacuations();
+    known.set_zone(change.mName);
+    known.set_revision(change.mRevision);
+  }
+  return reply;
+}
+
+StoreLists
+FromMessage(wire::KnowledgeReply const& aReply)
+{
+  StoreLists lists;
+  if (aReply.has_configuration()) {
+    auto const& known = aReply.configuration();
+    lists.mConfiguration.mRevision = known.revision();
+    lists.mConfiguration.mChanges.push_back(
+      { "configuration", known.revision(), false, Read(known) });
+  }
+  lists.mUpstreams.mRevision = aReply.upstreams_revision();
+  for (auto const& known : aReply.upstreams()) {
+    lists.mUpstreams.mChanges.push_back(
+      { known.name(), known.revision(), false, Read(known) });
+  }
+  lists.mEvacuations.mRevision = aReply.evacuations_revision();
+  for (auto const& known : aReply.evacuations()) {
+    lists.mEvacuations.mChanges.push_back(
+      { known.zone(), known.revision(), false, EvacuationRecord{} });
+  }
+  return lists;
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.hpp
@@ -0,0 +1,26 @@
+#ifndef TARRAGONSILL_KNOWLEDGE_MESSAGE_HPP_INCLUDED
+#define TARRAGONSILL_KNOWLEDGE_MESSAGE_HPP_INCLUDED
+
+#include "tarragonsill/protocol/tarragonsill_stored_object.hpp"
+
+#include <tarragonsill_knowledge.pb.h>
+
+/// Converts what a VM knows of the store to messages between VMs and back.
+namespace tarragonsill {
+
+/// Whole lists of each kind, as one VM hands them to another.
+struct StoreLists
+{
+  /// A configuration, if one is known, in a list of one.
+  ObjectPage mConfiguration;
+  ObjectPage mUpstreams;
+  ObjectPage mEvacuations;
+};
+
+wire::KnowledgeReply ToMessage(StoreLists const& aLists);
+/// Reads lists; a reply that names no revision gives an empty list for it.
+StoreLists FromMessage(wire::KnowledgeReply const& aReply);
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_KNOWLEDGE_MESSAGE_HPP_INCLUDED
--- a/src/tarragonsill/state/tarragonsill_node_settings.hpp
+++ b/src/tarragonsill/state/tarragonsill_node_settings.hpp
@@ -35,6 +35,7 @@
   Endpoint mReadiness;             ///< TCP, HTTP.
   Endpoint mPeers;                 ///< UDP, between entry VMs.
   Endpoint mMetrics;               ///< TCP, HTTP.
+  Endpoint mKnowledge;             ///< TCP, gRPC, between entry VMs.
   std::vector<Endpoint> mSeeds;    ///< Where peers may be; may be out of date.
   Endpoint mStore;                 ///< TCP, HTTP.
   milliseconds mHeartbeat{ 1000 }; ///< Interval of the upstreams' reports.
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_control_link.cpp
@@ -0,0 +1,70 @@
+#include "tarragonsill/transport/tarragonsill_control_link.hpp"
+
+#include "tarragonsill/protocol/tarragonsill_peer_message.hpp"
+
+namespace tarragonsill {
+
+namespace {
+
+/// How long the thread may go on after it was told to stop.
+constexpr milliseconds kReceiveTimeout{ 200 };
+
+} // namespace
+
+ControlLink::ControlLink(UdpSocket aSocket,
+                         Counters& aCounters,
+                         MayTalk aMayTalk)
+  : mSocket(std::move(aSocket))
+  , mCounters(aCounters)
+  , mMayTalk(std::move(aMayTalk))
+{
+}
+
+ControlLink::~ControlLink()
+{
+  mStop = true;
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+void
+ControlLink::Start(caf::actor aControl)
+{
+  mThread = std::thread([this, aControl] { Run(aControl); });
+}
+
+void
+ControlLink::Send(Endpoint aTo, std::string const& aBytes)
+{
+  if (mMayTalk(aTo)) {
+    (void)mSocket.Send(aTo, std::as_bytes(std::span(aBytes)));
+  }
+}
+
+void
+ControlLink::Run(caf::actor const& aControl)
+{
+  while (!mStop) {
+    for (auto const& datagram : mSocket.Receive(kReceiveTimeout)) {
+      Handle(datagram, aControl);
+    }
+  }
+}
+
+void
+ControlLink::Handle(Datagram const& aDatagram, caf::actor const& aControl)
+{
+  mCounters.Add(Counter::ControlMessagesReceived);
+  mCounters.Add(Counter::ControlBytesReceived, aDatagram.mBytes.size());
+  auto message = ReadPeerMessage(aDatagram.mBytes);
+  if (!mMayTalk(aDatagram.mFrom) || !message) {
+    mCounters.Add(Counter::ControlMessagesRejected);
+    return;
+  }
+  caf::anon_send(aControl,
+                 DatagramReceived{ std::make_shared<wire::PeerMessage const>(
+                   message.Take()) });
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_control_link.hpp
@@ -0,0 +1,42 @@
+#ifndef TARRAGONSILL_CONTROL_LINK_HPP_INCLUDED
+#define TARRAGONSILL_CONTROL_LINK_HPP_INCLUDED
+
+#include "tarragonsill/transport/tarragonsill_actor_messages.hpp"
+#include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+
+/// The control socket between entry VMs with its receiving thread. Sending is
+/// safe from any thread.
+namespace tarragonsill {
+
+class ControlLink
+{
+public:
+  /// Says whether datagrams from and to an address are allowed.
+  using MayTalk = std::function<bool(Endpoint)>;
+
+  ControlLink(UdpSocket aSocket, Counters& aCounters, MayTalk aMayTalk);
+  ~ControlLink();
+
+  /// Hands every checked message to an actor from now on.
+  void Start(caf::actor aControl);
+  void Send(Endpoint aTo, std::string const& aBytes);
+
+private:
+  void Run(caf::actor const& aControl);
+  void Handle(Datagram const& aDatagram, caf::actor const& aControl);
+
+  UdpSocket mSocket;
+  Counters& mCounters;
+  MayTalk mMayTalk;
+  std::atomic<bool> mStop{ false };
+  std::thread mThread;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_CONTROL_LINK_HPP_INCLUDED
--- a/src/tarragonsill/transport/tarragonsill_entry_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_entry_daemon.cpp
@@ -1,92 +1,26 @@
 #include "tarragonsill/transport/tarragonsill_entry_daemon.hpp"
 
-#include "tarragonsill/protocol/tarragonsill_peer_message.hpp"
 #include "tarragonsill/transport/tarragonsill_call_actor.hpp"
 #include "tarragonsill/transport/tarragonsill_call_service.hpp"
 #include "tarragonsill/transport/tarragonsill_configuration_actor.hpp"
 #include "tarragonsill/transport/tarragonsill_control_actor.hpp"
+#include "tarragonsill/transport/tarragonsill_control_link.hpp"
 #include "tarragonsill/transport/tarragonsill_log.hpp"
 #include "tarragonsill/transport/tarragonsill_status_server.hpp"
 
 #include <algorithm>
-#include <atomic>
 #include <thread>
 
 namespace tarragonsill {
 
 namespace {
 
-constexpr milliseconds kReceiveTimeout{ 50 };
 constexpr milliseconds kLeavePoll{ 20 };
 /// Peers need this long to hear of the leave; packets on their way are still
 /// passed on.
 constexpr milliseconds kLeaveSettle{ 1500 };
 constexpr int kSchedulerThreads = 2;
 
-/// The control socket with its receiving thread. Sending is safe from any
-/// thread.
-class ControlLink
-{
-public:
-  ControlLink(UdpSocket aSocket, std::shared_ptr<EntryState> aState)
-    : mSocket(std::move(aSocket))
-    , mState(std::move(aState))
-  {
-  }
-  ~ControlLink()
-  {
-    mStop = true;
-    if (mThread.joinable()) {
-      mThread.join();
-    }
-  }
-
-  void Start(caf::actor aControl)
-  {
-    mThread = std::thread([this, aControl] { Run(aControl); });
-  }
-
-  void Send(Endpoint aTo, std::string const& aBytes)
-  {
-    if (!mState->IsDenied(aTo)) {
-      (void)mSocket.Send(aTo, std::as_bytes(std::span(aBytes)));
-    }
-  }
-
-private:
-  void Run(caf::actor const& aControl)
-  {
-    while (!mStop) {
-      for (auto const& datagram : mSocket.Receive(kReceiveTimeout)) {
-        Handle(datagram, aControl);
-      }
-    }
-  }
-
-  void Handle(Datagram const& aDatagram, caf::actor const& aControl)
-  {
-    auto& counters = mState->mCounters;
-    counters.Add(Counter::ControlMessagesReceived);
-    counters.Add(Counter::ControlBytesReceived, aDatagram.mBytes.size());
-    bool const known =
-      AnyContains(mState->mSettings.mPeers, aDatagram.mFrom.mAddress) &&
-      !mState->IsDenied(aDatagram.mFrom);
-    auto message = ReadPeerMessage(aDatagram.mBytes);
-    if (!known || !message) {
-      counters.Add(Counter::ControlMessagesRejected);
-      return;
-    }
-    caf::anon_send(aControl,
-                   DatagramReceived{ std::make_shared<wire::PeerMessage const>(
-                     message.Take()) });
-  }
-
-  UdpSocket mSocket;
-  std::shared_ptr<EntryState> mState;
-  std::atomic<bool> mStop{ false };
-  std::thread mThread;
-};
-
 caf::actor_system_config&
 PrepareConfig(caf::actor_system_config& aConfig)
 {
@@ -204,7 +138,12 @@
   if (!control) {
     return control.LastReason();
   }
-  impl->mLink = std::make_unique<ControlLink>(control.Take(), impl->mState);
+  auto const mayTalk = [state = impl->mState](Endpoint aPeer) {
+    return AnyContains(state->mSettings.mPeers, aPeer.mAddress) &&
+           !state->IsDenied(aPeer);
+  };
+  impl->mLink = std::make_unique<ControlLink>(
+    control.Take(), impl->mState->mCounters, mayTalk);
   auto worker = PacketWorker::Start(settings, impl->mState->mCounters);
   if (!worker) {
     return worker.LastReason();
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_knowledge_server.cpp
@@ -0,0 +1,103 @@
+#include "tarragonsill/transport/tarragonsill_knowledge_server.hpp"
+
+#include <grpcpp/grpcpp.h>
+#include <tarragonsill_knowledge.grpc.pb.h>
+
+namespace tarragonsill {
+
+namespace {
+
+constexpr milliseconds kShutdownGrace{ 100 };
+/// Answers are rare and short; one thread takes them in turn.
+constexpr int kPollers = 1;
+/// The largest answer: 30,000 upstreams of about 100 bytes, with room.
+constexpr int kMostAnswerBytes = 16 * 1024 * 1024;
+
+class KnowledgeHandler final : public wire::Knowledge::Service
+{
+public:
+  explicit KnowledgeHandler(KnowledgeServer::Source aSource)
+    : mSource(std::move(aSource))
+  {
+  }
+
+  grpc::Status Fetch(grpc::ServerContext*,
+                     wire::KnowledgeRequest const*,
+                     wire::KnowledgeReply* aReply) override
+  {
+    auto const lists = mSource();
+    if (!lists) {
+      return { grpc::StatusCode::UNAVAILABLE, "busy" };
+    }
+    *aReply = ToMessage(*lists);
+    return grpc::Status::OK;
+  }
+
+private:
+  KnowledgeServer::Source mSource;
+};
+
+} // namespace
+
+struct KnowledgeServer::Impl
+{
+  explicit Impl(Source aSource)
+    : mHandler(std::move(aSource))
+  {
+  }
+
+  KnowledgeHandler mHandler;
+  std::unique_ptr<grpc::Server> mServer;
+};
+
+KnowledgeServer::KnowledgeServer(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+KnowledgeServer::~KnowledgeServer()
+{
+  mImpl->mServer->Shutdown(std::chrono::system_clock::now() + kShutdownGrace);
+}
+
+Result<std::unique_ptr<KnowledgeServer>>
+KnowledgeServer::Start(Endpoint aAddress, Source aSource)
+{
+  auto impl = std::make_unique<Impl>(std::move(aSource));
+  grpc::ServerBuilder builder;
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  builder.SetSyncServerOption(grpc::ServerBuilder::NUM_CQS, 1);
+  builder.SetSyncServerOption(grpc::ServerBuilder::MIN_POLLERS, kPollers);
+  builder.SetSyncServerOption(grpc::ServerBuilder::MAX_POLLERS, kPollers);
+  builder.AddListeningPort(ToText(aAddress), grpc::InsecureServerCredentials());
+  builder.RegisterService(&impl->mHandler);
+  impl->mServer = builder.BuildAndStart();
+  if (!impl->mServer) {
+    return Reason{ ReasonCode::SystemFailure,
+                   "cannot serve peers at " + ToText(aAddress) };
+  }
+  return std::unique_ptr<KnowledgeServer>(new KnowledgeServer(std::move(impl)));
+}
+
+Result<StoreLists>
+FetchFromPeer(Endpoint aPeer, milliseconds aTimeout)
+{
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  arguments.SetInt(GRPC_ARG_MAX_RECEIVE_MESSAGE_LENGTH, kMostAnswerBytes);
+  auto const channel = grpc::CreateCustomChannel(
+    ToText(aPeer), grpc::InsecureChannelCredentials(), arguments);
+  auto const stub = wire::Knowledge::NewStub(channel);
+  grpc::ClientContext context;
+  context.set_deadline(std::chrono::system_clock::now() + aTimeout);
+  wire::KnowledgeReply reply;
+  auto const status = stub->Fetch(&context, {}, &reply);
+  if (!status.ok()) {
+    bool const late = status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+    return Reason{ late ? ReasonCode::Timeout : ReasonCode::Unavailable,
+                   status.error_message() };
+  }
+  return FromMessage(reply);
+}
+
+} // namespace tarragonsill
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -0,0 +1,198 @@
+#include "tarragonsill/transport/tarragonsill_node_actor.hpp"
+
+#include "tarragonsill/coordination/tarragonsill_node_peers.hpp"
+#include "tarragonsill/transport/tarragonsill_knowledge_server.hpp"
+
+namespace tarragonsill {
+
+namespace {
+
+constexpr milliseconds kTick{ 50 };
+constexpr milliseconds kFetchTimeout{ 500 };
+
+Member
+SelfOf(NodeSettings const& aSettings, std::uint64_t aIncarnation)
+{
+  Member self;
+  self.mName = aSettings.mName;
+  self.mZone = aSettings.mZone;
+  self.mControl = aSettings.mPeers;
+  self.mData = aSettings.mPackets;
+  self.mCalls = aSettings.mKnowledge;
+  self.mIncarnation = aIncarnation;
+  return self;
+}
+
+class NodePart
+{
+public:
+  NodePart(caf::event_based_actor* aSelf, NodeActorArguments aArguments)
+    : mSelf(aSelf)
+    , mArguments(std::move(aArguments))
+    , mDirectory(mArguments.mState->mSettings)
+    , mPeers(SelfOf(mArguments.mState->mSettings, mArguments.mIncarnation),
+             mArguments.mState->mSettings.mSeeds,
+             mArguments.mIncarnation,
+             mArguments.mState->mCounters)
+  {
+  }
+
+  void Take(StoreNews const& aNews, std::string const& aSource)
+  {
+    for (auto const& change : mDirectory.Apply(Clock::now(), aNews)) {
+      Log().Write("config",
+                  "belief_changed",
+                  { { "kind", change.mWhat },
+                    { "name", change.mSubject },
+                    { "outcome", change.mOutcome },
+                    { "revision", static_cast<std::int64_t>(change.mRevision) },
+                    { "source", aSource } });
+    }
+    PublishIfChanged();
+  }
+
+  void Take(KnowledgeFetched const& aFetched)
+  {
+    if (!aFetched.mLists) {
+      Log().Write("member",
+                  "peer_did_not_answer",
+                  { { "peer", aFetched.mPeer },
+                    { "reason", aFetched.mFailure } });
+      return;
+    }
+    auto const source = "peer " + aFetched.mPeer;
+    auto const take = [&](ObjectKind aKind, ObjectPage const& aPage) {
+      if (aPage.mRevision > 0) {
+        Take({ aKind, aPage.mChanges, true, aPage.mRevision }, source);
+      }
+    };
+    take(ObjectKind::Configuration, aFetched.mLists->mConfiguration);
+    take(ObjectKind::Upstreams, aFetched.mLists->mUpstreams);
+    take(ObjectKind::Evacuations, aFetched.mLists->mEvacuations);
+  }
+
+  void Take(DatagramReceived const& aReceived)
+  {
+    Outbox outbox;
+    mPeers.Handle(Clock::now(), *aReceived.mMessage, outbox);
+    Send(outbox);
+  }
+
+  void Answer(KnowledgeWanted const& aWanted)
+  {
+    aWanted.mAnswer->set_value(mDirectory.Lists(Clock::now()));
+  }
+
+  void Note(StoreAnswered const& aAnswer)
+  {
+    mAnswers[static_cast<std::size_t>(aAnswer.mKind)] = aAnswer.mAnswered;
+    bool const answers = std::any_of(
+      mAnswers.begin(), mAnswers.end(), [](bool aAny) { return aAny; });
+    mDirectory.NoteStore(Clock::now(), answers);
+  }
+
+  void Tick()
+  {
+    auto const now = Clock::now();
+    auto const& state = *mArguments.mState;
+    auto const stage = state.mIsLeaving    ? MemberStage::Leaving
+                       : state.mIsComplete ? MemberStage::Serving
+                                           : MemberStage::Joining;
+    mPeers.SetStage(stage);
+    Outbox outbox;
+    mPeers.Tick(now, outbox);
+    Send(outbox);
+    if (auto const peer = mPeers.NextQuestion(now, state.mIsComplete)) {
+      mSelf->send(mArguments.mFetch, FetchKnowledge{ *peer });
+    }
+    mDirectory.SetDeciders(mPeers.Deciders(now), mPeers.SelfHash());
+    PublishIfChanged();
+  }
+
+private:
+  static constexpr std::size_t kKinds = 3;
+
+  NodeLog& Log() { return mArguments.mState->mLog; }
+
+  void Send(Outbox& aOutbox)
+  {
+    mPeers.SetDigest(mDirectory.Digest());
+    mPeers.Decorate(aOutbox);
+    auto& counters = mArguments.mState->mCounters;
+    for (auto const& outgoing : aOutbox) {
+      auto const bytes = outgoing.mMessage.SerializeAsString();
+      counters.Add(Counter::ControlMessagesSent);
+      counters.Add(Counter::ControlBytesSent, bytes.size());
+      mArguments.mSend(outgoing.mTo, bytes);
+    }
+  }
+
+  void PublishIfChanged()
+  {
+    auto const now = Clock::now();
+    if (!mDirectory.HasChanged(now)) {
+      return;
+    }
+    mArguments.mPublish(mDirectory.BuildView(now));
+    mPeers.SetDigest(mDirectory.Digest());
+    if (!mDirectory.IsComplete() ||
+        mArguments.mState->mIsComplete.exchange(true)) {
+      return;
+    }
+    Log().Write(
+      "entry",
+      "ready",
+      { { "version",
+          static_cast<std::int64_t>(mDirectory.ConfigurationVersion()) } });
+  }
+
+  caf::event_based_actor* mSelf;
+  NodeActorArguments mArguments;
+  Directory mDirectory;
+  NodePeers mPeers;
+  std::array<bool, kKinds> mAnswers{ true, true, true };
+};
+
+} // namespace
+
+caf::behavior
+NodeActor(caf::event_based_actor* aSelf, NodeActorArguments aArguments)
+{
+  auto const part = std::make_shared<NodePart>(aSelf, std::move(aArguments));
+  aSelf->send(aSelf, TickAtom::value);
+  return {
+    [part](StoreNewsReceived const& aNews) {
+      part->Take(*aNews.mNews, aNews.mNews->mIsWholeList ? "list" : "watch");
+    },
+    [part](StoreAnswered const& aAnswer) { part->Note(aAnswer); },
+    [part](DatagramReceived const& aReceived) { part->Take(aReceived); },
+    [part](KnowledgeWanted const& aWanted) { part->Answer(aWanted); },
+    [part](KnowledgeFetched const& aFetched) { part->Take(aFetched); },
+    [part, aSelf](TickAtom) {
+      part->Tick();
+      aSelf->delayed_send(aSelf, kTick, TickAtom::value);
+    },
+  };
+}
+
+caf::behavior
+KnowledgeFetchActor(caf::event_based_actor* aSelf)
+{
+  return { [aSelf](FetchKnowledge const& aFetch) {
+    auto const asker = caf::actor_cast<caf::actor>(aSelf->current_sender());
+    auto lists = FetchFromPeer(aFetch.mPeer.mCalls, kFetchTimeout);
+    if (!lists) {
+      aSelf->send(asker,
+                  KnowledgeFetched{
+                    aFetch.mPeer.mName, nullptr, lists.LastReason().mText });
+      return;
+    }
+    aSelf->send(asker,
+                KnowledgeFetched{
+                  aFetch.mPeer.mName,
+                  std::make_shared<StoreLists const>(lists.Take()),
+                  {} });
+  } };
+}
+
+} // namespace tarragonsill
--- a/src/tarragonsill/transport/tarragonsill_directory_actor.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.hpp
@@ -1,5 +1,5 @@
-#ifndef TARRAGONSILL_DIRECTORY_ACTOR_HPP_INCLUDED
-#define TARRAGONSILL_DIRECTORY_ACTOR_HPP_INCLUDED
+#ifndef TARRAGONSILL_NODE_ACTOR_HPP_INCLUDED
+#define TARRAGONSILL_NODE_ACTOR_HPP_INCLUDED
 
 #include "tarragonsill/transport/tarragonsill_node_log.hpp"
 #include "tarragonsill/transport/tarragonsill_node_messages.hpp"
@@ -7,7 +7,8 @@
 #include <atomic>
 #include <functional>
 
-/// The actor that keeps what a VM knows and hands views to the packet thread.
+/// The actor that keeps what a VM knows, talks to its peers, and hands views to
+/// the packet thread.
 namespace tarragonsill {
 
 /// What the parts of an entry VM share.
@@ -28,15 +29,22 @@
   std::atomic<bool> mIsLeaving{ false };
 };
 
-struct DirectoryActorArguments
+struct NodeActorArguments
 {
   std::shared_ptr<NodeState> mState;
   std::function<void(RoutingViewPointer)> mPublish;
+  /// Sends a control datagram.
+  std::function<void(Endpoint, std::string const&)> mSend;
+  caf::actor mFetch;
+  std::uint64_t mIncarnation = 1;
 };
 
-caf::behavior DirectoryActor(caf::event_based_actor* aSelf,
-                             DirectoryActorArguments aArguments);
+caf::behavior NodeActor(caf::event_based_actor* aSelf,
+                        NodeActorArguments aArguments);
+
+/// Fetches knowledge from peers; runs on a thread of its own.
+caf::behavior KnowledgeFetchActor(caf::event_based_actor* aSelf);
 
 } // namespace tarragonsill
 
-#endif // TARRAGONSILL_DIRECTORY_ACTOR_HPP_INCLUDED
+#endif // TARRAGONSILL_NODE_ACTOR_HPP_INCLUDED
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -2,8 +2,10 @@
 
 #include "tarragonsill/platform/tarragonsill_platform_objects.hpp"
 #include "tarragonsill/platform/tarragonsill_platform_packet.hpp"
+#include "tarragonsill/transport/tarragonsill_control_link.hpp"
 #include "tarragonsill/transport/tarragonsill_cookie_worker.hpp"
-#include "tarragonsill/transport/tarragonsill_directory_actor.hpp"
+#include "tarragonsill/transport/tarragonsill_knowledge_server.hpp"
+#include "tarragonsill/transport/tarragonsill_node_actor.hpp"
 #include "tarragonsill/transport/tarragonsill_page_server.hpp"
 #include "tarragonsill/transport/tarragonsill_store_watch.hpp"
 
@@ -19,10 +21,24 @@
 /// third of a second more lets packets on their way arrive.
 constexpr milliseconds kTurnAwayTime{ 1800 };
 constexpr int kStatusUnavailable = 503;
+/// A peer's question is answered within this time or not at all.
+constexpr milliseconds kAnswerTime{ 300 };
 
 using Watch = StoreWatch<Platform::ObjectFormat>;
 using Worker = CookieWorker<Platform::PacketFormat>;
 
+/// A number that rises with every start of a VM's process. VMs keep nothing,
+/// so the time of day is the only source; a VM that it misleads is told so by
+/// its peers.
+std::uint64_t
+NewIncarnation()
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count());
+}
+
 caf::actor_system_config&
 PrepareNodeConfig(caf::actor_system_config& aConfig)
 {
@@ -107,40 +123,82 @@
   }
   ~Impl()
   {
+    mKnowledge.reset();
     for (auto const& actor : mActors) {
       caf::anon_send_exit(actor, caf::exit_reason::kill);
     }
     mActors.clear();
+    mNode = caf::actor{};
     mSystem.await_all_actors_done();
   }
 
   void StartActors();
+  Result<Done> StartPeers();
   Result<Done> StartPages();
 
   std::shared_ptr<NodeState> mState;
   std::unique_ptr<Worker> mWorker;
   caf::actor_system_config mConfig;
   caf::actor_system mSystem;
+  caf::actor mNode;
   std::vector<caf::actor> mActors;
+  std::unique_ptr<ControlLink> mLink;
+  std::unique_ptr<KnowledgeServer> mKnowledge;
   std::vector<std::unique_ptr<PageServer>> mPages;
 };
 
 void
 NodeDaemon::Impl::StartActors()
 {
-  DirectoryActorArguments arguments{ mState,
-                                     [worker = mWorker.get()](
-                                       RoutingViewPointer aView) {
-                                       worker->Post(std::move(aView));
-                                     } };
-  auto const directory = mSystem.spawn(DirectoryActor, std::move(arguments));
+  NodeActorArguments arguments;
+  arguments.mState = mState;
+  arguments.mPublish = [worker = mWorker.get()](RoutingViewPointer aView) {
+    worker->Post(std::move(aView));
+  };
+  arguments.mSend = [link = mLink.get()](Endpoint aTo,
+                                         std::string const& aBytes) {
+    link->Send(aTo, aBytes);
+  };
+  arguments.mFetch = mSystem.spawn<caf::detached>(KnowledgeFetchActor);
+  arguments.mIncarnation = NewIncarnation();
+  mActors.push_back(arguments.mFetch);
+  mNode = mSystem.spawn(NodeActor, std::move(arguments));
   for (auto const kind : { ObjectKind::Configuration,
                            ObjectKind::Upstreams,
                            ObjectKind::Evacuations }) {
     mActors.push_back(
-      mSystem.spawn<caf::detached>(StoreWatchActor, mState, directory, kind));
+      mSystem.spawn<caf::detached>(StoreWatchActor, mState, mNode, kind));
   }
-  mActors.push_back(directory);
+  mActors.push_back(mNode);
+  mLink->Start(mNode);
+}
+
+Result<Done>
+NodeDaemon::Impl::StartPeers()
+{
+  auto socket = UdpSocket::Bind(mState->mSettings.mPeers);
+  if (!socket) {
+    return socket.LastReason();
+  }
+  mLink = std::make_unique<ControlLink>(
+    socket.Take(), mState->mCounters, [](Endpoint) { return true; });
+  StartActors();
+  auto server = KnowledgeServer::Start(
+    mState->mSettings.mKnowledge,
+    [node = mNode]() -> std::optional<StoreLists> {
+      auto const answer = std::make_shared<std::promise<StoreLists>>();
+      auto lists = answer->get_future();
+      caf::anon_send(node, KnowledgeWanted{ answer });
+      if (lists.wait_for(kAnswerTime) != std::future_status::ready) {
+        return std::nullopt;
+      }
+      return lists.get();
+    });
+  if (!server) {
+    return server.LastReason();
+  }
+  mKnowledge = server.Take();
+  return Done{};
 }
 
 Result<Done>
@@ -199,7 +257,10 @@
     return worker.LastReason();
   }
   impl->mWorker = worker.Take();
-  impl->StartActors();
+  auto const peers = impl->StartPeers();
+  if (!peers) {
+    return peers.LastReason();
+  }
   auto const pages = impl->StartPages();
   if (!pages) {
     return pages.LastReason();
--- a/src/tarragonsill/transport/tarragonsill_node_messages.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_messages.hpp
@@ -4,6 +4,7 @@
 #include "tarragonsill/coordination/tarragonsill_directory.hpp"
 #include "tarragonsill/transport/tarragonsill_actor_messages.hpp"
 
+#include <future>
 #include <memory>
 
 /// Messages between the actors of an entry VM that steers by cookie.
@@ -22,14 +23,40 @@
   bool mAnswered = false;
 };
 
+/// A peer asks for everything that is known.
+struct KnowledgeWanted
+{
+  std::shared_ptr<std::promise<StoreLists>> mAnswer;
+};
+
+/// Asks a peer for everything that it knows.
+struct FetchKnowledge
+{
+  Member mPeer;
+};
+
+/// What a peer knew, or why it did not say.
+struct KnowledgeFetched
+{
+  std::string mPeer;
+  std::shared_ptr<StoreLists const> mLists; ///< Null: no answer.
+  std::string mFailure;
+};
+
 } // namespace tarragonsill
 
 CAF_BEGIN_TYPE_ID_BLOCK(tarragonsill_node, first_custom_type_id + 100)
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::StoreNewsReceived))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::StoreAnswered))
+CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::KnowledgeWanted))
+CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::FetchKnowledge))
+CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::KnowledgeFetched))
 CAF_END_TYPE_ID_BLOCK(tarragonsill_node)
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::StoreNewsReceived)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::StoreAnswered)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::KnowledgeWanted)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::FetchKnowledge)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::KnowledgeFetched)
 
 #endif // TARRAGONSILL_NODE_MESSAGES_HPP_INCLUDED
--- a/tools/generate-protocol.sh
+++ b/tools/generate-protocol.sh
@@ -5,7 +5,8 @@
 cd "$(dirname "$0")/../src"
 out=tarragonsill/protocol/generated
 protoc -I tarragonsill/protocol --cpp_out="$out" \
-  tarragonsill_peer.proto tarragonsill_calls.proto
+  tarragonsill_peer.proto tarragonsill_calls.proto \
+  tarragonsill_knowledge.proto
 protoc -I tarragonsill/protocol --grpc_out="$out" \
   --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" \
-  tarragonsill_calls.proto
+  tarragonsill_calls.proto tarragonsill_knowledge.proto
