Wait with leaving until enough of the zone's VMs serve

Change: a VM that is told to stop stays ready until the zone would keep half of its VMs, as membership tells, bounded by the grace; watches are cancelled at the end; 1.3 s instead of 1.8 s from not ready to the end.

--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -168,4 +168,21 @@
   return deciders;
 }
 
+bool
+NodePeers::MayLeave() const
+{
+  std::size_t all = 0;
+  std::size_t serving = 0;
+  auto const& self = mMembership.Self();
+  for (auto const& member : mMembership.Members()) {
+    if (member.mZone != self.mZone || member.mHealth == MemberHealth::Gone) {
+      continue;
+    }
+    ++all;
+    bool const isOther = member.mName != self.mName;
+    serving += isOther && member.IsServing() ? 1 : 0;
+  }
+  return all <= 1 || 2 * serving >= all;
+}
+
 } // namespace tarragonsill
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -34,6 +34,9 @@
   /// The VMs that decide about the zone's upstreams, this one included; empty
   /// until this VM has had time to find them.
   std::vector<std::uint64_t> Deciders(TimePoint aNow) const;
+  /// Whether routers would still find enough VMs in the zone without this one:
+  /// with fewer than half of them ready they use those that are down, too.
+  bool MayLeave() const;
   std::uint64_t SelfHash() const { return mMembership.Self().NameHash(); }
   Membership const& Members() const { return mMembership; }
 
--- a/src/tarragonsill/transport/tarragonsill_http_connection.cpp
+++ b/src/tarragonsill/transport/tarragonsill_http_connection.cpp
@@ -93,4 +93,10 @@
   });
 }
 
+void
+HttpConnection::Cancel()
+{
+  mImpl->mClient.stop();
+}
+
 } // namespace tarragonsill
--- a/src/tarragonsill/transport/tarragonsill_http_connection.hpp
+++ b/src/tarragonsill/transport/tarragonsill_http_connection.hpp
@@ -45,6 +45,9 @@
     std::string const& aBody,
     milliseconds aTimeout);
 
+  /// Ends the call that another thread waits for, if there is one.
+  void Cancel();
+
 private:
   struct Impl;
   std::unique_ptr<Impl> mImpl;
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -99,6 +99,7 @@
                        : state.mIsComplete ? MemberStage::Serving
                                            : MemberStage::Joining;
     mPeers.SetStage(stage);
+    mArguments.mState->mMayLeave = mPeers.MayLeave();
     Outbox outbox;
     mPeers.Tick(now, outbox);
     Send(outbox);
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -17,9 +17,12 @@
 
 /// One scheduler thread drives every actor that does not wait for the store.
 constexpr int kSchedulerThreads = 1;
-/// Routers ask twice a second and turn away after two misses (platform); a
-/// third of a second more lets packets on their way arrive.
-constexpr milliseconds kTurnAwayTime{ 1800 };
+/// Routers ask twice a second and turn away after two misses (platform); some
+/// time more lets packets on their way arrive.
+constexpr milliseconds kTurnAwayTime{ 1300 };
+/// From the end of serving to the end of the process.
+constexpr milliseconds kStopTime{ 500 };
+constexpr milliseconds kLeavePoll{ 50 };
 constexpr int kStatusUnavailable = 503;
 /// A peer's question is answered within this time or not at all.
 constexpr milliseconds kAnswerTime{ 300 };
@@ -87,16 +90,13 @@
 StoreWatchActor(caf::event_based_actor* aSelf,
                 std::shared_ptr<NodeState> aState,
                 caf::actor aDirectory,
-                ObjectKind aKind)
+                ObjectKind aKind,
+                std::shared_ptr<Watch> aWatch)
 {
-  auto const seed =
-    MixHash(HashText(aState->mSettings.mName), static_cast<unsigned>(aKind));
-  auto const watch = std::make_shared<Watch>(
-    aState->mSettings.mStore, aKind, seed, aState->mCounters);
   auto const dependency = std::make_shared<DependencyLog>(aState->mLog, aKind);
   aSelf->send(aSelf, TickAtom::value);
   return { [=](TickAtom) {
-    auto step = watch->Step();
+    auto step = aWatch->Step();
     dependency->Note(step);
     aSelf->send(aDirectory, StoreAnswered{ aKind, step.mAnswered });
     if (step.mNews) {
@@ -140,6 +140,7 @@
   std::unique_ptr<Worker> mWorker;
   caf::actor_system_config mConfig;
   caf::actor_system mSystem;
+  std::vector<std::shared_ptr<Watch>> mWatches;
   caf::actor mNode;
   std::vector<caf::actor> mActors;
   std::unique_ptr<ControlLink> mLink;
@@ -166,8 +167,12 @@
   for (auto const kind : { ObjectKind::Configuration,
                            ObjectKind::Upstreams,
                            ObjectKind::Evacuations }) {
-    mActors.push_back(
-      mSystem.spawn<caf::detached>(StoreWatchActor, mState, mNode, kind));
+    auto const seed = MixHash(HashText(mState->mSettings.mName),
+                              static_cast<unsigned>(kind));
+    mWatches.push_back(std::make_shared<Watch>(
+      mState->mSettings.mStore, kind, seed, mState->mCounters));
+    mActors.push_back(mSystem.spawn<caf::detached>(
+      StoreWatchActor, mState, mNode, kind, mWatches.back()));
   }
   mActors.push_back(mNode);
   mLink->Start(mNode);
@@ -285,10 +290,25 @@
 void
 NodeDaemon::Leave()
 {
-  mImpl->mState->mLog.Write("entry", "leaving", {});
-  mImpl->mState->mIsLeaving = true;
+  auto& state = *mImpl->mState;
+  auto const asked = Clock::now();
+  auto const latest =
+    asked + state.mSettings.mBounds.mGrace - kTurnAwayTime - kStopTime;
+  state.mLog.Write("entry", "asked_to_leave", {});
+  while (!state.mMayLeave && Clock::now() < latest) {
+    std::this_thread::sleep_for(kLeavePoll);
+  }
+  auto const waited =
+    std::chrono::duration_cast<milliseconds>(Clock::now() - asked);
+  state.mLog.Write("entry",
+                   "leaving",
+                   { { "waited_ms", std::int64_t{ waited.count() } } });
+  state.mIsLeaving = true;
   std::this_thread::sleep_for(kTurnAwayTime);
-  mImpl->mState->mLog.Write("entry", "stopped", {});
+  for (auto const& watch : mImpl->mWatches) {
+    watch->Cancel();
+  }
+  state.mLog.Write("entry", "stopped", {});
 }
 
 } // namespace tarragonsill
--- a/src/tarragonsill/transport/tarragonsill_store_watch.hpp
+++ b/src/tarragonsill/transport/tarragonsill_store_watch.hpp
@@ -6,6 +6,7 @@
 #include "tarragonsill/transport/tarragonsill_http_connection.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <random>
 
 /// Follows one kind of objects in an object store: lists them, then watches for
@@ -38,9 +39,19 @@
     mQuery.mKind = aKind;
   }
 
+  /// Ends the call in progress, and makes no further ones; from any thread.
+  void Cancel()
+  {
+    mCancelled = true;
+    mConnection.Cancel();
+  }
+
   /// Makes one call and waits for its answer.
   WatchStep Step()
   {
+    if (mCancelled) {
+      return { false, "cancelled", {}, kMostBackoff };
+    }
     mCounters.Add(Counter::StoreCalls);
     bool const isWatch = mQuery.mWatchFrom > 0;
     mQuery.mWait = isWatch ? kWatchWait : milliseconds{ 0 };
@@ -131,6 +142,7 @@
   std::vector<ObjectChange> mListed;
   std::uint64_t mListRevision = 0;
   int mFailures = 0;
+  std::atomic<bool> mCancelled{ false };
   std::mt19937_64 mRandom;
 };
 
