Spill to other zones when the zone's upstreams are busy nearly all the time

Change: requests in progress here, scaled up to the zone's VMs and smoothed over a second, against the zone's slots; above 0.9 other zones cost no more.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -1,5 +1,8 @@
 #include "tarragonsill/coordination/tarragonsill_cookie_steering.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace tarragonsill {
 
 namespace {
@@ -119,6 +122,7 @@
   }
   mView = std::move(aView);
   mLoads.resize(mView->mUpstreams.size());
+  mPressures.resize(mView->mServices.size());
 }
 
 std::vector<UnaskedReset>
@@ -186,8 +190,12 @@
   if (aRoute.mShares.empty()) {
     return Refuse(SteeringAction::Reset, SteeringCause::NoUpstream);
   }
-  auto const& service = mView->mServices[mChoice.PickService(aRoute)];
-  auto const pick = mChoice.Pick(aNow, *mView, service, mLoads, avoid);
+  auto const service = mChoice.PickService(aRoute);
+  auto const pick =
+    mChoice.Pick(aNow,
+                 *mView,
+                 mView->mServices[service],
+                 { mLoads, mPressures[service].IsSaturated(), avoid });
   if (!pick) {
     return Refuse(SteeringAction::Drop, SteeringCause::NoUpstream);
   }
@@ -357,9 +365,31 @@
   mFlows.Erase(aKey);
 }
 
+void
+CookieSteering::SamplePressure(TimePoint aNow)
+{
+  auto const vms = std::max<std::size_t>(1, mView->mDeciders.size());
+  for (std::size_t index = 0; index < mView->mServices.size(); ++index) {
+    double inProgress = 0.0;
+    double slots = 0.0;
+    for (auto const slot : mView->mServices[index].mUpstreams) {
+      auto const& upstream = mView->mUpstreams[slot];
+      if (upstream.mZone != mView->mOwnZone ||
+          !UpstreamChoice::MayTake(upstream)) {
+        continue;
+      }
+      inProgress += mLoads[slot].mInProgress;
+      slots += upstream.mRecord.mSlots;
+    }
+    mPressures[index].Sample(
+      aNow, inProgress * static_cast<double>(vms), slots);
+  }
+}
+
 void
 CookieSteering::Sweep(TimePoint aNow)
 {
+  SamplePressure(aNow);
   mFlows.EraseIf([&](Detail::TrackedFlow& aFlow) {
     auto const patience =
       aFlow.mIsClosed ? Duration(kClosedTime) : Duration(mView->mIdleTimeout);
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -130,6 +130,7 @@
   /// Whether the flows of an upstream may be given up: it is silent while
   /// others answer.
   bool IsLost(TimePoint aNow, std::uint32_t aSlot) const;
+  void SamplePressure(TimePoint aNow);
   SteeringVerdict ForwardTo(std::uint32_t aSlot, SteeringCause aCause) const;
   Detail::TrackedFlow& Track(TimePoint aNow,
                              FlowPacket const& aPacket,
@@ -144,7 +145,8 @@
             UpstreamHealth aHealth);
 
   RoutingViewPointer mView;
-  std::vector<UpstreamLoad> mLoads; ///< By slot.
+  std::vector<UpstreamLoad> mLoads;     ///< By slot.
+  std::vector<ZonePressure> mPressures; ///< By service.
   FlowTable<Detail::TrackedFlow> mFlows;
   UpstreamChoice mChoice;
   TimePoint mLastAnswer{}; ///< Of any upstream.
--- a/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
@@ -14,9 +14,10 @@
 /// Added for an upstream of another zone: a cut between zones harms no flow
 /// that stays inside one.
 constexpr double kOtherZoneCost = 1e3;
-/// Added for an upstream whose queue is as long as its slots.
-constexpr double kSaturatedCost = 2e3;
-constexpr double kSaturation = 2.0; ///< Requests in progress per slot.
+/// From this use of their slots on, the zone's upstreams let requests wait.
+constexpr double kSaturation = 0.9;
+/// Samples older than this hardly count any more.
+constexpr std::chrono::duration<double> kSmoothing{ 1.0 };
 /// Added for an upstream whose registration is missing.
 constexpr double kMissingCost = 1e5;
 /// Added for an upstream that owes answers; those that go silent come last.
@@ -28,6 +29,23 @@
 
 } // namespace
 
+void
+ZonePressure::Sample(TimePoint aNow, double aInProgress, double aSlots)
+{
+  auto const use = aSlots > 0.0 ? aInProgress / aSlots : 0.0;
+  std::chrono::duration<double> const elapsed =
+    mSampled == TimePoint{} ? Duration{ 0 } : aNow - mSampled;
+  auto const weight = std::min(1.0, elapsed / kSmoothing);
+  mUse += weight * (use - mUse);
+  mSampled = aNow;
+}
+
+bool
+ZonePressure::IsSaturated() const
+{
+  return mUse > kSaturation;
+}
+
 std::uint32_t
 UpstreamChoice::PickService(RouteEntry const& aRoute)
 {
@@ -82,14 +100,12 @@
 UpstreamChoice::Cost(TimePoint aNow,
                      RoutingView const& aView,
                      UpstreamEntry const& aUpstream,
-                     UpstreamLoad const& aLoad)
+                     UpstreamLoad const& aLoad,
+                     bool aIsZoneSaturated)
 {
   auto const slots = static_cast<double>(aUpstream.mRecord.mSlots);
   double cost = (aLoad.mFlows + kInProgressWeight * aLoad.mInProgress) / slots;
-  if (aLoad.mInProgress >= kSaturation * slots) {
-    cost += kSaturatedCost;
-  }
-  if (aUpstream.mZone != aView.mOwnZone) {
+  if (aUpstream.mZone != aView.mOwnZone && !aIsZoneSaturated) {
     cost += kOtherZoneCost;
   }
   if (aUpstream.mUse == UpstreamUse::Missing) {
@@ -112,9 +128,9 @@
 UpstreamChoice::Pick(TimePoint aNow,
                      RoutingView const& aView,
                      ServiceEntry const& aService,
-                     std::vector<UpstreamLoad>& aLoads,
-                     std::optional<std::uint32_t> aAvoid)
+                     Situation const& aSituation)
 {
+  auto& loads = aSituation.mLoads;
   std::optional<UpstreamPick> best;
   std::uint32_t candidates = 0;
   std::uint32_t ties = 0;
@@ -122,12 +138,13 @@
     auto const& upstream = aView.mUpstreams[slot];
     bool const isCold = aNow < upstream.mColdUntil;
     if (!MayTake(upstream) ||
-        (isCold && !MayTakeCold(aNow, aView, upstream, aLoads[slot]))) {
+        (isCold && !MayTakeCold(aNow, aView, upstream, loads[slot]))) {
       continue;
     }
     ++candidates;
-    auto cost = Cost(aNow, aView, upstream, aLoads[slot]);
-    if (aAvoid == slot) {
+    auto cost = Cost(
+      aNow, aView, upstream, loads[slot], aSituation.mIsZoneSaturated);
+    if (aSituation.mAvoid == slot) {
       cost += kSilentCost;
     }
     if (best && cost > best->mCost) {
@@ -145,7 +162,7 @@
   }
   best->mCandidates = candidates;
   if (aNow < aView.mUpstreams[best->mSlot].mColdUntil) {
-    aLoads[best->mSlot].mColdStarts.push_back(aNow);
+    loads[best->mSlot].mColdStarts.push_back(aNow);
   }
   return best;
 }
--- a/src/tarragonsill/coordination/tarragonsill_upstream_choice.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_choice.hpp
@@ -25,6 +25,22 @@
   std::deque<TimePoint> mColdStarts;
 };
 
+/// How busy the own zone's upstreams of a service are, judged from this VM's
+/// share of their work.
+class ZonePressure
+{
+public:
+  /// Takes a sample of requests in progress here, scaled up to the zone's VMs,
+  /// against the slots of the zone's upstreams.
+  void Sample(TimePoint aNow, double aInProgress, double aSlots);
+  /// The zone's upstreams of the service are busy nearly all the time.
+  bool IsSaturated() const;
+
+private:
+  double mUse = 0.0; ///< Requests in progress per slot, smoothed.
+  TimePoint mSampled{};
+};
+
 /// A choice and what decided it.
 struct UpstreamPick
 {
@@ -43,12 +59,20 @@
 
   /// Draws one of a route's services by weight; the route has at least one.
   std::uint32_t PickService(RouteEntry const& aRoute);
-  /// Picks the upstream for a new flow, other than `aAvoid` if there is any.
+  /// What a choice goes by besides the view.
+  struct Situation
+  {
+    std::vector<UpstreamLoad>& mLoads;
+    /// The own zone's upstreams have no room for more.
+    bool mIsZoneSaturated = false;
+    /// An upstream that was offered this flow already.
+    std::optional<std::uint32_t> mAvoid;
+  };
+  /// Picks the upstream for a new flow.
   std::optional<UpstreamPick> Pick(TimePoint aNow,
                                    RoutingView const& aView,
                                    ServiceEntry const& aService,
-                                   std::vector<UpstreamLoad>& aLoads,
-                                   std::optional<std::uint32_t> aAvoid);
+                                   Situation const& aSituation);
 
   /// Says whether an upstream may be given any new flow.
   static bool MayTake(UpstreamEntry const& aUpstream);
@@ -62,7 +86,8 @@
   static double Cost(TimePoint aNow,
                      RoutingView const& aView,
                      UpstreamEntry const& aUpstream,
-                     UpstreamLoad const& aLoad);
+                     UpstreamLoad const& aLoad,
+                     bool aIsZoneSaturated);
 
   std::mt19937_64 mRandom;
 };
