--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -10,8 +10,8 @@
 /// Some upstream must have answered this recently before another one's silence
 /// is held against it.
 constexpr milliseconds kOthersAnswered{ 400 };
-/// Callers repeat data after 200 ms (platform); what comes again sooner was only
-/// overtaken by later packets.
+/// Callers repeat data after 200 ms (platform); what comes again sooner was
+/// only overtaken by later packets.
 constexpr milliseconds kRepeatAfter{ 150 };
 /// The last packets of a closed flow come within this time.
 constexpr milliseconds kClosedTime{ 3000 };
@@ -204,13 +204,9 @@
   flow.mIsOpening = true;
   flow.mWasOfferedTwice = isCopy && pick->mSlot != *avoid;
   auto& watch = mLoads[pick->mSlot].mWatch;
-  auto const cause =
-    flow.mWasOfferedTwice ? SteeringCause::SecondChoice : SteeringCause::NewFlow;
-  Note(cause,
-       aPacket.mSource,
-       aPacket.mDestination,
-       *pick,
-       watch.Health(aNow));
+  auto const cause = flow.mWasOfferedTwice ? SteeringCause::SecondChoice
+                                           : SteeringCause::NewFlow;
+  Note(cause, aPacket.mSource, aPacket.mDestination, *pick, watch.Health(aNow));
   watch.OpeningSent(aNow);
   return ForwardTo(pick->mSlot, cause);
 }
@@ -317,10 +313,9 @@
 SteeringVerdict
 CookieSteering::ForwardTo(std::uint32_t aSlot, SteeringCause aCause) const
 {
-  return { SteeringAction::Forward,
-           aCause,
-           aSlot,
-           mView->mUpstreams[aSlot].mCookie };
+  return {
+    SteeringAction::Forward, aCause, aSlot, mView->mUpstreams[aSlot].mCookie
+  };
 }
 
 Detail::TrackedFlow&
--- a/src/tarragonsill/coordination/tarragonsill_knowledge_sync.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_knowledge_sync.hpp
@@ -21,8 +21,7 @@
   bool IsBehind(KnowledgeDigest const& aOther) const
   {
     return mConfiguration < aOther.mConfiguration ||
-           mUpstreams < aOther.mUpstreams ||
-           mEvacuations < aOther.mEvacuations;
+           mUpstreams < aOther.mUpstreams || mEvacuations < aOther.mEvacuations;
   }
 };
 
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -61,8 +61,7 @@
   auto const members = mMembership.Members();
   return std::any_of(
     members.begin(), members.end(), [&](Member const& aMember) {
-      return aMember.IsServing() &&
-             aMember.mName != mMembership.Self().mName;
+      return aMember.IsServing() && aMember.mName != mMembership.Self().mName;
     });
 }
 
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -53,7 +53,6 @@
   KnowledgeDigest mDigest;
   TimePoint mStarted{};
   TimePoint mNextAsk{};
-  std::size_t mAskCount = 0;
 };
 
 } // namespace tarragonsill
--- a/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
@@ -111,6 +111,9 @@
   if (aUpstream.mUse == UpstreamUse::Missing) {
     cost += kMissingCost;
   }
+  if (aLoad.mWatch.IsProbeDue(aNow)) {
+    return cost;
+  }
   switch (aLoad.mWatch.Health(aNow)) {
     case UpstreamHealth::Answering:
       break;
@@ -142,8 +145,8 @@
       continue;
     }
     ++candidates;
-    auto cost = Cost(
-      aNow, aView, upstream, loads[slot], aSituation.mIsZoneSaturated);
+    auto cost =
+      Cost(aNow, aView, upstream, loads[slot], aSituation.mIsZoneSaturated);
     if (aSituation.mAvoid == slot) {
       cost += kSilentCost;
     }
@@ -161,8 +164,12 @@
     return std::nullopt;
   }
   best->mCandidates = candidates;
+  auto& chosen = loads[best->mSlot];
   if (aNow < aView.mUpstreams[best->mSlot].mColdUntil) {
-    loads[best->mSlot].mColdStarts.push_back(aNow);
+    chosen.mColdStarts.push_back(aNow);
+  }
+  if (chosen.mWatch.Health(aNow) != UpstreamHealth::Answering) {
+    chosen.mWatch.ProbeSent(aNow);
   }
   return best;
 }
--- a/src/tarragonsill/coordination/tarragonsill_upstream_watch.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_watch.cpp
@@ -33,9 +33,8 @@
   mRepeatingFlows += aIsFirstCopyOfFlow ? 1 : 0;
   // Data that was sent before the last answer was overdue only from then on.
   auto const since = std::max(aFirstSent, mLastAnswer);
-  mRepeatingSince = mRepeatingSince == TimePoint{}
-                      ? since
-                      : std::min(mRepeatingSince, since);
+  mRepeatingSince =
+    mRepeatingSince == TimePoint{} ? since : std::min(mRepeatingSince, since);
 }
 
 void
@@ -78,13 +77,13 @@
 }
 
 bool
-UpstreamWatch::TakeProbe(TimePoint aNow)
+UpstreamWatch::IsProbeDue(TimePoint aNow) const
 {
-  if (aNow < mLastProbe + kProbation) {
-    return false;
+  auto since = mLastProbe;
+  for (auto const start : { mOpeningSince, mRepeatingSince }) {
+    since = std::max(since, start);
   }
-  mLastProbe = aNow;
-  return true;
+  return since != TimePoint{} && aNow >= since + kProbation;
 }
 
 } // namespace tarragonsill
--- a/src/tarragonsill/coordination/tarragonsill_upstream_watch.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_watch.hpp
@@ -38,8 +38,9 @@
   static constexpr milliseconds kSilentAloneAfter{ 900 };
   static constexpr std::uint32_t kSilentFlows = 2;
   static constexpr std::uint32_t kSilentAloneCopies = 3;
-  /// A doubtful upstream gets one new flow in this time, to find out.
-  static constexpr milliseconds kProbation{ 1000 };
+  /// A doubtful upstream gets one new flow in this time, to find out. Until it
+  /// answers, each such flow waits for a copy of its opening packet.
+  static constexpr milliseconds kProbation{ 2000 };
 
   /// An opening packet was forwarded.
   void OpeningSent(TimePoint aNow);
@@ -51,8 +52,9 @@
   void Forgive(TimePoint aNow);
 
   UpstreamHealth Health(TimePoint aNow) const;
-  /// Says whether a doubtful upstream may be tried once more, and notes it.
-  bool TakeProbe(TimePoint aNow);
+  /// Whether a doubtful upstream is to be tried once more.
+  bool IsProbeDue(TimePoint aNow) const;
+  void ProbeSent(TimePoint aNow) { mLastProbe = aNow; }
   TimePoint LastAnswer() const { return mLastAnswer; }
   /// Flows that repeated data since the last answer.
   std::uint32_t RepeatingFlows() const { return mRepeatingFlows; }
--- a/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
@@ -44,8 +44,8 @@
     route.mName = known.name();
     route.mAddress = { { known.address() },
                        static_cast<std::uint16_t>(known.port()) };
-    route.mKind = known.idempotent() ? RequestKind::Idempotent
-                                     : RequestKind::NotIdempotent;
+    route.mKind =
+      known.idempotent() ? RequestKind::Idempotent : RequestKind::NotIdempotent;
     for (auto const& part : known.shares()) {
       route.mShares.push_back({ part.service(), part.weight() });
     }
--- a/src/tarragonsill/transport/tarragonsill_control_link.cpp
+++ b/src/tarragonsill/transport/tarragonsill_control_link.cpp
@@ -63,8 +63,8 @@
     return;
   }
   caf::anon_send(aControl,
-                 DatagramReceived{ std::make_shared<wire::PeerMessage const>(
-                   message.Take()) });
+                 DatagramReceived{
+                   std::make_shared<wire::PeerMessage const>(message.Take()) });
 }
 
 } // namespace tarragonsill
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -30,8 +30,7 @@
       return socket.LastReason();
     }
     auto worker = std::unique_ptr<CookieWorker>(
-      new CookieWorker(
-        socket.Take(), aPackets.mPort, aSeed, aCounters, aLog));
+      new CookieWorker(socket.Take(), aPackets.mPort, aSeed, aCounters, aLog));
     worker->mThread = std::thread([raw = worker.get()] { raw->Run(); });
     return worker;
   }
--- a/src/tarragonsill/transport/tarragonsill_knowledge_server.cpp
+++ b/src/tarragonsill/transport/tarragonsill_knowledge_server.cpp
@@ -93,7 +93,8 @@
   wire::KnowledgeReply reply;
   auto const status = stub->Fetch(&context, {}, &reply);
   if (!status.ok()) {
-    bool const late = status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+    bool const late =
+      status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
     return Reason{ late ? ReasonCode::Timeout : ReasonCode::Unavailable,
                    status.error_message() };
   }
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -54,10 +54,10 @@
   void Take(KnowledgeFetched const& aFetched)
   {
     if (!aFetched.mLists) {
-      Log().Write("member",
-                  "peer_did_not_answer",
-                  { { "peer", aFetched.mPeer },
-                    { "reason", aFetched.mFailure } });
+      Log().Write(
+        "member",
+        "peer_did_not_answer",
+        { { "peer", aFetched.mPeer }, { "reason", aFetched.mFailure } });
       return;
     }
     auto const source = "peer " + aFetched.mPeer;
@@ -188,11 +188,11 @@
                     aFetch.mPeer.mName, nullptr, lists.LastReason().mText });
       return;
     }
-    aSelf->send(asker,
-                KnowledgeFetched{
-                  aFetch.mPeer.mName,
-                  std::make_shared<StoreLists const>(lists.Take()),
-                  {} });
+    aSelf->send(
+      asker,
+      KnowledgeFetched{ aFetch.mPeer.mName,
+                        std::make_shared<StoreLists const>(lists.Take()),
+                        {} });
   } };
 }
 
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -167,8 +167,8 @@
   for (auto const kind : { ObjectKind::Configuration,
                            ObjectKind::Upstreams,
                            ObjectKind::Evacuations }) {
-    auto const seed = MixHash(HashText(mState->mSettings.mName),
-                              static_cast<unsigned>(kind));
+    auto const seed =
+      MixHash(HashText(mState->mSettings.mName), static_cast<unsigned>(kind));
     mWatches.push_back(std::make_shared<Watch>(
       mState->mSettings.mStore, kind, seed, mState->mCounters));
     mActors.push_back(mSystem.spawn<caf::detached>(
@@ -300,9 +300,8 @@
   }
   auto const waited =
     std::chrono::duration_cast<milliseconds>(Clock::now() - asked);
-  state.mLog.Write("entry",
-                   "leaving",
-                   { { "waited_ms", std::int64_t{ waited.count() } } });
+  state.mLog.Write(
+    "entry", "leaving", { { "waited_ms", std::int64_t{ waited.count() } } });
   state.mIsLeaving = true;
   std::this_thread::sleep_for(kTurnAwayTime);
   for (auto const& watch : mImpl->mWatches) {
--- /dev/null
+++ b/tests/coordination/test_directory.cpp
@@ -0,0 +1,211 @@
+#include "tarragonsill_test.hpp"
+
+#include "support/routing_fixture.hpp"
+
+using namespace tarragonsill;
+using namespace tarragonsill::Test;
+
+namespace {
+
+constexpr TimePoint kStart{ seconds{ 100 } };
+
+StoreNews
+Event(ObjectKind aKind, ObjectChange aChange)
+{
+  auto const revision = aChange.mRevision;
+  return { aKind, { std::move(aChange) }, false, revision };
+}
+
+} // namespace
+
+TEST_GROUP(Directory)
+{
+  SampleStore mStore;
+
+  UpstreamUse UseOf(TimePoint aNow, std::string const& aName)
+  {
+    auto const view = mStore.View(aNow);
+    return view->mUpstreams[SlotOf(*view, aName)].mUse;
+  }
+};
+
+TEST(Directory, an_older_version_never_replaces_a_newer_one)
+{
+  mStore.Configure(kStart, SampleConfiguration(7));
+  mStore.Configure(kStart, SampleConfiguration(5));
+  LONGS_EQUAL(7, mStore.View(kStart)->mVersion);
+}
+
+TEST(Directory, it_is_complete_once_every_kind_was_listed)
+{
+  CHECK_FALSE(mStore.Knowledge().IsComplete());
+  mStore.ListAll(kStart);
+  CHECK_FALSE(mStore.Knowledge().IsComplete());
+  mStore.Configure(kStart, SampleConfiguration());
+  CHECK(mStore.Knowledge().IsComplete());
+}
+
+TEST(Directory, a_stale_list_does_not_undo_newer_events)
+{
+  mStore.ListAll(kStart);
+  mStore.Configure(kStart, SampleConfiguration());
+  auto draining = SampleUpstream("a1", "a");
+  draining.mDraining = true;
+  mStore.Register(kStart, draining);
+  mStore.Register(kStart, SampleUpstream("a2", "a"));
+  // A list from before both entries, which shows the first one still serving.
+  (void)mStore.Knowledge().Apply(
+    kStart,
+    { ObjectKind::Upstreams,
+      { { "a1", 5, false, SampleUpstream("a1", "a") } },
+      true,
+      6 });
+  CHECK(UseOf(kStart, "a1") == UpstreamUse::Draining);
+  CHECK(UseOf(kStart, "a2") == UpstreamUse::Serving);
+}
+
+TEST(Directory, a_removed_registration_is_missing_first_and_gone_later)
+{
+  mStore.Configure(kStart, SampleConfiguration());
+  mStore.Register(kStart, SampleUpstream("a1", "a"));
+  mStore.Remove(kStart, "a1");
+  CHECK(UseOf(kStart + seconds{ 1 }, "a1") == UpstreamUse::Missing);
+  CHECK(UseOf(kStart + seconds{ 3 }, "a1") == UpstreamUse::Gone);
+}
+
+TEST(Directory, a_drained_upstream_whose_registration_ends_is_gone_at_once)
+{
+  mStore.Configure(kStart, SampleConfiguration());
+  auto draining = SampleUpstream("a1", "a");
+  draining.mDraining = true;
+  mStore.Register(kStart, draining);
+  mStore.Remove(kStart, "a1");
+  CHECK(UseOf(kStart, "a1") == UpstreamUse::Gone);
+}
+
+TEST(Directory,
+     registrations_that_lapse_in_an_outage_stay_missing_until_it_ends)
+{
+  mStore.Configure(kStart, SampleConfiguration());
+  mStore.Register(kStart, SampleUpstream("a1", "a"));
+  mStore.Knowledge().NoteStore(kStart, false);
+  mStore.Remove(kStart, "a1");
+  CHECK(UseOf(kStart + seconds{ 20 }, "a1") == UpstreamUse::Missing);
+  mStore.Knowledge().NoteStore(kStart + seconds{ 20 }, true);
+  CHECK(UseOf(kStart + seconds{ 21 }, "a1") == UpstreamUse::Missing);
+  CHECK(UseOf(kStart + seconds{ 23 }, "a1") == UpstreamUse::Gone);
+  mStore.Register(kStart + seconds{ 23 }, SampleUpstream("a1", "a"));
+  CHECK(UseOf(kStart + seconds{ 23 }, "a1") == UpstreamUse::Serving);
+}
+
+TEST(Directory, an_entry_that_cannot_be_read_names_no_upstream)
+{
+  mStore.Configure(kStart, SampleConfiguration());
+  mStore.Register(kStart, SampleUpstream("a1", "a"));
+  auto const changes = mStore.Knowledge().Apply(
+    kStart,
+    Event(ObjectKind::Upstreams,
+          { "a1", 100, false, UnusableRecord{ "state: missing" } }));
+  CHECK(!changes.empty());
+  CHECK(UseOf(kStart + seconds{ 3 }, "a1") == UpstreamUse::Gone);
+  (void)mStore.Knowledge().Apply(
+    kStart,
+    Event(ObjectKind::Upstreams,
+          { "x", 101, false, UnusableRecord{ "address: missing" } }));
+  auto const view = mStore.View(kStart);
+  CHECK(SlotOf(*view, "x") >= view->mUpstreams.size());
+}
+
+TEST(Directory, a_refused_configuration_leaves_the_old_one_in_force)
+{
+  mStore.Configure(kStart, SampleConfiguration(3));
+  auto const changes = mStore.Knowledge().Apply(
+    kStart,
+    Event(ObjectKind::Configuration,
+          { "main", 90, false, UnusableRecord{ "no routes" } }));
+  LONGS_EQUAL(1, changes.size());
+  LONGS_EQUAL(3, mStore.View(kStart)->mVersion);
+}
+
+TEST(Directory, a_peers_lists_bring_a_vm_up_to_date)
+{
+  mStore.ListAll(kStart);
+  mStore.Configure(kStart, SampleConfiguration(4));
+  auto cold = SampleUpstream("a1", "a");
+  cold.mColdLeft = seconds{ 3 };
+  mStore.Register(kStart, cold);
+  mStore.Register(kStart, SampleUpstream("b1", "b"));
+  mStore.Evacuate(kStart, "b", true);
+  auto const now = kStart + seconds{ 1 };
+  auto const lists = FromMessage(ToMessage(mStore.Knowledge().Lists(now)));
+  Directory fresh(SampleSettings());
+  CHECK(fresh.Digest().IsBehind(mStore.Knowledge().Digest()));
+  (void)fresh.Apply(now,
+                    { ObjectKind::Configuration,
+                      lists.mConfiguration.mChanges,
+                      true,
+                      lists.mConfiguration.mRevision });
+  (void)fresh.Apply(now,
+                    { ObjectKind::Upstreams,
+                      lists.mUpstreams.mChanges,
+                      true,
+                      lists.mUpstreams.mRevision });
+  (void)fresh.Apply(now,
+                    { ObjectKind::Evacuations,
+                      lists.mEvacuations.mChanges,
+                      true,
+                      lists.mEvacuations.mRevision });
+  CHECK(fresh.IsComplete());
+  CHECK_FALSE(fresh.Digest().IsBehind(mStore.Knowledge().Digest()));
+  auto const view = fresh.BuildView(now);
+  LONGS_EQUAL(4, view->mVersion);
+  auto const& upstream = view->mUpstreams[SlotOf(*view, "a1")];
+  CHECK(upstream.mColdUntil == kStart + seconds{ 3 });
+  CHECK(upstream.mRecord.mIdentity == cold.mIdentity);
+  CHECK(view->mUpstreams[SlotOf(*view, "b1")].mEvacuated);
+}
+
+TEST(Directory, slots_are_used_again_only_after_every_flow_must_have_ended)
+{
+  mStore.Configure(kStart, SampleConfiguration());
+  mStore.Register(kStart, SampleUpstream("a1", "a"));
+  auto const slot = SlotOf(*mStore.View(kStart), "a1");
+  mStore.Remove(kStart, "a1");
+  mStore.Register(kStart + seconds{ 70 }, SampleUpstream("a2", "a"));
+  CHECK(SlotOf(*mStore.View(kStart + seconds{ 70 }), "a2") != slot);
+  auto const later = kStart + seconds{ 121 };
+  mStore.Register(later, SampleUpstream("a3", "a"));
+  LONGS_EQUAL(slot, SlotOf(*mStore.View(later), "a3"));
+}
+
+TEST(Directory, it_never_goes_back_under_any_order_of_news)
+{
+  CheckProperty("monotonic", [] {
+    Directory directory(SampleSettings());
+    std::uint64_t version = 0;
+    std::map<std::string, std::uint64_t> revisions;
+    auto const steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(1, 40)));
+    for (auto const& [kind, number] : steps) {
+      auto const revision = static_cast<std::uint64_t>(number);
+      if (kind == 0) {
+        (void)directory.Apply(
+          kStart,
+          Event(ObjectKind::Configuration,
+                { "main", revision, false, SampleConfiguration(revision) }));
+        version = std::max(version, revision);
+        RC_ASSERT(directory.ConfigurationVersion() == version);
+        continue;
+      }
+      auto record = SampleUpstream("a" + std::to_string(kind), "a");
+      record.mDraining = number % 2 == 0;
+      (void)directory.Apply(
+        kStart,
+        Event(ObjectKind::Upstreams,
+              { record.mName, revision, number % 5 == 0, record }));
+      auto& last = revisions[record.mName];
+      last = std::max(last, revision);
+      RC_ASSERT(directory.Digest().mUpstreams == 0U);
+    }
+  });
+}
--- /dev/null
+++ b/tests/coordination/test_node_peers.cpp
@@ -0,0 +1,195 @@
+#include "tarragonsill_test.hpp"
+
+#include "tarragonsill/coordination/tarragonsill_node_peers.hpp"
+
+#include <functional>
+#include <memory>
+
+using namespace tarragonsill;
+
+namespace {
+
+constexpr TimePoint kStart{ seconds{ 100 } };
+constexpr std::uint16_t kPort = 7720;
+
+/// Some VMs of one process that exchange messages without delay.
+class PeerGroup
+{
+public:
+  /// Whether a message may pass from one VM to another one.
+  using Link = std::function<bool(std::size_t, std::size_t)>;
+
+  void Add(std::string const& aZone, std::uint64_t aIncarnation = 1)
+  {
+    auto const index = mPeers.size();
+    mPeers.push_back(Make(index, aZone, aIncarnation));
+    mZones.push_back(aZone);
+  }
+
+  void Restart(std::size_t aIndex, std::uint64_t aIncarnation)
+  {
+    mPeers[aIndex] = Make(aIndex, mZones[aIndex], aIncarnation);
+  }
+  void Kill(std::size_t aIndex) { mPeers[aIndex].reset(); }
+  NodePeers& At(std::size_t aIndex) { return *mPeers[aIndex]; }
+
+  void Run(Duration aTime, Link const& aLink = {})
+  {
+    auto const end = mNow + aTime;
+    while (mNow < end) {
+      mNow += milliseconds{ 50 };
+      for (std::size_t index = 0; index < mPeers.size(); ++index) {
+        Outbox outbox;
+        if (mPeers[index]) {
+          mPeers[index]->Tick(mNow, outbox);
+          Deliver(index, outbox, aLink, 0);
+        }
+      }
+    }
+  }
+  TimePoint Now() const { return mNow; }
+
+private:
+  static Endpoint AddressOf(std::size_t aIndex)
+  {
+    return { { 0x0A010001 + static_cast<std::uint32_t>(aIndex) }, kPort };
+  }
+
+  std::unique_ptr<NodePeers> Make(std::size_t aIndex,
+                                  std::string const& aZone,
+                                  std::uint64_t aIncarnation)
+  {
+    Member self;
+    self.mName = "vm-" + std::to_string(aIndex);
+    self.mZone = aZone;
+    self.mControl = AddressOf(aIndex);
+    self.mData = { AddressOf(aIndex).mAddress, 2 };
+    self.mCalls = { AddressOf(aIndex).mAddress, 3 };
+    self.mIncarnation = aIncarnation;
+    auto peers = std::make_unique<NodePeers>(
+      self,
+      std::vector<Endpoint>{ AddressOf(0), AddressOf(1), AddressOf(90) },
+      aIndex,
+      mCounters);
+    peers->SetStage(MemberStage::Serving);
+    return peers;
+  }
+
+  void Deliver(std::size_t aFrom, Outbox& aOutbox, Link const& aLink, int aHops)
+  {
+    constexpr int kMostHops = 6;
+    if (aHops > kMostHops) {
+      return;
+    }
+    mPeers[aFrom]->Decorate(aOutbox);
+    for (auto const& outgoing : aOutbox) {
+      auto const to =
+        outgoing.mTo.mAddress.mValue - AddressOf(0).mAddress.mValue;
+      if (to >= mPeers.size() || !mPeers[to] || (aLink && !aLink(aFrom, to))) {
+        continue;
+      }
+      Outbox answers;
+      mPeers[to]->Handle(mNow, outgoing.mMessage, answers);
+      Deliver(to, answers, aLink, aHops + 1);
+    }
+  }
+
+  Counters mCounters;
+  std::vector<std::unique_ptr<NodePeers>> mPeers;
+  std::vector<std::string> mZones;
+  TimePoint mNow = kStart;
+};
+
+} // namespace
+
+TEST_GROUP(NodePeers)
+{
+  PeerGroup mGroup;
+
+  void setup() override
+  {
+    for (char const* zone : { "a", "b", "a", "a", "b", "c" }) {
+      mGroup.Add(zone);
+    }
+  }
+};
+
+TEST(NodePeers, every_vm_finds_all_others_through_a_few_seeds)
+{
+  mGroup.Run(seconds{ 5 });
+  for (std::size_t index = 0; index < 6; ++index) {
+    LONGS_EQUAL(6, mGroup.At(index).Members().Members().size());
+  }
+}
+
+TEST(NodePeers, the_deciders_of_a_zone_agree_and_wait_for_the_join_time)
+{
+  mGroup.Run(milliseconds{ 500 });
+  CHECK(mGroup.At(2).Deciders(mGroup.Now()).empty());
+  mGroup.Run(seconds{ 5 });
+  auto const deciders = mGroup.At(2).Deciders(mGroup.Now());
+  LONGS_EQUAL(3, deciders.size());
+  CHECK(deciders == mGroup.At(3).Deciders(mGroup.Now()));
+  LONGS_EQUAL(1, mGroup.At(5).Deciders(mGroup.Now()).size());
+}
+
+TEST(NodePeers, a_vm_that_knows_nothing_asks_a_peer_that_does)
+{
+  mGroup.At(0).SetDigest({ 4, 20, 1 });
+  mGroup.Run(seconds{ 3 });
+  auto const peer = mGroup.At(3).NextQuestion(mGroup.Now(), false);
+  CHECK(peer.has_value());
+  STRCMP_EQUAL("vm-0", peer->mName.c_str());
+  // The next question has to wait for the answer to this one.
+  CHECK_FALSE(mGroup.At(3).NextQuestion(mGroup.Now(), false).has_value());
+}
+
+TEST(NodePeers, a_vm_that_restarts_inside_a_cut_is_found_by_its_neighbours)
+{
+  mGroup.At(2).SetDigest({ 4, 20, 1 });
+  mGroup.Run(seconds{ 5 });
+  mGroup.Kill(3);
+  // Zone a without its seed vm-0 is cut off: vm-2 and vm-3 are left to
+  // themselves.
+  auto const isInside = [](std::size_t aIndex) {
+    return aIndex == 2 || aIndex == 3;
+  };
+  auto const cut = [&](std::size_t aFrom, std::size_t aTo) {
+    return isInside(aFrom) == isInside(aTo);
+  };
+  mGroup.Run(seconds{ 4 }, cut);
+  mGroup.Restart(3, 2);
+  mGroup.Run(seconds{ 4 }, cut);
+  auto const peer = mGroup.At(3).NextQuestion(mGroup.Now(), false);
+  CHECK(peer.has_value());
+  STRCMP_EQUAL("vm-2", peer->mName.c_str());
+}
+
+TEST(NodePeers, a_vm_whose_clock_went_back_is_heard_again_after_its_restart)
+{
+  mGroup.Restart(4, 50);
+  mGroup.Run(seconds{ 5 });
+  mGroup.Restart(4, 10);
+  mGroup.Run(seconds{ 5 });
+  auto const* member = mGroup.At(0).Members().Find("vm-4");
+  CHECK(member != nullptr);
+  CHECK(member->mIncarnation > 50);
+  CHECK(member->mHealth == MemberHealth::Alive);
+}
+
+TEST(NodePeers, a_vm_may_leave_only_while_half_of_its_zone_serves_without_it)
+{
+  mGroup.Run(seconds{ 5 });
+  CHECK(mGroup.At(2).MayLeave());
+  mGroup.At(0).SetStage(MemberStage::Leaving);
+  mGroup.Run(seconds{ 1 });
+  CHECK_FALSE(mGroup.At(2).MayLeave());
+  mGroup.Kill(0);
+  mGroup.Run(seconds{ 3 });
+  CHECK_FALSE(mGroup.At(2).MayLeave());
+  mGroup.Restart(0, 2);
+  mGroup.Run(seconds{ 3 });
+  CHECK(mGroup.At(2).MayLeave());
+  // The only VM of a zone has nobody to wait for.
+  CHECK(mGroup.At(5).MayLeave());
+}
--- /dev/null
+++ b/tests/platform/test_platform_objects.cpp
@@ -0,0 +1,204 @@
+#include "tarragonsill_test.hpp"
+
+#include "tarragonsill/platform/tarragonsill_platform_objects.hpp"
+
+#include <nlohmann/json.hpp>
+
+using namespace tarragonsill;
+using Platform::ObjectFormat;
+
+namespace {
+
+ObjectQuery
+ListOf(ObjectKind aKind)
+{
+  ObjectQuery query;
+  query.mKind = aKind;
+  return query;
+}
+
+ObjectQuery
+WatchOf(ObjectKind aKind)
+{
+  auto query = ListOf(aKind);
+  query.mWatchFrom = 12;
+  query.mWait = milliseconds{ 1500 };
+  return query;
+}
+
+nlohmann::json
+UpstreamSpec()
+{
+  return { { "service", "svc" },     { "address", "10.1.64.9:8080" },
+           { "zone", "a" },          { "version", "v1" },
+           { "slots", 4 },           { "state", "ready" },
+           { "coldLeftMs", 0 },      { "seq", 9 },
+           { "born", 1796000000000 } };
+}
+
+nlohmann::json
+Object(std::string const& aName, nlohmann::json const& aSpec)
+{
+  return { { "meta", { { "name", aName }, { "revision", 31 } } },
+           { "spec", aSpec },
+           { "status", nullptr } };
+}
+
+std::string
+ListBody(std::vector<nlohmann::json> const& aItems)
+{
+  return nlohmann::json{
+    { "items", aItems }, { "more", false }, { "currentRev", 40 }
+  }.dump();
+}
+
+/// Decodes one upstream entry.
+ObjectChange
+Decode(std::string const& aName, nlohmann::json const& aSpec)
+{
+  auto page = ObjectFormat::Decode(ListOf(ObjectKind::Upstreams),
+                                   ListBody({ Object(aName, aSpec) }));
+  CHECK(page.HasValue());
+  LONGS_EQUAL(1, page->mChanges.size());
+  return page->mChanges.front();
+}
+
+bool
+IsUnusable(ObjectChange const& aChange)
+{
+  return std::holds_alternative<UnusableRecord>(aChange.mContent);
+}
+
+} // namespace
+
+TEST_GROUP(PlatformObjects){};
+
+TEST(PlatformObjects, paths_name_kind_place_and_freshness)
+{
+  auto list = ListOf(ObjectKind::Upstreams);
+  STRCMP_EQUAL("/objects/servers", ObjectFormat::Path(list).c_str());
+  list.mAfter = "i-1";
+  STRCMP_EQUAL("/objects/servers?after=i-1", ObjectFormat::Path(list).c_str());
+  auto watch = WatchOf(ObjectKind::Configuration);
+  watch.mMayBeStale = true;
+  STRCMP_EQUAL("/objects/config?watch=12&waitMs=1500&serializable=1",
+               ObjectFormat::Path(watch).c_str());
+}
+
+TEST(PlatformObjects, an_upstream_is_read)
+{
+  auto const change = Decode("i-00ff", UpstreamSpec());
+  auto const* record = std::get_if<UpstreamRecord>(&change.mContent);
+  CHECK(record != nullptr);
+  LONGS_EQUAL(31, change.mRevision);
+  LONGS_EQUAL(0xFF, record->mIdentity);
+  CHECK(record->mAddress == Endpoint({ { 0x0A014009 }, 8080 }));
+  LONGS_EQUAL(4, record->mSlots);
+  CHECK_FALSE(record->mDraining);
+  CHECK(record->mStartMark == 1796000000000);
+}
+
+TEST(PlatformObjects, an_entry_with_a_broken_field_is_unusable_and_named)
+{
+  std::vector<std::pair<char const*, nlohmann::json>> const broken = {
+    { "service", 3 },       { "address", "10.1.64.9" },
+    { "address", nullptr }, { "zone", false },
+    { "slots", 0 },         { "slots", "four" },
+    { "state", "asleep" },  { "coldLeftMs", "soon" },
+    { "coldLeftMs", -1 },
+  };
+  for (auto const& [field, value] : broken) {
+    auto spec = UpstreamSpec();
+    spec[field] = value;
+    CHECK_TEXT(IsUnusable(Decode("i-00ff", spec)), field);
+    spec.erase(field);
+    CHECK_TEXT(IsUnusable(Decode("i-00ff", spec)), field);
+  }
+  CHECK(IsUnusable(Decode("host", UpstreamSpec())));
+  CHECK(IsUnusable(Decode("i-00ff", "not an object")));
+}
+
+TEST(PlatformObjects, bytes_that_are_no_text_hide_no_other_entry)
+{
+  auto body =
+    ListBody({ Object("i-00aa", "FOREIGN"), Object("i-00bb", UpstreamSpec()) });
+  body.replace(body.find("FOREIGN"), 2, "\xFF\x01");
+  auto const page = ObjectFormat::Decode(ListOf(ObjectKind::Upstreams), body);
+  CHECK(page.HasValue());
+  LONGS_EQUAL(2, page->mChanges.size());
+  CHECK(IsUnusable(page->mChanges.front()));
+  CHECK_FALSE(IsUnusable(page->mChanges.back()));
+}
+
+TEST(PlatformObjects, events_tell_changes_and_removals)
+{
+  nlohmann::json const body = {
+    { "events",
+      { { { "object", Object("i-00aa", UpstreamSpec()) },
+          { "tombstone", false } },
+        { { "object", Object("i-00bb", nullptr) }, { "tombstone", true } } } },
+    { "currentRev", 44 }
+  };
+  auto const page =
+    ObjectFormat::Decode(WatchOf(ObjectKind::Upstreams), body.dump());
+  CHECK(page.HasValue());
+  LONGS_EQUAL(44, page->mRevision);
+  CHECK_FALSE(page->mChanges.front().mRemoved);
+  CHECK(page->mChanges.back().mRemoved);
+}
+
+TEST(PlatformObjects, a_configuration_is_read)
+{
+  nlohmann::json const spec = {
+    { "version", 9 },
+    { "routes",
+      { { { "name", "r1" },
+          { "host", "198.18.0.1" },
+          { "pathPrefix", "/8443/" },
+          { "type", "download" },
+          { "split",
+            { { { "service", "s1" }, { "weight", 90 } },
+              { { "service", "s2" }, { "weight", 10 } } } } },
+        { { "name", "r2" },
+          { "host", "198.18.0.1" },
+          { "pathPrefix", "/80/" },
+          { "type", "unsafe" },
+          { "service", "s1" } } } },
+    { "services",
+      { { { "name", "s1" }, { "coldS", 2.5 }, { "coldRateS", 3.5 } } } },
+    { "limits", { { "idleTimeoutMs", 12000 } } }
+  };
+  auto const page = ObjectFormat::Decode(ListOf(ObjectKind::Configuration),
+                                         ListBody({ Object("main", spec) }));
+  auto const* read =
+    std::get_if<RoutingConfiguration>(&page->mChanges.front().mContent);
+  CHECK(read != nullptr);
+  LONGS_EQUAL(9, read->mVersion);
+  LONGS_EQUAL(2, read->mRoutes.front().mShares.size());
+  CHECK(read->mRoutes.front().mKind == RequestKind::Idempotent);
+  CHECK(read->mRoutes.back().mKind == RequestKind::NotIdempotent);
+  CHECK(read->mRoutes.back().mAddress == Endpoint({ { 0xC6120001 }, 80 }));
+  LONGS_EQUAL(2500, read->mServices.front().mColdTime.count());
+  DOUBLES_EQUAL(3.5, read->mServices.front().mColdFlowsPerSecond, 1e-9);
+  LONGS_EQUAL(12000, read->mIdleTimeout.count());
+}
+
+TEST(PlatformObjects, any_body_gives_a_page_or_a_reason)
+{
+  CheckProperty("any body", [] {
+    auto body = ListBody({ Object("i-00aa", UpstreamSpec()) });
+    auto const changes = *rc::gen::container<std::vector<std::pair<int, char>>>(
+      rc::gen::pair(rc::gen::inRange(0, static_cast<int>(body.size())),
+                    rc::gen::arbitrary<char>()));
+    for (auto const& [place, byte] : changes) {
+      body[static_cast<std::size_t>(place)] = byte;
+    }
+    for (auto const kind : { ObjectKind::Configuration,
+                             ObjectKind::Upstreams,
+                             ObjectKind::Evacuations }) {
+      auto const page = ObjectFormat::Decode(ListOf(kind), body);
+      RC_ASSERT(page.HasValue() || !page.LastReason().mText.empty());
+      (void)ObjectFormat::Decode(WatchOf(kind), body);
+    }
+  });
+}
--- /dev/null
+++ b/tests/platform/test_platform_settings.cpp
@@ -0,0 +1,122 @@
+#include "tarragonsill_test.hpp"
+
+#include "tarragonsill/platform/tarragonsill_platform_settings.hpp"
+
+#include <algorithm>
+
+using namespace tarragonsill;
+
+namespace {
+
+char const* const kSettings = R"(nodeName = "front-a-1"
+zone = "a"
+internalPortRange = [7720,7735]
+seeds = ["10.1.0.10:8166","10.2.0.40:8166"]
+heartbeatIntervalMs = 770
+somethingNew = { deep = [1, 2] }
+[zones]
+a = "r"
+b = "r"
+[listen]
+packetAddr = "10.1.0.10:8172"
+ready = "10.1.0.10:8167"
+[bounds]
+drainMs = 5000
+graceS = 6
+warmupBurstFactor = 1.25
+[platform]
+address = "10.200.1.7:8169"
+)";
+
+std::optional<NodeSettings>
+Read(std::string const& aText, FileFaults& aFaults)
+{
+  return Platform::ReadNodeSettings(aText, aFaults);
+}
+
+std::string
+Replaced(std::string aText, std::string const& aOld, std::string const& aNew)
+{
+  return aText.replace(aText.find(aOld), aOld.size(), aNew);
+}
+
+} // namespace
+
+TEST_GROUP(PlatformSettings)
+{
+  FileFaults mFaults{ "node.toml" };
+
+  FileFault FaultOf(std::string const& aText)
+  {
+    CHECK_FALSE(Read(aText, mFaults).has_value());
+    CHECK(!mFaults.All().empty());
+    return mFaults.All().front();
+  }
+};
+
+TEST(PlatformSettings, everything_that_is_used_is_read)
+{
+  auto const settings = Read(kSettings, mFaults);
+  CHECK(settings.has_value());
+  STRCMP_EQUAL("front-a-1", settings->mName.c_str());
+  LONGS_EQUAL(2, settings->mZones.size());
+  CHECK(settings->mPackets == Endpoint({ { 0x0A01000A }, 8172 }));
+  CHECK(settings->mPeers == Endpoint({ { 0x0A01000A }, 7720 }));
+  CHECK(settings->mSeeds.back() == Endpoint({ { 0x0A020028 }, 7720 }));
+  LONGS_EQUAL(770, settings->mHeartbeat.count());
+  LONGS_EQUAL(5000, settings->mBounds.mDrain.count());
+  LONGS_EQUAL(6000, settings->mBounds.mGrace.count());
+  DOUBLES_EQUAL(1.25, settings->mBounds.mColdFactor, 1e-9);
+}
+
+TEST(PlatformSettings, bounds_that_are_missing_keep_their_defaults)
+{
+  auto const settings = Read(kSettings, mFaults);
+  LONGS_EQUAL(3000, settings->mBounds.mConfiguration.count());
+}
+
+TEST(PlatformSettings, a_fault_names_file_line_and_key)
+{
+  auto const fault =
+    FaultOf(Replaced(kSettings, "\"10.1.0.10:8172\"", "\"10.1.0.10\""));
+  STRCMP_EQUAL("node.toml", fault.mFile.c_str());
+  LONGS_EQUAL(11, fault.mLine);
+  STRCMP_EQUAL("listen.packetAddr", fault.mKey.c_str());
+}
+
+TEST(PlatformSettings, a_missing_key_is_a_fault_without_a_line)
+{
+  auto const fault = FaultOf(Replaced(kSettings, "nodeName", "otherName"));
+  LONGS_EQUAL(0, fault.mLine);
+  STRCMP_EQUAL("nodeName", fault.mKey.c_str());
+}
+
+TEST(PlatformSettings, a_syntax_error_is_a_fault_with_its_line)
+{
+  LONGS_EQUAL(2, FaultOf("zone = \"a\"\nzone = = 3\n").mLine);
+}
+
+TEST(PlatformSettings, negative_bounds_and_wrong_types_are_faults)
+{
+  STRCMP_EQUAL("bounds.drainMs",
+               FaultOf(Replaced(kSettings, "5000", "-1")).mKey.c_str());
+  FileFaults faults("node.toml");
+  CHECK_FALSE(
+    Read(Replaced(kSettings, "[7720,7735]", "[\"x\"]"), faults).has_value());
+}
+
+TEST(PlatformSettings, any_text_gives_settings_or_faults)
+{
+  CheckProperty("any text", [] {
+    std::string text(kSettings);
+    auto const changes = *rc::gen::container<std::vector<std::pair<int, char>>>(
+      rc::gen::pair(rc::gen::inRange(0, static_cast<int>(text.size())),
+                    rc::gen::arbitrary<char>()));
+    for (auto const& [place, byte] : changes) {
+      text[static_cast<std::size_t>(place)] = byte;
+    }
+    FileFaults faults("node.toml");
+    auto const settings = Read(text, faults);
+    RC_ASSERT(settings.has_value() == faults.All().empty());
+  });
+}
--- /dev/null
+++ b/tests/support/routing_fixture.cpp
@@ -0,0 +1,175 @@
+#include "support/routing_fixture.hpp"
+
+#include <limits>
+
+namespace tarragonsill::Test {
+
+namespace {
+
+constexpr std::uint16_t kRequestBytes = 200;
+constexpr std::uint32_t kAnswerBytes = 600;
+
+} // namespace
+
+NodeSettings
+SampleSettings()
+{
+  NodeSettings settings;
+  settings.mName = "entry-a-1";
+  settings.mZone = "a";
+  settings.mZones = { "a", "b", "c" };
+  settings.mHeartbeat = milliseconds{ 1200 };
+  return settings;
+}
+
+RoutingConfiguration
+SampleConfiguration(std::uint64_t aVersion)
+{
+  RoutingConfiguration configuration;
+  configuration.mVersion = aVersion;
+  configuration.mRoutes = {
+    { "web", kWebRoute, { { "web", 1 } }, RequestKind::Idempotent },
+    { "label", kLabelRoute, { { "label", 1 } }, RequestKind::Idempotent },
+  };
+  configuration.mServices = { { "web", seconds{ 2 }, 2.0 },
+                              { "label", seconds{ 2 }, 2.0 } };
+  return configuration;
+}
+
+UpstreamRecord
+SampleUpstream(std::string const& aName,
+               std::string const& aZone,
+               std::string const& aService)
+{
+  UpstreamRecord record;
+  record.mName = aName;
+  record.mIdentity = HashText(aName);
+  record.mAddress = {
+    { 0x0A800000 + static_cast<std::uint32_t>(HashText(aName) % 60000) }, 8080
+  };
+  record.mService = aService;
+  record.mZone = aZone;
+  record.mSlots = 4;
+  record.mStartMark = 1;
+  return record;
+}
+
+SampleStore::SampleStore(NodeSettings const& aSettings)
+  : mDirectory(aSettings)
+{
+}
+
+void
+SampleStore::Tell(TimePoint aNow, ObjectKind aKind, ObjectChange aChange)
+{
+  aChange.mRevision = ++mRevision;
+  StoreNews news{ aKind, { std::move(aChange) }, false, mRevision };
+  (void)mDirectory.Apply(aNow, news);
+}
+
+void
+SampleStore::Configure(TimePoint aNow,
+                       RoutingConfiguration const& aConfiguration)
+{
+  Tell(aNow, ObjectKind::Configuration, { "main", 0, false, aConfiguration });
+}
+
+void
+SampleStore::Register(TimePoint aNow, UpstreamRecord const& aRecord)
+{
+  Tell(aNow, ObjectKind::Upstreams, { aRecord.mName, 0, false, aRecord });
+}
+
+void
+SampleStore::Remove(TimePoint aNow, std::string const& aUpstream)
+{
+  Tell(aNow, ObjectKind::Upstreams, { aUpstream, 0, true, UnusableRecord{} });
+}
+
+void
+SampleStore::Evacuate(TimePoint aNow, std::string const& aZone, bool aIsOut)
+{
+  Tell(
+    aNow, ObjectKind::Evacuations, { aZone, 0, !aIsOut, EvacuationRecord{} });
+}
+
+void
+SampleStore::ListAll(TimePoint aNow)
+{
+  for (auto const kind : { ObjectKind::Configuration,
+                           ObjectKind::Upstreams,
+                           ObjectKind::Evacuations }) {
+    // A list from before every object: it says nothing about any of them.
+    (void)mDirectory.Apply(aNow, { kind, {}, true, 1 });
+  }
+}
+
+std::uint32_t
+SlotOf(RoutingView const& aView, std::string const& aName)
+{
+  for (std::uint32_t slot = 0; slot < aView.mUpstreams.size(); ++slot) {
+    if (aView.mUpstreams[slot].mRecord.mName == aName) {
+      return slot;
+    }
+  }
+  return std::numeric_limits<std::uint32_t>::max();
+}
+
+SampleFlow::SampleFlow(Endpoint aCaller, Endpoint aRoute)
+  : mCaller(aCaller)
+  , mRoute(aRoute)
+{
+}
+
+FlowPacket
+SampleFlow::Base(std::uint32_t aCookie) const
+{
+  FlowPacket packet;
+  packet.mSource = mCaller;
+  packet.mDestination = mRoute;
+  packet.mCookie = aCookie;
+  packet.mSequence = mSequence;
+  packet.mAcknowledged = mAcknowledged;
+  packet.mAcknowledges = true;
+  return packet;
+}
+
+FlowPacket
+SampleFlow::Opening(std::uint32_t aCopies) const
+{
+  auto packet = Base(0);
+  packet.mSequence = 999;
+  packet.mAcknowledged = 0;
+  packet.mAcknowledges = false;
+  packet.mOpens = true;
+  packet.mOpeningCopies = aCopies;
+  return packet;
+}
+
+FlowPacket
+SampleFlow::FirstData(std::uint32_t aCookie)
+{
+  return Data(aCookie);
+}
+
+FlowPacket
+SampleFlow::Data(std::uint32_t aCookie, bool aIsCopy)
+{
+  auto packet = Base(aCookie);
+  packet.mDataBytes = kRequestBytes;
+  if (aIsCopy) {
+    packet.mSequence -= kRequestBytes;
+    return packet;
+  }
+  mSequence += kRequestBytes;
+  return packet;
+}
+
+FlowPacket
+SampleFlow::Acknowledge(std::uint32_t aCookie)
+{
+  mAcknowledged += kAnswerBytes;
+  return Base(aCookie);
+}
+
+} // namespace tarragonsill::Test
--- /dev/null
+++ b/tests/support/routing_fixture.hpp
@@ -0,0 +1,80 @@
+#ifndef TARRAGONSILL_ROUTING_FIXTURE_HPP_INCLUDED
+#define TARRAGONSILL_ROUTING_FIXTURE_HPP_INCLUDED
+
+#include "tarragonsill/coordination/tarragonsill_cookie_steering.hpp"
+#include "tarragonsill/coordination/tarragonsill_directory.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+/// A small deployment for tests of steering by cookie.
+namespace tarragonsill::Test {
+
+constexpr Endpoint kWebRoute{ { 0xC6120001 }, 443 };
+constexpr Endpoint kLabelRoute{ { 0xC6120002 }, 443 };
+constexpr Endpoint kCaller{ { 0x64400007 }, 40001 };
+
+/// Settings of a VM in zone `a` of the zones `a`, `b` and `c`.
+NodeSettings SampleSettings();
+/// Routes to the services `web` and `label`; cold upstreams bear 5 flows a
+/// second besides 1.5 times their rate of 2.
+RoutingConfiguration SampleConfiguration(std::uint64_t aVersion = 1);
+/// An upstream of a service with 4 slots.
+UpstreamRecord SampleUpstream(std::string const& aName,
+                              std::string const& aZone,
+                              std::string const& aService = "web");
+
+/// Feeds a directory as the store would.
+class SampleStore
+{
+public:
+  explicit SampleStore(NodeSettings const& aSettings = SampleSettings());
+
+  void Configure(TimePoint aNow, RoutingConfiguration const& aConfiguration);
+  void Register(TimePoint aNow, UpstreamRecord const& aRecord);
+  void Remove(TimePoint aNow, std::string const& aUpstream);
+  void Evacuate(TimePoint aNow, std::string const& aZone, bool aIsOut);
+  /// Hands over whole lists, as at the start.
+  void ListAll(TimePoint aNow);
+
+  Directory& Knowledge() { return mDirectory; }
+  RoutingViewPointer View(TimePoint aNow) { return mDirectory.BuildView(aNow); }
+  std::uint64_t Revision() const { return mRevision; }
+
+private:
+  void Tell(TimePoint aNow, ObjectKind aKind, ObjectChange aChange);
+
+  Directory mDirectory;
+  std::uint64_t mRevision = 10;
+};
+
+/// The slot of an upstream; fails with an unused number.
+std::uint32_t SlotOf(RoutingView const& aView, std::string const& aName);
+
+/// One caller's end of a flow, in packets as a VM sees them.
+class SampleFlow
+{
+public:
+  explicit SampleFlow(Endpoint aCaller = kCaller, Endpoint aRoute = kWebRoute);
+
+  FlowPacket Opening(std::uint32_t aCopies = 0) const;
+  /// The first packet after the upstream accepted, with data.
+  FlowPacket FirstData(std::uint32_t aCookie);
+  /// A new request; repeats the last one where `aIsCopy`.
+  FlowPacket Data(std::uint32_t aCookie, bool aIsCopy = false);
+  /// Acknowledges more of the upstream's answer.
+  FlowPacket Acknowledge(std::uint32_t aCookie);
+
+private:
+  FlowPacket Base(std::uint32_t aCookie) const;
+
+  Endpoint mCaller;
+  Endpoint mRoute;
+  std::uint32_t mSequence = 1000;
+  std::uint32_t mAcknowledged = 500;
+};
+
+} // namespace tarragonsill::Test
+
+#endif // TARRAGONSILL_ROUTING_FIXTURE_HPP_INCLUDED
--- a/tools/check-layering.sh
+++ b/tools/check-layering.sh
@@ -24,4 +24,14 @@
   echo "layering: the core must not read clocks, sleep or draw unseeded" >&2
   status=1
 fi
+forbid platform "tarragonsill/(transport|coordination)/" "parts that decide"
+forbid platform "$outside" "sockets, actors, gRPC, logs or threads"
+names='coldLeftMs|coldRateS|packetAddr|pathPrefix|currentRev|waitMs|serializable'
+names="$names|heartbeatIntervalMs|internalPortRange|idleTimeoutMs|drainMs"
+names="$names|configPropagationMs|evacuationDelayMs|warmupBurstFactor|coldSlack"
+names="$names|deletePending|tombstone|finalizers|proxyMode|healthPath"
+if grep -nE "\\b($names)\\b" -r . --exclude-dir=platform; then
+  echo "layering: the platform's names belong into platform/" >&2
+  status=1
+fi
 exit $status
