--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -213,7 +213,7 @@
   auto const known = mSlots.find(aChange.mName);
   if (known != mSlots.end() &&
       aChange.mRevision <= mUpstreams[known->second].mRevision) {
-    // A tombstone may carry the revision of the object's last change.
+    // A removal may carry the revision of the object's last change.
     if (aChange.mRemoved &&
         aChange.mRevision == mUpstreams[known->second].mRevision) {
       RemoveUpstream(aNow, aChange.mName, aChange.mRevision, aChanges);
--- a/src/tarragonsill/transport/tarragonsill_page_server.cpp
+++ b/src/tarragonsill/transport/tarragonsill_page_server.cpp
@@ -35,14 +35,15 @@
   server.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
   server.set_keep_alive_max_count(kCallsPerConnection);
   server.set_read_timeout(kReadTimeout);
-  for (auto& [path, handler] : aPages) {
-    server.Get(path, [handler](auto const& aRequest, auto& aResponse) {
-      Parameters const parameters(aRequest.params.begin(),
-                                  aRequest.params.end());
-      auto const page = handler(parameters);
-      aResponse.status = page.mStatus;
-      aResponse.set_content(page.mBody, page.mType.c_str());
-    });
+  for (auto& [path, pageHandler] : aPages) {
+    server.Get(path,
+               [handler = pageHandler](auto const& aRequest, auto& aResponse) {
+                 Parameters const parameters(aRequest.params.begin(),
+                                             aRequest.params.end());
+                 auto const page = handler(parameters);
+                 aResponse.status = page.mStatus;
+                 aResponse.set_content(page.mBody, page.mType.c_str());
+               });
   }
   if (!server.bind_to_port(ToText(aAddress.mAddress).c_str(), aAddress.mPort)) {
     return Reason{ ReasonCode::SystemFailure,
