Let a few VMs of each zone watch the store and pass on what they hear

Change: two watchers a zone or one for 16 VMs, updates to the VMs that rely on them, reports of their freshness; a VM that hears no fresh watch for 2 s watches itself. Watches wait 0.8 s.

--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds kRefreshPeriod{ 10000 };
 /// Peers are found within this time of the start, or are not there.
 constexpr milliseconds kJoinTime{ 2000 };
+/// VMs that watch tell the others this often how fresh they are.
+constexpr milliseconds kReportPeriod{ 500 };
 /// Keeps an answer below the usual MTU.
 constexpr std::size_t kMembersPerAnswer = 16;
 /// Added to a start mark that others take for outdated, as the time of day had
@@ -53,6 +55,49 @@
   if (aNow >= mNextAsk) {
     AskForMembers(aNow, aOutbox);
   }
+  if (mWatchedAt && aNow >= mNextReport) {
+    ReportWatches(aNow, aOutbox);
+  }
+}
+
+std::vector<Member>
+NodePeers::ZoneMembers() const
+{
+  auto members = mMembership.Members();
+  std::erase_if(members, [&](Member const& aMember) {
+    return aMember.mZone != mMembership.Self().mZone;
+  });
+  return members;
+}
+
+void
+NodePeers::ReportWatches(TimePoint aNow, Outbox& aOutbox)
+{
+  mNextReport = aNow + kReportPeriod;
+  auto const& self = mMembership.Self().mName;
+  for (auto const& member : WatchRelay::Audience(ZoneMembers(), self)) {
+    (void)AddMessage(aOutbox, member.mControl);
+  }
+}
+
+bool
+NodePeers::IsOnDuty(TimePoint aNow)
+{
+  return mRelay.IsOnDuty(aNow, ZoneMembers(), mMembership.Self().mName);
+}
+
+void
+NodePeers::PassOn(ObjectKind aKind,
+                  std::vector<ObjectChange> const& aChanges,
+                  Outbox& aOutbox) const
+{
+  auto const& self = mMembership.Self().mName;
+  auto const audience = WatchRelay::Audience(ZoneMembers(), self);
+  for (auto const& update : ToUpdates(aKind, aChanges)) {
+    for (auto const& member : audience) {
+      *AddMessage(aOutbox, member.mControl).mutable_knowledge() = update;
+    }
+  }
 }
 
 bool
@@ -96,6 +141,10 @@
              { aMessage.configuration_version(),
                aMessage.upstreams_revision(),
                aMessage.evacuations_revision() });
+  // Watchers of other zones pass nothing on to this VM.
+  if (aMessage.has_watch() && from->mZone == mMembership.Self().mZone) {
+    mRelay.Hear(aNow, sender, milliseconds{ aMessage.watch().age_ms() });
+  }
   if (aMessage.has_join_request()) {
     AnswerJoinRequest(*from, aMessage.join_request().offset(), aOutbox);
   }
@@ -128,12 +177,18 @@
 }
 
 void
-NodePeers::Decorate(Outbox& aOutbox)
+NodePeers::Decorate(TimePoint aNow, Outbox& aOutbox)
 {
   for (auto& outgoing : aOutbox) {
     mMembership.Decorate(outgoing.mMessage);
     outgoing.mMessage.set_upstreams_revision(mDigest.mUpstreams);
     outgoing.mMessage.set_evacuations_revision(mDigest.mEvacuations);
+    if (mWatchedAt) {
+      auto const age =
+        std::chrono::duration_cast<milliseconds>(aNow - *mWatchedAt);
+      outgoing.mMessage.mutable_watch()->set_age_ms(
+        static_cast<std::uint32_t>(std::max<milliseconds::rep>(0, age.count())));
+    }
   }
 }
 
@@ -158,9 +213,8 @@
   if (mStarted == TimePoint{} || aNow < mStarted + kJoinTime) {
     return deciders;
   }
-  auto const& self = mMembership.Self();
-  for (auto const& member : mMembership.Members()) {
-    if (member.mZone == self.mZone && member.IsServing()) {
+  for (auto const& member : ZoneMembers()) {
+    if (member.IsServing()) {
       deciders.push_back(member.NameHash());
     }
   }
@@ -173,8 +227,8 @@
   std::size_t all = 0;
   std::size_t serving = 0;
   auto const& self = mMembership.Self();
-  for (auto const& member : mMembership.Members()) {
-    if (member.mZone != self.mZone || member.mHealth == MemberHealth::Gone) {
+  for (auto const& member : ZoneMembers()) {
+    if (member.mHealth == MemberHealth::Gone) {
       continue;
     }
     ++all;
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -3,6 +3,8 @@
 
 #include "tarragonsill/coordination/tarragonsill_knowledge_sync.hpp"
 #include "tarragonsill/coordination/tarragonsill_membership.hpp"
+#include "tarragonsill/coordination/tarragonsill_watch_relay.hpp"
+#include "tarragonsill/protocol/tarragonsill_knowledge_message.hpp"
 
 #include <optional>
 #include <vector>
@@ -25,7 +27,7 @@
               wire::PeerMessage const& aMessage,
               Outbox& aOutbox);
   /// Fills in what every message carries; to be called before sending.
-  void Decorate(Outbox& aOutbox);
+  void Decorate(TimePoint aNow, Outbox& aOutbox);
 
   void SetDigest(KnowledgeDigest const& aDigest) { mDigest = aDigest; }
   void SetStage(MemberStage aStage) { mMembership.SetSelfStage(aStage); }
@@ -34,6 +36,20 @@
   /// The VMs that decide about the zone's upstreams, this one included; empty
   /// until this VM has had time to find them.
   std::vector<std::uint64_t> Deciders(TimePoint aNow) const;
+  /// Whether this VM is to watch the store itself.
+  bool IsOnDuty(TimePoint aNow);
+  /// Whether peers whose watches are fresh are heard.
+  bool HearsFreshWatch(TimePoint aNow) const
+  {
+    return mRelay.HearsFreshWatch(aNow);
+  }
+  /// Says when the store last answered all of this VM's watches; nothing if it
+  /// does not watch.
+  void SetWatched(std::optional<TimePoint> aAt) { mWatchedAt = aAt; }
+  /// Passes on changes to the VMs that rely on this one.
+  void PassOn(ObjectKind aKind,
+              std::vector<ObjectChange> const& aChanges,
+              Outbox& aOutbox) const;
   /// Whether routers would still find enough VMs in the zone without this one:
   /// with fewer than half of them ready they use those that are down, too.
   bool MayLeave() const;
@@ -46,10 +62,15 @@
                          std::uint32_t aOffset,
                          Outbox& aOutbox) const;
   bool KnowsServingPeer() const;
+  std::vector<Member> ZoneMembers() const;
+  void ReportWatches(TimePoint aNow, Outbox& aOutbox);
 
   Membership mMembership;
   std::vector<Endpoint> mSeeds;
   KnowledgeSync mSync;
+  WatchRelay mRelay;
+  std::optional<TimePoint> mWatchedAt;
+  TimePoint mNextReport{};
   KnowledgeDigest mDigest;
   TimePoint mStarted{};
   TimePoint mNextAsk{};
--- a/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
@@ -91,8 +91,88 @@
   return record;
 }
 
+/// Objects of about 90 bytes; together with the head below the usual MTU.
+constexpr int kObjectsPerUpdate = 10;
+
+void
+AddRemoval(ObjectChange const& aChange, wire::KnownRemoval& aRemoval)
+{
+  aRemoval.set_name(aChange.mName);
+  aRemoval.set_revision(aChange.mRevision);
+}
+
+void
+AddChange(ObjectKind aKind,
+          ObjectChange const& aChange,
+          wire::KnowledgeUpdate& aUpdate)
+{
+  auto const* record = std::get_if<UpstreamRecord>(&aChange.mContent);
+  bool const isUpstream = aKind == ObjectKind::Upstreams;
+  // An entry that cannot be used is as good as none.
+  bool const isRemoval = aChange.mRemoved || (isUpstream && record == nullptr);
+  if (isRemoval) {
+    AddRemoval(aChange,
+               isUpstream ? *aUpdate.add_removed_upstreams()
+                          : *aUpdate.add_removed_evacuations());
+    return;
+  }
+  if (isUpstream) {
+    auto& known = *aUpdate.add_upstreams();
+    known.set_name(aChange.mName);
+    known.set_revision(aChange.mRevision);
+    Write(*record, known);
+    return;
+  }
+  auto& known = *aUpdate.add_evacuations();
+  known.set_zone(aChange.mName);
+  known.set_revision(aChange.mRevision);
+}
+
 } // namespace
 
+std::vector<wire::KnowledgeUpdate>
+ToUpdates(ObjectKind aKind, std::vector<ObjectChange> const& aChanges)
+{
+  std::vector<wire::KnowledgeUpdate> updates;
+  if (aKind == ObjectKind::Configuration) {
+    return updates;
+  }
+  int count = 0;
+  for (auto const& change : aChanges) {
+    if (count++ % kObjectsPerUpdate == 0) {
+      updates.emplace_back();
+    }
+    AddChange(aKind, change, updates.back());
+  }
+  return updates;
+}
+
+std::vector<ObjectChange>
+ChangesOf(ObjectKind aKind, wire::KnowledgeUpdate const& aUpdate)
+{
+  std::vector<ObjectChange> changes;
+  bool const isUpstreams = aKind == ObjectKind::Upstreams;
+  if (isUpstreams) {
+    for (auto const& known : aUpdate.upstreams()) {
+      changes.push_back({ known.name(), known.revision(), false, Read(known) });
+    }
+  } else if (aKind == ObjectKind::Evacuations) {
+    for (auto const& known : aUpdate.evacuations()) {
+      changes.push_back(
+        { known.zone(), known.revision(), false, EvacuationRecord{} });
+    }
+  } else {
+    return changes;
+  }
+  auto const& removals = isUpstreams ? aUpdate.removed_upstreams()
+                                     : aUpdate.removed_evacuations();
+  for (auto const& removal : removals) {
+    changes.push_back(
+      { removal.name(), removal.revision(), true, UnusableRecord{} });
+  }
+  return changes;
+}
+
 wire::KnowledgeReply
 ToMessage(StoreLists const& aLists)
 {
--- a/src/tarragonsill/protocol/tarragonsill_knowledge_message.hpp
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.hpp
@@ -21,6 +21,15 @@
 /// Reads lists; a reply that names no revision gives an empty list for it.
 StoreLists FromMessage(wire::KnowledgeReply const& aReply);
 
+/// Splits changes of upstreams and evacuations into messages that fit one
+/// datagram each. Configurations are left out, being too large.
+std::vector<wire::KnowledgeUpdate> ToUpdates(
+  ObjectKind aKind,
+  std::vector<ObjectChange> const& aChanges);
+/// The changes of one kind in an update.
+std::vector<ObjectChange> ChangesOf(ObjectKind aKind,
+                                    wire::KnowledgeUpdate const& aUpdate);
+
 } // namespace tarragonsill
 
 #endif // TARRAGONSILL_KNOWLEDGE_MESSAGE_HPP_INCLUDED
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -37,6 +37,18 @@
   {
   }
 
+  /// Takes what this VM's own watches brought, and passes it on.
+  void TakeOwn(StoreNews const& aNews)
+  {
+    Take(aNews, aNews.mIsWholeList ? "list" : "watch");
+    if (aNews.mIsWholeList || aNews.mChanges.empty()) {
+      return;
+    }
+    Outbox outbox;
+    mPeers.PassOn(aNews.mKind, aNews.mChanges, outbox);
+    Send(outbox);
+  }
+
   void Take(StoreNews const& aNews, std::string const& aSource)
   {
     for (auto const& change : mDirectory.Apply(Clock::now(), aNews)) {
@@ -74,8 +86,18 @@
   void Take(DatagramReceived const& aReceived)
   {
     Outbox outbox;
-    mPeers.Handle(Clock::now(), *aReceived.mMessage, outbox);
+    auto const& message = *aReceived.mMessage;
+    mPeers.Handle(Clock::now(), message, outbox);
     Send(outbox);
+    if (!message.has_knowledge()) {
+      return;
+    }
+    for (auto const kind :
+         { ObjectKind::Upstreams, ObjectKind::Evacuations }) {
+      // A part of what happened says nothing about the rest, hence no revision.
+      Take({ kind, ChangesOf(kind, message.knowledge()), false, 0 },
+           "relay " + message.sender().name());
+    }
   }
 
   void Answer(KnowledgeWanted const& aWanted)
@@ -85,10 +107,12 @@
 
   void Note(StoreAnswered const& aAnswer)
   {
-    mAnswers[static_cast<std::size_t>(aAnswer.mKind)] = aAnswer.mAnswered;
-    bool const answers = std::any_of(
-      mAnswers.begin(), mAnswers.end(), [](bool aAny) { return aAny; });
-    mDirectory.NoteStore(Clock::now(), answers);
+    auto const kind = static_cast<std::size_t>(aAnswer.mKind);
+    mWatches[kind] = aAnswer.mWatch;
+    mAnswers[kind] = aAnswer.mAnswered;
+    if (aAnswer.mAnswered) {
+      mAnsweredAt[kind] = Clock::now();
+    }
   }
 
   void Tick()
@@ -100,6 +124,7 @@
                                            : MemberStage::Joining;
     mPeers.SetStage(stage);
     mArguments.mState->mMayLeave = mPeers.MayLeave();
+    UpdateDuty(now);
     Outbox outbox;
     mPeers.Tick(now, outbox);
     Send(outbox);
@@ -113,12 +138,36 @@
 private:
   static constexpr std::size_t kKinds = 3;
 
+  /// Starts or stops the own watches, and notes whether the store answers.
+  void UpdateDuty(TimePoint aNow)
+  {
+    bool const isOnDuty = mPeers.IsOnDuty(aNow);
+    if (isOnDuty != mIsOnDuty) {
+      mIsOnDuty = isOnDuty;
+      Log().Write("config",
+                  isOnDuty ? "watching" : "relying_on_peers",
+                  {});
+      mAnsweredAt.fill({});
+      for (auto const& watch : mWatches) {
+        mSelf->send(watch, WatchDuty{ isOnDuty });
+      }
+    }
+    auto const oldest =
+      *std::min_element(mAnsweredAt.begin(), mAnsweredAt.end());
+    bool const isWatching = mIsOnDuty && oldest != TimePoint{};
+    mPeers.SetWatched(isWatching ? std::optional(oldest) : std::nullopt);
+    bool const ownAnswers = std::any_of(
+      mAnswers.begin(), mAnswers.end(), [](bool aAny) { return aAny; });
+    mDirectory.NoteStore(
+      aNow, mIsOnDuty ? ownAnswers : mPeers.HearsFreshWatch(aNow));
+  }
+
   NodeLog& Log() { return mArguments.mState->mLog; }
 
   void Send(Outbox& aOutbox)
   {
     mPeers.SetDigest(mDirectory.Digest());
-    mPeers.Decorate(aOutbox);
+    mPeers.Decorate(Clock::now(), aOutbox);
     auto& counters = mArguments.mState->mCounters;
     for (auto const& outgoing : aOutbox) {
       auto const bytes = outgoing.mMessage.SerializeAsString();
@@ -151,7 +200,11 @@
   NodeActorArguments mArguments;
   Directory mDirectory;
   NodePeers mPeers;
+  bool mIsOnDuty = true;
+  // By kind of objects.
   std::array<bool, kKinds> mAnswers{ true, true, true };
+  std::array<TimePoint, kKinds> mAnsweredAt{};
+  std::array<caf::actor, kKinds> mWatches;
 };
 
 } // namespace
@@ -163,7 +216,7 @@
   aSelf->send(aSelf, TickAtom::value);
   return {
     [part](StoreNewsReceived const& aNews) {
-      part->Take(*aNews.mNews, aNews.mNews->mIsWholeList ? "list" : "watch");
+      part->TakeOwn(*aNews.mNews);
     },
     [part](StoreAnswered const& aAnswer) { part->Note(aAnswer); },
     [part](DatagramReceived const& aReceived) { part->Take(aReceived); },
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -94,22 +94,39 @@
                 std::shared_ptr<Watch> aWatch)
 {
   auto const dependency = std::make_shared<DependencyLog>(aState->mLog, aKind);
+  struct Loop
+  {
+    bool mIsOnDuty = true;
+    bool mIsTickDue = true; ///< A tick is on its way.
+  };
+  auto const loop = std::make_shared<Loop>();
   aSelf->send(aSelf, TickAtom::value);
-  return { [=](TickAtom) {
-    auto step = aWatch->Step();
-    dependency->Note(step);
-    aSelf->send(aDirectory, StoreAnswered{ aKind, step.mAnswered });
-    if (step.mNews) {
+  return {
+    [=](TickAtom) {
+      loop->mIsTickDue = loop->mIsOnDuty;
+      if (!loop->mIsOnDuty) {
+        return;
+      }
+      auto step = aWatch->Step();
+      dependency->Note(step);
       aSelf->send(aDirectory,
-                  StoreNewsReceived{ std::make_shared<StoreNews const>(
-                    std::move(*step.mNews)) });
-    }
-    if (step.mPause > milliseconds{ 0 }) {
+                  StoreAnswered{
+                    aKind, step.mAnswered, caf::actor_cast<caf::actor>(aSelf) });
+      if (step.mNews) {
+        aSelf->send(aDirectory,
+                    StoreNewsReceived{ std::make_shared<StoreNews const>(
+                      std::move(*step.mNews)) });
+      }
       aSelf->delayed_send(aSelf, step.mPause, TickAtom::value);
-    } else {
-      aSelf->send(aSelf, TickAtom::value);
-    }
-  } };
+    },
+    [=](WatchDuty const& aDuty) {
+      loop->mIsOnDuty = aDuty.mIsOnDuty;
+      if (loop->mIsOnDuty && !loop->mIsTickDue) {
+        loop->mIsTickDue = true;
+        aSelf->send(aSelf, TickAtom::value);
+      }
+    },
+  };
 }
 
 } // namespace
--- a/src/tarragonsill/transport/tarragonsill_node_messages.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_messages.hpp
@@ -21,6 +21,13 @@
 {
   ObjectKind mKind = ObjectKind::Configuration;
   bool mAnswered = false;
+  caf::actor mWatch; ///< Follows this kind.
+};
+
+/// Whether the watches of the store are to go on.
+struct WatchDuty
+{
+  bool mIsOnDuty = true;
 };
 
 /// A peer asks for everything that is known.
@@ -48,6 +55,7 @@
 CAF_BEGIN_TYPE_ID_BLOCK(tarragonsill_node, first_custom_type_id + 100)
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::StoreNewsReceived))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::StoreAnswered))
+CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::WatchDuty))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::KnowledgeWanted))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::FetchKnowledge))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::KnowledgeFetched))
@@ -55,6 +63,7 @@
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::StoreNewsReceived)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::StoreAnswered)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::WatchDuty)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::KnowledgeWanted)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::FetchKnowledge)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::KnowledgeFetched)
--- a/src/tarragonsill/transport/tarragonsill_store_watch.hpp
+++ b/src/tarragonsill/transport/tarragonsill_store_watch.hpp
@@ -55,6 +55,8 @@
     mCounters.Add(Counter::StoreCalls);
     bool const isWatch = mQuery.mWatchFrom > 0;
     mQuery.mWait = isWatch ? kWatchWait : milliseconds{ 0 };
+    // A list has to show at least what was known when the history was lost; a
+    // watch that lags is noticed by its peers.
     mQuery.mMayBeStale = isWatch;
     auto const answer =
       mConnection.Get(Format::Path(mQuery), mQuery.mWait + kAnswerTimeout);
@@ -80,7 +82,7 @@
   static constexpr int kStatusGone = 410;
   /// Watches wait this long, so that a watch that hears nothing is soon made
   /// anew; well under the bound for a new configuration.
-  static constexpr milliseconds kWatchWait{ 1500 };
+  static constexpr milliseconds kWatchWait{ 800 };
   /// An answer takes some milliseconds (platform); a connection without one
   /// is given up after this time.
   static constexpr milliseconds kAnswerTimeout{ 700 };
--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -81,7 +81,7 @@
     if (aHops > kMostHops) {
       return;
     }
-    mPeers[aFrom]->Decorate(aOutbox);
+    mPeers[aFrom]->Decorate(mNow, aOutbox);
     for (auto const& outgoing : aOutbox) {
       auto const to =
         outgoing.mTo.mAddress.mValue - AddressOf(0).mAddress.mValue;
