Turn callers away from a cut zone that has nothing to offer

Change: a VM that hears no VM of another zone for 1.2 s and whose own zone has no upstream in use is not ready, so that routers use other zones' VMs.

--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -46,6 +46,21 @@
   return mConfiguration && mListed.size() == kKinds;
 }
 
+bool
+Directory::OwnZoneServes(TimePoint aNow) const
+{
+  auto const zone = mZones.find(mSettings.mZone);
+  if (zone != mZones.end() && zone->second.mIsEvacuated) {
+    return false;
+  }
+  return std::any_of(
+    mUpstreams.begin(), mUpstreams.end(), [&](auto const& aUpstream) {
+      auto const use = UseOf(aNow, aUpstream);
+      return aUpstream.mRecord.mZone == mSettings.mZone &&
+             (use == UpstreamUse::Serving || use == UpstreamUse::Missing);
+    });
+}
+
 std::uint64_t
 Directory::LastUpstreamChange() const
 {
--- a/src/tarragonsill/coordination/tarragonsill_directory.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.hpp
@@ -54,6 +54,8 @@
   RoutingViewPointer BuildView(TimePoint aNow);
 
   std::uint64_t ConfigurationVersion() const;
+  /// Whether any upstream of the own zone may be given work.
+  bool OwnZoneServes(TimePoint aNow) const;
   KnowledgeDigest Digest() const;
   /// Everything that is known, for a peer; kinds that were never listed whole
   /// are left out.
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds kJoinTime{ 2000 };
 /// VMs that watch tell the others this often how fresh they are.
 constexpr milliseconds kReportPeriod{ 500 };
+/// Other zones' VMs are heard several times a second; a silence of this length
+/// means that nothing comes through.
+constexpr milliseconds kCutOffAfter{ 1200 };
 /// Keeps an answer below the usual MTU.
 constexpr std::size_t kMembersPerAnswer = 16;
 /// Added to a start mark that others take for outdated, as the time of day had
@@ -141,8 +144,12 @@
              { aMessage.configuration_version(),
                aMessage.upstreams_revision(),
                aMessage.evacuations_revision() });
+  bool const isOwnZone = from->mZone == mMembership.Self().mZone;
+  if (!isOwnZone) {
+    mOtherZonesHeardAt = aNow;
+  }
   // Watchers of other zones pass nothing on to this VM.
-  if (aMessage.has_watch() && from->mZone == mMembership.Self().mZone) {
+  if (aMessage.has_watch() && isOwnZone) {
     mRelay.Hear(aNow, sender, milliseconds{ aMessage.watch().age_ms() });
   }
   if (aMessage.has_join_request()) {
@@ -186,8 +193,8 @@
     if (mWatchedAt) {
       auto const age =
         std::chrono::duration_cast<milliseconds>(aNow - *mWatchedAt);
-      outgoing.mMessage.mutable_watch()->set_age_ms(
-        static_cast<std::uint32_t>(std::max<milliseconds::rep>(0, age.count())));
+      outgoing.mMessage.mutable_watch()->set_age_ms(static_cast<std::uint32_t>(
+        std::max<milliseconds::rep>(0, age.count())));
     }
   }
 }
@@ -206,6 +213,13 @@
   return member != nullptr ? std::optional(*member) : std::nullopt;
 }
 
+bool
+NodePeers::IsZoneCutOff(TimePoint aNow) const
+{
+  return mOtherZonesHeardAt != TimePoint{} &&
+         aNow > mOtherZonesHeardAt + kCutOffAfter;
+}
+
 std::vector<std::uint64_t>
 NodePeers::Deciders(TimePoint aNow) const
 {
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -53,6 +53,9 @@
   /// Whether routers would still find enough VMs in the zone without this one:
   /// with fewer than half of them ready they use those that are down, too.
   bool MayLeave() const;
+  /// Whether VMs of other zones are known and none of them is heard: the zone
+  /// is cut off.
+  bool IsZoneCutOff(TimePoint aNow) const;
   std::uint64_t SelfHash() const { return mMembership.Self().NameHash(); }
   Membership const& Members() const { return mMembership; }
 
@@ -73,6 +76,7 @@
   TimePoint mNextReport{};
   KnowledgeDigest mDigest;
   TimePoint mStarted{};
+  TimePoint mOtherZonesHeardAt{};
   TimePoint mNextAsk{};
 };
 
--- a/src/tarragonsill/coordination/tarragonsill_watch_relay.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_relay.cpp
@@ -76,8 +76,7 @@
 }
 
 std::vector<Member>
-WatchRelay::Audience(std::vector<Member> const& aZone,
-                     std::string const& aSelf)
+WatchRelay::Audience(std::vector<Member> const& aZone, std::string const& aSelf)
 {
   auto const watchers = Watchers(aZone);
   auto const hashes = HashesOf(watchers);
--- a/src/tarragonsill/coordination/tarragonsill_watch_relay.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_relay.hpp
@@ -10,8 +10,8 @@
 #include <vector>
 
 /// Decides which VMs of a zone watch the store, and to whom each of them passes
-/// on what it hears. A VM that hears of no fresh watch watches itself, so that a
-/// cut or a refusal by the store never leaves it on old knowledge.
+/// on what it hears. A VM that hears of no fresh watch watches itself, so that
+/// a cut or a refusal by the store never leaves it on old knowledge.
 namespace tarragonsill {
 
 class WatchRelay
--- a/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
@@ -164,8 +164,8 @@
   } else {
     return changes;
   }
-  auto const& removals = isUpstreams ? aUpdate.removed_upstreams()
-                                     : aUpdate.removed_evacuations();
+  auto const& removals =
+    isUpstreams ? aUpdate.removed_upstreams() : aUpdate.removed_evacuations();
   for (auto const& removal : removals) {
     changes.push_back(
       { removal.name(), removal.revision(), true, UnusableRecord{} });
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -92,8 +92,7 @@
     if (!message.has_knowledge()) {
       return;
     }
-    for (auto const kind :
-         { ObjectKind::Upstreams, ObjectKind::Evacuations }) {
+    for (auto const kind : { ObjectKind::Upstreams, ObjectKind::Evacuations }) {
       // A part of what happened says nothing about the rest, hence no revision.
       Take({ kind, ChangesOf(kind, message.knowledge()), false, 0 },
            "relay " + message.sender().name());
@@ -125,6 +124,7 @@
     mPeers.SetStage(stage);
     mArguments.mState->mMayLeave = mPeers.MayLeave();
     UpdateDuty(now);
+    UpdateReach(now);
     Outbox outbox;
     mPeers.Tick(now, outbox);
     Send(outbox);
@@ -144,9 +144,7 @@
     bool const isOnDuty = mPeers.IsOnDuty(aNow);
     if (isOnDuty != mIsOnDuty) {
       mIsOnDuty = isOnDuty;
-      Log().Write("config",
-                  isOnDuty ? "watching" : "relying_on_peers",
-                  {});
+      Log().Write("config", isOnDuty ? "watching" : "relying_on_peers", {});
       mAnsweredAt.fill({});
       for (auto const& watch : mWatches) {
         mSelf->send(watch, WatchDuty{ isOnDuty });
@@ -158,8 +156,23 @@
     mPeers.SetWatched(isWatching ? std::optional(oldest) : std::nullopt);
     bool const ownAnswers = std::any_of(
       mAnswers.begin(), mAnswers.end(), [](bool aAny) { return aAny; });
-    mDirectory.NoteStore(
-      aNow, mIsOnDuty ? ownAnswers : mPeers.HearsFreshWatch(aNow));
+    mDirectory.NoteStore(aNow,
+                         mIsOnDuty ? ownAnswers : mPeers.HearsFreshWatch(aNow));
+  }
+
+  /// In a zone that is cut off and has nothing to offer, callers are better
+  /// served by the VMs of other zones; routers turn there when no VM of the
+  /// zone is ready.
+  void UpdateReach(TimePoint aNow)
+  {
+    bool const canServe =
+      !mPeers.IsZoneCutOff(aNow) || mDirectory.OwnZoneServes(aNow);
+    if (mArguments.mState->mCanServe.exchange(canServe) != canServe) {
+      Log().Write(
+        "entry",
+        canServe ? "can_serve_again" : "cannot_serve",
+        { { "reason", "zone cut off, none of its upstreams in use" } });
+    }
   }
 
   NodeLog& Log() { return mArguments.mState->mLog; }
@@ -215,9 +228,7 @@
   auto const part = std::make_shared<NodePart>(aSelf, std::move(aArguments));
   aSelf->send(aSelf, TickAtom::value);
   return {
-    [part](StoreNewsReceived const& aNews) {
-      part->TakeOwn(*aNews.mNews);
-    },
+    [part](StoreNewsReceived const& aNews) { part->TakeOwn(*aNews.mNews); },
     [part](StoreAnswered const& aAnswer) { part->Note(aAnswer); },
     [part](DatagramReceived const& aReceived) { part->Take(aReceived); },
     [part](KnowledgeWanted const& aWanted) { part->Answer(aWanted); },
--- a/src/tarragonsill/transport/tarragonsill_node_actor.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.hpp
@@ -25,6 +25,8 @@
   NodeLog mLog;
   /// Configuration and upstreams are known.
   std::atomic<bool> mIsComplete{ false };
+  /// Some upstream may be reached and given work.
+  std::atomic<bool> mCanServe{ true };
   /// Enough of the zone's other VMs serve.
   std::atomic<bool> mMayLeave{ true };
   /// The process is about to end.
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -110,8 +110,9 @@
       auto step = aWatch->Step();
       dependency->Note(step);
       aSelf->send(aDirectory,
-                  StoreAnswered{
-                    aKind, step.mAnswered, caf::actor_cast<caf::actor>(aSelf) });
+                  StoreAnswered{ aKind,
+                                 step.mAnswered,
+                                 caf::actor_cast<caf::actor>(aSelf) });
       if (step.mNews) {
         aSelf->send(aDirectory,
                     StoreNewsReceived{ std::make_shared<StoreNews const>(
@@ -227,7 +228,8 @@
 NodeDaemon::Impl::StartPages()
 {
   auto const readiness = [state = mState](auto const&) {
-    bool const ready = state->mIsComplete && !state->mIsLeaving;
+    bool const ready =
+      state->mIsComplete && state->mCanServe && !state->mIsLeaving;
     return Page{ ready ? HttpConnection::kStatusOk : kStatusUnavailable,
                  "text/plain",
                  ready ? "ready\n" : "not ready\n" };
--- a/tests/coordination/test_directory.cpp
+++ b/tests/coordination/test_directory.cpp
@@ -209,3 +209,35 @@
     }
   });
 }
+
+TEST(Directory, a_zone_without_usable_upstreams_does_not_serve)
+{
+  mStore.Configure(kStart, SampleConfiguration());
+  mStore.Register(kStart, SampleUpstream("a1", "a"));
+  mStore.Register(kStart, SampleUpstream("b1", "b"));
+  CHECK(mStore.Knowledge().OwnZoneServes(kStart));
+  mStore.Evacuate(kStart, "a", true);
+  CHECK_FALSE(mStore.Knowledge().OwnZoneServes(kStart));
+  mStore.Evacuate(kStart, "a", false);
+  mStore.Remove(kStart, "a1");
+  CHECK_FALSE(mStore.Knowledge().OwnZoneServes(kStart + seconds{ 5 }));
+}
+
+TEST(Directory, parts_of_the_news_that_peers_pass_on_are_taken_by_revision)
+{
+  mStore.Configure(kStart, SampleConfiguration());
+  mStore.Register(kStart, SampleUpstream("a1", "a"));
+  auto const revision = mStore.Revision();
+  auto draining = SampleUpstream("a1", "a");
+  draining.mDraining = true;
+  auto const updates = ToUpdates(ObjectKind::Upstreams,
+                                 { { "a1", revision + 1, false, draining } });
+  LONGS_EQUAL(1, updates.size());
+  (void)mStore.Knowledge().Apply(
+    kStart,
+    { ObjectKind::Upstreams,
+      ChangesOf(ObjectKind::Upstreams, updates.front()),
+      false,
+      0 });
+  CHECK(UseOf(kStart, "a1") == UpstreamUse::Draining);
+}
--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 using namespace tarragonsill;
 
@@ -193,3 +194,69 @@
   // The only VM of a zone has nobody to wait for.
   CHECK(mGroup.At(5).MayLeave());
 }
+
+TEST(NodePeers, a_cut_zone_notices_within_two_seconds_and_its_end_at_once)
+{
+  mGroup.Run(seconds{ 5 });
+  CHECK_FALSE(mGroup.At(2).IsZoneCutOff(mGroup.Now()));
+  auto const isInZoneA = [](std::size_t aIndex) {
+    return aIndex == 0 || aIndex == 2 || aIndex == 3;
+  };
+  mGroup.Run(seconds{ 2 }, [&](std::size_t aFrom, std::size_t aTo) {
+    return isInZoneA(aFrom) == isInZoneA(aTo);
+  });
+  CHECK(mGroup.At(2).IsZoneCutOff(mGroup.Now()));
+  mGroup.Run(seconds{ 2 });
+  CHECK_FALSE(mGroup.At(2).IsZoneCutOff(mGroup.Now()));
+}
+
+TEST(NodePeers, two_vms_of_a_zone_watch_the_store_and_the_others_rely_on_them)
+{
+  for (int count = 0; count < 6; ++count) {
+    mGroup.Add("a");
+  }
+  std::vector<std::size_t> const zone = { 0, 2, 3, 6, 7, 8, 9, 10, 11 };
+  auto const onDuty = [&] {
+    std::size_t count = 0;
+    for (auto const index : zone) {
+      bool const watches = mGroup.At(index).IsOnDuty(mGroup.Now());
+      mGroup.At(index).SetWatched(watches ? std::optional(mGroup.Now())
+                                          : std::nullopt);
+      count += watches ? 1 : 0;
+    }
+    return count;
+  };
+  LONGS_EQUAL(9, onDuty());
+  for (int step = 0; step < 60; ++step) {
+    mGroup.Run(milliseconds{ 100 });
+    (void)onDuty();
+  }
+  LONGS_EQUAL(2, onDuty());
+  // The watchers lose the store: nobody hears a fresh watch any more.
+  for (auto const index : zone) {
+    mGroup.At(index).SetWatched(std::nullopt);
+  }
+  mGroup.Run(WatchRelay::kFreshFor + milliseconds{ 100 });
+  LONGS_EQUAL(9, onDuty());
+}
+
+TEST(NodePeers, what_a_watcher_passes_on_reaches_every_vm_of_its_zone)
+{
+  mGroup.Run(seconds{ 5 });
+  std::set<std::uint32_t> told;
+  std::vector<ObjectChange> const changes = {
+    { "i-1", 9, true, UnusableRecord{} }
+  };
+  for (std::size_t const index : { 0U, 2U, 3U }) {
+    Outbox outbox;
+    mGroup.At(index).PassOn(ObjectKind::Upstreams, changes, outbox);
+    for (auto const& outgoing : outbox) {
+      auto const back =
+        ChangesOf(ObjectKind::Upstreams, outgoing.mMessage.knowledge());
+      LONGS_EQUAL(1, back.size());
+      CHECK(back.front().mRemoved);
+      told.insert(outgoing.mTo.mAddress.mValue);
+    }
+  }
+  LONGS_EQUAL(3, told.size());
+}
