--- /dev/null
+++ b/lab/platform/tarragonsill_lab_flow_callers.hpp
@@ -0,0 +1,69 @@
+#ifndef TARRAGONSILL_LAB_FLOW_CALLERS_HPP_INCLUDED
+#define TARRAGONSILL_LAB_FLOW_CALLERS_HPP_INCLUDED
+
+#include "tarragonsill/platform/tarragonsill_platform_packet.hpp"
+#include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
+
+#include <vector>
+
+/// Stand-ins of callers behind the platform's routers: long flows with one
+/// request after the other, each packet sent to a VM by a hash of the flow.
+namespace tarragonsill::Lab {
+
+/// What callers saw.
+struct FlowCallerReport
+{
+  std::uint64_t mOpened = 0;
+  std::uint64_t mAnswers = 0;
+  std::uint64_t mResets = 0;  ///< Open flows that ended with a reset.
+  std::uint64_t mStalled = 0; ///< Requests without an answer for 3 s.
+  std::uint64_t mRefused = 0; ///< Opening packets answered by a reset.
+};
+
+class FlowCallers
+{
+public:
+  /// Binds the callers' address; the reason is `SystemFailure`.
+  static Result<FlowCallers> Start(Endpoint aAddress);
+
+  /// The VMs to which packets go, in a fixed order.
+  void SetRotation(std::vector<Endpoint> aVms) { mVms = std::move(aVms); }
+  /// Opens one more flow towards a route.
+  void Open(TimePoint aNow, Endpoint aRoute);
+  /// Sends what is due and takes what came.
+  void Work(TimePoint aNow);
+
+  FlowCallerReport const& Report() const { return mReport; }
+
+private:
+  struct Flow
+  {
+    Endpoint mCaller;
+    Endpoint mRoute;
+    std::uint32_t mSequence = 1;
+    std::uint32_t mAcknowledged = 0;
+    std::uint32_t mCookie = 0;
+    std::uint32_t mCopies = 0;
+    bool mIsOpen = false;
+    bool mIsWaiting = true;
+    bool mHasEnded = false;
+    TimePoint mAsked{};
+    TimePoint mNextSend{};
+  };
+
+  FlowCallers(UdpSocket aSocket, Endpoint aAddress);
+  void Send(Flow const& aFlow, bool aIsRequest);
+  void SendDue(TimePoint aNow, Flow& aFlow);
+  void Take(TimePoint aNow, FlowPacket const& aPacket);
+
+  UdpSocket mSocket;
+  Endpoint mAddress;
+  std::vector<Endpoint> mVms;
+  std::vector<Flow> mFlows;
+  std::uint16_t mNextPort = 10000;
+  FlowCallerReport mReport;
+};
+
+} // namespace tarragonsill::Lab
+
+#endif // TARRAGONSILL_LAB_FLOW_CALLERS_HPP_INCLUDED
--- /dev/null
+++ b/lab/platform/tarragonsill_lab_flow_hosts.cpp
@@ -0,0 +1,139 @@
+#include "tarragonsill_lab_flow_hosts.hpp"
+
+#include "tarragonsill/protocol/tarragonsill_byte_order.hpp"
+
+namespace tarragonsill::Lab {
+
+namespace {
+
+constexpr std::size_t kIdentityBytes = 8;
+constexpr unsigned kSyn = 1;
+constexpr unsigned kAck = 2;
+constexpr unsigned kFin = 16;
+constexpr unsigned kRst = 64;
+
+std::uint64_t
+IdentityIn(std::span<std::byte const> aDatagram)
+{
+  return (std::uint64_t{ LoadU32(aDatagram, 0) } << 32) |
+         LoadU32(aDatagram, sizeof(std::uint32_t));
+}
+
+} // namespace
+
+std::vector<std::byte>
+MakePacket(FlowPacket const& aPacket)
+{
+  std::vector<std::byte> bytes(Platform::PacketFormat::kHeadBytes +
+                               aPacket.mDataBytes);
+  std::span<std::byte> const head(bytes);
+  StoreU32(head, 0, aPacket.mSequence);
+  StoreU32(
+    head, 4, aPacket.mAcknowledges ? aPacket.mAcknowledged
+                                   : aPacket.mOpeningCopies);
+  StoreU16(head, 8, aPacket.mDataBytes);
+  StoreU32(head, 10, aPacket.mCookie);
+  StoreU16(head, 18, aPacket.mDestination.mPort);
+  StoreU32(head, 20, aPacket.mSource.mAddress.mValue);
+  StoreU16(head, 24, aPacket.mSource.mPort);
+  StoreU32(head, 26, aPacket.mDestination.mAddress.mValue);
+  auto const flags = (aPacket.mOpens ? kSyn : 0U) |
+                     (aPacket.mAcknowledges ? kAck : 0U) |
+                     (aPacket.mCloses ? kFin : 0U) |
+                     (aPacket.mResets ? kRst : 0U);
+  head[30] = static_cast<std::byte>(flags);
+  return bytes;
+}
+
+FlowHost::FlowHost(UdpSocket aSocket,
+                   std::uint64_t aIdentity,
+                   std::uint16_t aCallerPort)
+  : mSocket(std::move(aSocket))
+  , mIdentity(aIdentity)
+  , mCallerPort(aCallerPort)
+{
+}
+
+Result<FlowHost>
+FlowHost::Start(Endpoint aAddress,
+                std::uint64_t aIdentity,
+                std::uint16_t aCallerPort)
+{
+  auto socket = UdpSocket::Bind(aAddress);
+  if (!socket) {
+    return socket.LastReason();
+  }
+  return FlowHost(socket.Take(), aIdentity, aCallerPort);
+}
+
+void
+FlowHost::Work()
+{
+  for (auto const& datagram : mSocket.Receive(milliseconds{ 0 })) {
+    if (mIsSilent || datagram.mBytes.size() < kIdentityBytes) {
+      continue;
+    }
+    auto const identity = IdentityIn(datagram.mBytes);
+    auto const packet =
+      Platform::PacketFormat::Read(datagram.mBytes.subspan(kIdentityBytes));
+    if (!packet || (identity != 0 && identity != mIdentity)) {
+      continue;
+    }
+    Take(*packet);
+  }
+}
+
+void
+FlowHost::Take(FlowPacket const& aPacket)
+{
+  if (aPacket.mOpens) {
+    auto& flow = mFlows[aPacket.mSource];
+    flow.mOwnSequence = static_cast<std::uint32_t>(mIdentity) + 1;
+    flow.mExpected = aPacket.mSequence + 1;
+    FlowPacket answer;
+    answer.mOpens = true;
+    Answer(aPacket, flow, answer);
+    return;
+  }
+  auto const found = mFlows.find(aPacket.mSource);
+  if (found == mFlows.end()) {
+    ++mForeign;
+    FlowPacket reset;
+    reset.mResets = true;
+    Answer(aPacket, {}, reset);
+    return;
+  }
+  auto& flow = found->second;
+  if (!flow.mIsOpen) {
+    flow.mIsOpen = true;
+    ++flow.mOwnSequence;
+    ++mOpened;
+  }
+  if (aPacket.mDataBytes == 0) {
+    return;
+  }
+  constexpr std::uint16_t kAnswerBytes = 100;
+  bool const isNew = aPacket.mSequence == flow.mExpected;
+  flow.mExpected += isNew ? aPacket.mDataBytes : 0;
+  flow.mOwnSequence += isNew ? kAnswerBytes : 0;
+  auto sent = flow;
+  sent.mOwnSequence -= kAnswerBytes;
+  FlowPacket answer;
+  answer.mDataBytes = kAnswerBytes;
+  Answer(aPacket, sent, answer);
+}
+
+void
+FlowHost::Answer(FlowPacket const& aTo, Flow const& aFlow, FlowPacket aAnswer)
+{
+  aAnswer.mSource = aTo.mDestination;
+  aAnswer.mDestination = aTo.mSource;
+  aAnswer.mAcknowledges = !aAnswer.mResets;
+  aAnswer.mCookie = aTo.mCookie;
+  aAnswer.mSequence = aFlow.mOwnSequence;
+  aAnswer.mAcknowledged = aFlow.mExpected;
+  (void)mSocket.Send({ aTo.mSource.mAddress, mCallerPort },
+                     MakePacket(aAnswer));
+}
+
+} // namespace tarragonsill::Lab
--- /dev/null
+++ b/lab/platform/tarragonsill_lab_flow_hosts.hpp
@@ -0,0 +1,62 @@
+#ifndef TARRAGONSILL_LAB_FLOW_HOSTS_HPP_INCLUDED
+#define TARRAGONSILL_LAB_FLOW_HOSTS_HPP_INCLUDED
+
+#include "tarragonsill/platform/tarragonsill_platform_packet.hpp"
+#include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+/// Stand-ins of the operators' upstreams: they take packets of flows over UDP
+/// and answer their callers directly.
+namespace tarragonsill::Lab {
+
+/// Writes a whole packet in the platform's layout.
+std::vector<std::byte> MakePacket(FlowPacket const& aPacket);
+
+/// One upstream.
+class FlowHost
+{
+public:
+  /// Binds the address; the reason is `SystemFailure`.
+  static Result<FlowHost> Start(Endpoint aAddress,
+                                std::uint64_t aIdentity,
+                                std::uint16_t aCallerPort);
+
+  /// Takes the packets that wait and answers them.
+  void Work();
+  /// A silent upstream takes nothing and answers nothing.
+  void SetSilent(bool aIsSilent) { mIsSilent = aIsSilent; }
+
+  std::uint64_t OpenedFlows() const { return mOpened; }
+  /// Packets of flows that it does not hold.
+  std::uint64_t ForeignPackets() const { return mForeign; }
+
+private:
+  struct Flow
+  {
+    std::uint32_t mOwnSequence = 0;
+    std::uint32_t mExpected = 0; ///< The caller's next byte.
+    bool mIsOpen = false;
+  };
+
+  FlowHost(UdpSocket aSocket,
+           std::uint64_t aIdentity,
+           std::uint16_t aCallerPort);
+  void Take(FlowPacket const& aPacket);
+  void Answer(FlowPacket const& aTo, Flow const& aFlow, FlowPacket aAnswer);
+
+  UdpSocket mSocket;
+  std::uint64_t mIdentity;
+  std::uint16_t mCallerPort;
+  std::map<Endpoint, Flow> mFlows; ///< By caller.
+  bool mIsSilent = false;
+  std::uint64_t mOpened = 0;
+  std::uint64_t mForeign = 0;
+};
+
+} // namespace tarragonsill::Lab
+
+#endif // TARRAGONSILL_LAB_FLOW_HOSTS_HPP_INCLUDED
--- /dev/null
+++ b/lab/platform/tarragonsill_lab_object_store.cpp
@@ -0,0 +1,213 @@
+#include "tarragonsill_lab_object_store.hpp"
+
+#include "tarragonsill/state/tarragonsill_time.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include <httplib.h>
+
+namespace tarragonsill::Lab {
+
+namespace {
+
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+constexpr std::size_t kServerThreads = 48;
+constexpr std::size_t kItemsPerPage = 50;
+
+struct Event
+{
+  std::string mKind;
+  std::uint64_t mRevision = 0;
+  nlohmann::json mBody;
+};
+
+std::uint64_t
+Parameter(httplib::Request const& aRequest, char const* aName)
+{
+  auto const text = aRequest.get_param_value(aName);
+  return text.empty() ? 0 : std::strtoull(text.c_str(), nullptr, 10);
+}
+
+} // namespace
+
+struct ObjectStore::Impl
+{
+  using Objects = std::map<std::string, nlohmann::json>;
+
+  void Get(httplib::Request const& aRequest, httplib::Response& aResponse)
+  {
+    ++mCalls;
+    std::string const kind = aRequest.matches[1];
+    std::unique_lock lock(mMutex);
+    if (mIsDown) {
+      aResponse.status = kUnavailable;
+      return;
+    }
+    auto const body = aRequest.has_param("watch")
+                        ? Watch(aRequest, kind, lock, aResponse)
+                        : List(aRequest, kind);
+    if (body.is_object()) {
+      aResponse.set_content(body.dump(), "application/json");
+    }
+  }
+
+  nlohmann::json List(httplib::Request const& aRequest,
+                      std::string const& aKind)
+  {
+    auto const& objects = mObjects[aKind];
+    auto items = nlohmann::json::array();
+    auto next = objects.upper_bound(aRequest.get_param_value("after"));
+    for (; next != objects.end() && items.size() < kItemsPerPage; ++next) {
+      items.push_back(next->second);
+    }
+    return { { "items", items },
+             { "more", next != objects.end() },
+             { "currentRev", mRevision } };
+  }
+
+  nlohmann::json Watch(httplib::Request const& aRequest,
+                       std::string const& aKind,
+                       std::unique_lock<std::mutex>& aLock,
+                       httplib::Response& aResponse)
+  {
+    auto const from = Parameter(aRequest, "watch");
+    auto events = nlohmann::json::array();
+    auto const collect = [&] {
+      for (auto const& event : mEvents) {
+        if (event.mKind == aKind && event.mRevision > from) {
+          events.push_back(event.mBody);
+        }
+      }
+      return !events.empty() || mIsDown || mStop || from < mForgottenUpTo;
+    };
+    mChanged.wait_for(
+      aLock, milliseconds{ Parameter(aRequest, "waitMs") }, collect);
+    if (mIsDown || from < mForgottenUpTo) {
+      aResponse.status = mIsDown ? kUnavailable : kGone;
+      return nullptr;
+    }
+    return { { "events", events }, { "currentRev", mRevision } };
+  }
+
+  void Change(std::string const& aKind,
+              std::string const& aName,
+              nlohmann::json const& aSpec,
+              bool aIsRemoval)
+  {
+    std::lock_guard const lock(mMutex);
+    ++mRevision;
+    nlohmann::json const object = {
+      { "meta", { { "name", aName }, { "revision", mRevision } } },
+      { "spec", aSpec },
+      { "status", nullptr }
+    };
+    if (aIsRemoval) {
+      mObjects[aKind].erase(aName);
+    } else {
+      mObjects[aKind][aName] = object;
+    }
+    mEvents.push_back(
+      { aKind,
+        mRevision,
+        { { "object", object }, { "tombstone", aIsRemoval } } });
+    mChanged.notify_all();
+  }
+
+  httplib::Server mServer;
+  std::thread mThread;
+  std::atomic<std::uint64_t> mCalls{ 0 };
+  std::mutex mMutex;
+  std::condition_variable mChanged;
+  std::map<std::string, Objects> mObjects;
+  std::vector<Event> mEvents;
+  std::uint64_t mRevision = 1;
+  std::uint64_t mForgottenUpTo = 0;
+  bool mIsDown = false;
+  bool mStop = false;
+};
+
+ObjectStore::ObjectStore(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+Result<std::unique_ptr<ObjectStore>>
+ObjectStore::Start(Endpoint aAddress)
+{
+  auto impl = std::make_unique<Impl>();
+  auto* const raw = impl.get();
+  auto& server = impl->mServer;
+  server.new_task_queue = [] {
+    return new httplib::ThreadPool(kServerThreads);
+  };
+  server.Get(R"(/objects/([a-z]+))", [raw](auto const& aRequest,
+                                           auto& aResponse) {
+    raw->Get(aRequest, aResponse);
+  });
+  if (!server.bind_to_port(ToText(aAddress.mAddress).c_str(),
+                           aAddress.mPort)) {
+    return Reason{ ReasonCode::SystemFailure,
+                   "cannot serve the store at " + ToText(aAddress) };
+  }
+  impl->mThread = std::thread([raw] { raw->mServer.listen_after_bind(); });
+  while (!server.is_running()) {
+    std::this_thread::sleep_for(milliseconds{ 1 });
+  }
+  return std::unique_ptr<ObjectStore>(new ObjectStore(std::move(impl)));
+}
+
+ObjectStore::~ObjectStore()
+{
+  {
+    std::lock_guard const lock(mImpl->mMutex);
+    mImpl->mStop = true;
+  }
+  mImpl->mChanged.notify_all();
+  mImpl->mServer.stop();
+  mImpl->mThread.join();
+}
+
+void
+ObjectStore::Put(std::string const& aKind,
+                 std::string const& aName,
+                 nlohmann::json const& aSpec)
+{
+  mImpl->Change(aKind, aName, aSpec, false);
+}
+
+void
+ObjectStore::Remove(std::string const& aKind, std::string const& aName)
+{
+  mImpl->Change(aKind, aName, nullptr, true);
+}
+
+void
+ObjectStore::SetDown(bool aIsDown)
+{
+  std::lock_guard const lock(mImpl->mMutex);
+  mImpl->mIsDown = aIsDown;
+  mImpl->mChanged.notify_all();
+}
+
+void
+ObjectStore::ForgetHistory()
+{
+  std::lock_guard const lock(mImpl->mMutex);
+  mImpl->mForgottenUpTo = mImpl->mRevision;
+  mImpl->mEvents.clear();
+  mImpl->mChanged.notify_all();
+}
+
+std::uint64_t
+ObjectStore::CallCount() const
+{
+  return mImpl->mCalls;
+}
+
+} // namespace tarragonsill::Lab
