--- a/lab/platform/tarragonsill_lab_flow_callers.cpp
+++ b/lab/platform/tarragonsill_lab_flow_callers.cpp
@@ -77,8 +77,8 @@
     return;
   }
   Send(aFlow, true);
-  aFlow.mNextSend = aNow + kRepeat * (1U << std::min(aFlow.mCopies,
-                                                     kMostDoublings));
+  aFlow.mNextSend =
+    aNow + kRepeat * (1U << std::min(aFlow.mCopies, kMostDoublings));
   ++aFlow.mCopies;
 }
 
@@ -123,8 +123,7 @@
     return;
   }
   bool const isNew = aPacket.mDataBytes > 0 &&
-                     aPacket.mSequence == flow.mAcknowledged &&
-                     flow.mIsWaiting;
+                     aPacket.mSequence == flow.mAcknowledged && flow.mIsWaiting;
   if (!isNew) {
     return;
   }
--- a/lab/platform/tarragonsill_lab_flow_hosts.cpp
+++ b/lab/platform/tarragonsill_lab_flow_hosts.cpp
@@ -28,19 +28,19 @@
                                aPacket.mDataBytes);
   std::span<std::byte> const head(bytes);
   StoreU32(head, 0, aPacket.mSequence);
-  StoreU32(
-    head, 4, aPacket.mAcknowledges ? aPacket.mAcknowledged
-                                   : aPacket.mOpeningCopies);
+  StoreU32(head,
+           4,
+           aPacket.mAcknowledges ? aPacket.mAcknowledged
+                                 : aPacket.mOpeningCopies);
   StoreU16(head, 8, aPacket.mDataBytes);
   StoreU32(head, 10, aPacket.mCookie);
   StoreU16(head, 18, aPacket.mDestination.mPort);
   StoreU32(head, 20, aPacket.mSource.mAddress.mValue);
   StoreU16(head, 24, aPacket.mSource.mPort);
   StoreU32(head, 26, aPacket.mDestination.mAddress.mValue);
-  auto const flags = (aPacket.mOpens ? kSyn : 0U) |
-                     (aPacket.mAcknowledges ? kAck : 0U) |
-                     (aPacket.mCloses ? kFin : 0U) |
-                     (aPacket.mResets ? kRst : 0U);
+  auto const flags =
+    (aPacket.mOpens ? kSyn : 0U) | (aPacket.mAcknowledges ? kAck : 0U) |
+    (aPacket.mCloses ? kFin : 0U) | (aPacket.mResets ? kRst : 0U);
   head[30] = static_cast<std::byte>(flags);
   return bytes;
 }
--- a/lab/platform/tarragonsill_lab_object_store.cpp
+++ b/lab/platform/tarragonsill_lab_object_store.cpp
@@ -146,12 +146,11 @@
   server.new_task_queue = [] {
     return new httplib::ThreadPool(kServerThreads);
   };
-  server.Get(R"(/objects/([a-z]+))", [raw](auto const& aRequest,
-                                           auto& aResponse) {
-    raw->Get(aRequest, aResponse);
-  });
-  if (!server.bind_to_port(ToText(aAddress.mAddress).c_str(),
-                           aAddress.mPort)) {
+  server.Get(R"(/objects/([a-z]+))",
+             [raw](auto const& aRequest, auto& aResponse) {
+               raw->Get(aRequest, aResponse);
+             });
+  if (!server.bind_to_port(ToText(aAddress.mAddress).c_str(), aAddress.mPort)) {
     return Reason{ ReasonCode::SystemFailure,
                    "cannot serve the store at " + ToText(aAddress) };
   }
--- a/src/tarragonsill/cli/tarragonsill_cli_entry.cpp
+++ b/src/tarragonsill/cli/tarragonsill_cli_entry.cpp
@@ -1,5 +1,6 @@
 #include "tarragonsill/cli/tarragonsill_cli.hpp"
 
+#include "tarragonsill/platform/tarragonsill_platform_settings.hpp"
 #include "tarragonsill/protocol/tarragonsill_configuration_yaml.hpp"
 #include "tarragonsill/protocol/tarragonsill_settings.hpp"
 #include "tarragonsill/transport/tarragonsill_entry_daemon.hpp"
@@ -20,7 +21,7 @@
 constexpr milliseconds kLeaveMost{ 15000 };
 
 void
-PrintFaults(YamlFaults const& aFaults, bool aJson)
+PrintFaults(FileFaults const& aFaults, bool aJson)
 {
   auto list = nlohmann::json::array();
   for (auto const& fault : aFaults.All()) {
@@ -92,7 +93,9 @@
     return ExitStatus::kTrouble;
   }
   YamlFaults faults(aFile);
-  bool const valid = IsSettingsText(*text)
+  bool const valid = aFile.ends_with(".toml")
+                       ? Platform::ReadNodeSettings(*text, faults).has_value()
+                     : IsSettingsText(*text)
                        ? ReadSettings(*text, faults).has_value()
                        : ReadConfiguration(*text, faults).has_value();
   if (!valid || aJson) {
--- a/src/tarragonsill/cli/tarragonsill_cli_node.cpp
+++ b/src/tarragonsill/cli/tarragonsill_cli_node.cpp
@@ -52,7 +52,7 @@
 } // namespace
 
 int
-RunNode(std::string const& aSettingsFile)
+RunNode(std::string const& aSettingsFile, std::uint16_t aMetricsPort)
 {
   auto file = aSettingsFile;
   if (file.empty()) {
@@ -66,6 +66,9 @@
              ? ExitStatus::kRefused
              : ExitStatus::kTrouble;
   }
+  if (aMetricsPort != 0) {
+    settings.Value().mMetrics.mPort = aMetricsPort;
+  }
   auto const signals = BlockSignals();
   ConfigureStructuredLog();
   auto daemon = NodeDaemon::Start(settings.Take());
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -265,7 +265,11 @@
     aFlow.mCopies = 0;
     aFlow.mAcknowledged = aPacket.mAcknowledged;
   }
+  if (aFlow.mIsOpening) {
+    mLatencies.mHandshake.Record(aNow - aFlow.mDataSent);
+  }
   if (answered && aFlow.mInProgress) {
+    mLatencies.mAnswer.Record(aNow - aFlow.mDataSent);
     aFlow.mInProgress = false;
     --load.mInProgress;
   }
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -5,6 +5,7 @@
 #include "tarragonsill/protocol/tarragonsill_flow_packet.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
 #include "tarragonsill/state/tarragonsill_flow_table.hpp"
+#include "tarragonsill/state/tarragonsill_latency_histogram.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -42,6 +43,15 @@
 /// The counter of a cause; packets of open flows have none of their own.
 std::optional<Counter> CounterOf(SteeringCause aCause);
 
+/// How long upstreams took, as this VM saw it.
+struct SteeringLatencies
+{
+  /// From the opening packet to the caller's first packet after it.
+  LatencyHistogram mHandshake;
+  /// From a request's last packet to the first sign of its answer.
+  LatencyHistogram mAnswer;
+};
+
 struct SteeringVerdict
 {
   SteeringAction mAction = SteeringAction::Drop;
@@ -114,6 +124,8 @@
   RoutingView const& View() const { return *mView; }
   std::size_t TrackedFlows() const { return mFlows.Size(); }
   std::vector<UpstreamLoad> const& Loads() const { return mLoads; }
+  /// May be read by any thread.
+  SteeringLatencies const& Latencies() const { return mLatencies; }
 
 private:
   SteeringVerdict Open(TimePoint aNow,
@@ -149,6 +161,7 @@
   std::vector<ZonePressure> mPressures; ///< By service.
   FlowTable<Detail::TrackedFlow> mFlows;
   UpstreamChoice mChoice;
+  SteeringLatencies mLatencies;
   TimePoint mLastAnswer{}; ///< Of any upstream.
   std::vector<UnaskedReset> mResets;
   std::vector<SteeringNote> mNotes;
--- a/src/tarragonsill/main.cpp
+++ b/src/tarragonsill/main.cpp
@@ -18,6 +18,7 @@
   std::vector<std::string> mEntries;
   PlatformOptions mPlatform;
   bool mJson = false;
+  std::uint16_t mMetricsPort = 0;
 };
 
 void
@@ -56,11 +57,19 @@
                    aArguments.mFile,
                    "Settings file (TOML); by default the one that the "
                    "environment names");
-  node->callback([&] { aStatus = RunNode(aArguments.mFile); });
+  node->add_option("--metrics-port",
+                   aArguments.mMetricsPort,
+                   "Port of the metrics page instead of the settings' one");
+  node->callback(
+    [&] { aStatus = RunNode(aArguments.mFile, aArguments.mMetricsPort); });
 
   auto* check = aApp.add_subcommand(
     "check", "Check a configuration or settings file; exits with 0, 1 or 2");
-  check->add_option("FILE", aArguments.mFile, "The file (YAML)")->required();
+  check
+    ->add_option("FILE",
+                 aArguments.mFile,
+                 "The file (YAML), or a VM's settings on the platform (.toml)")
+    ->required();
   check->add_flag("--json", aArguments.mJson, "Print one JSON object");
   check->callback(
     [&] { aStatus = CheckFile(aArguments.mFile, aArguments.mJson); });
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -49,6 +49,9 @@
     std::atomic_store(&mPosted, std::move(aView));
   }
 
+  /// May be called from any thread.
+  SteeringLatencies const& Latencies() const { return mSteering.Latencies(); }
+
 private:
   /// The identity of the intended upstream goes before each packet.
   static constexpr std::size_t kIdentityBytes = 8;
--- a/src/tarragonsill/transport/tarragonsill_entry_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_entry_daemon.cpp
@@ -5,6 +5,7 @@
 #include "tarragonsill/transport/tarragonsill_configuration_actor.hpp"
 #include "tarragonsill/transport/tarragonsill_control_actor.hpp"
 #include "tarragonsill/transport/tarragonsill_control_link.hpp"
+#include "tarragonsill/transport/tarragonsill_incarnation.hpp"
 #include "tarragonsill/transport/tarragonsill_log.hpp"
 #include "tarragonsill/transport/tarragonsill_status_server.hpp"
 
@@ -32,17 +33,6 @@
   return aConfig;
 }
 
-/// A number that rises with every start of a VM's process. VMs keep nothing,
-/// so the wall clock is the only source; only the order at one VM matters.
-std::uint64_t
-NewIncarnation()
-{
-  return static_cast<std::uint64_t>(
-    std::chrono::duration_cast<milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch())
-      .count());
-}
-
 } // namespace
 
 struct EntryDaemon::Impl
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -4,6 +4,7 @@
 #include "tarragonsill/platform/tarragonsill_platform_packet.hpp"
 #include "tarragonsill/transport/tarragonsill_control_link.hpp"
 #include "tarragonsill/transport/tarragonsill_cookie_worker.hpp"
+#include "tarragonsill/transport/tarragonsill_incarnation.hpp"
 #include "tarragonsill/transport/tarragonsill_knowledge_server.hpp"
 #include "tarragonsill/transport/tarragonsill_node_actor.hpp"
 #include "tarragonsill/transport/tarragonsill_page_server.hpp"
@@ -30,18 +31,6 @@
 using Watch = StoreWatch<Platform::ObjectFormat>;
 using Worker = CookieWorker<Platform::PacketFormat>;
 
-/// A number that rises with every start of a VM's process. VMs keep nothing,
-/// so the time of day is the only source; a VM that it misleads is told so by
-/// its peers.
-std::uint64_t
-NewIncarnation()
-{
-  return static_cast<std::uint64_t>(
-    std::chrono::duration_cast<milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch())
-      .count());
-}
-
 caf::actor_system_config&
 PrepareNodeConfig(caf::actor_system_config& aConfig)
 {
@@ -141,7 +130,11 @@
   }
   ~Impl()
   {
+    mPages.clear();
     mKnowledge.reset();
+    for (auto const& watch : mWatches) {
+      watch->Cancel();
+    }
     for (auto const& actor : mActors) {
       caf::anon_send_exit(actor, caf::exit_reason::kill);
     }
@@ -234,9 +227,15 @@
                  "text/plain",
                  ready ? "ready\n" : "not ready\n" };
   };
-  auto const metrics = [state = mState](auto const&) {
+  auto const metrics = [state = mState, worker = mWorker.get()](auto const&) {
+    auto const& name = state->mSettings.mName;
+    auto const& latencies = worker->Latencies();
     Page page;
-    page.mBody = state->mCounters.ToExposition(state->mSettings.mName);
+    page.mBody =
+      state->mCounters.ToExposition(name) +
+      latencies.mHandshake.ToExposition("tarragonsill_handshake_seconds",
+                                        name) +
+      latencies.mAnswer.ToExposition("tarragonsill_answer_seconds", name);
     return page;
   };
   auto const& settings = mState->mSettings;
--- a/tests/transport/test_node_runs.cpp
+++ b/tests/transport/test_node_runs.cpp
@@ -84,15 +84,14 @@
                          { "type", "safe" },
                          { "service", "svc" } });
     }
-    mStore->Put("config",
-                "main",
-                { { "version", aVersion },
-                  { "routes", routes },
-                  { "services",
-                    { { { "name", "svc" },
-                        { "coldS", 2.0 },
-                        { "coldRateS", 2.0 } } } },
-                  { "limits", { { "idleTimeoutMs", 15000 } } } });
+    mStore->Put(
+      "config",
+      "main",
+      { { "version", aVersion },
+        { "routes", routes },
+        { "services",
+          { { { "name", "svc" }, { "coldS", 2.0 }, { "coldRateS", 2.0 } } } },
+        { "limits", { { "idleTimeoutMs", 15000 } } } });
   }
 
   void Register(std::size_t aIndex, char const* aState)
