One HTTP connection for both stores, one page server for both daemons

Cause: the platform client and the status server each had their own httplib plumbing beside the new ones. Change: both use HttpConnection and PageServer; only a failed connect counts as never sent, which is stricter for conditional writes than before.

--- a/src/tarragonsill/transport/tarragonsill_http_connection.cpp
+++ b/src/tarragonsill/transport/tarragonsill_http_connection.cpp
@@ -32,9 +32,9 @@
 Reason
 ReasonOf(httplib::Error aError)
 {
-  bool const timeout =
-    aError == httplib::Error::Read || aError == httplib::Error::Write;
-  return { timeout ? ReasonCode::Timeout : ReasonCode::Unavailable,
+  // Anything but a failed connect may have reached the other side.
+  bool const neverLeft = aError == httplib::Error::Connection;
+  return { neverLeft ? ReasonCode::Unavailable : ReasonCode::Timeout,
            "the platform did not answer (" + httplib::to_string(aError) + ")" };
 }
 
--- a/src/tarragonsill/transport/tarragonsill_platform_client.cpp
+++ b/src/tarragonsill/transport/tarragonsill_platform_client.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <thread>
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 namespace tarragonsill {
@@ -14,7 +13,7 @@
 constexpr milliseconds kBackoffMost{ 5000 };
 constexpr unsigned kSettleAttempts = 8;
 constexpr std::size_t kKeptChanges = 32;
-constexpr int kStatusOk = 200;
+constexpr int kStatusOk = HttpConnection::kStatusOk;
 constexpr int kStatusNotModified = 304;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusPreconditionFailed = 412;
@@ -54,15 +53,6 @@
                    aChangeId) != aObject.mChanges.end();
 }
 
-Reason
-ReasonOf(httplib::Error aError)
-{
-  bool const timeout =
-    aError == httplib::Error::Read || aError == httplib::Error::Write;
-  return { timeout ? ReasonCode::Timeout : ReasonCode::Unavailable,
-           "the platform did not answer (" + httplib::to_string(aError) + ")" };
-}
-
 Reason
 ReasonOf(int aStatus)
 {
@@ -72,14 +62,14 @@
            text };
 }
 
-httplib::Client
-MakeClient(Endpoint aAddress, milliseconds aTimeout)
+/// A connection for one call; calls come from several threads and are rare.
+HttpConnection
+ConnectionTo(Endpoint aAddress)
 {
-  httplib::Client client(ToText(aAddress.mAddress), aAddress.mPort);
-  client.set_connection_timeout(aTimeout);
-  client.set_read_timeout(aTimeout);
-  client.set_write_timeout(aTimeout);
-  return client;
+  HttpConnection::Options options;
+  options.mAddress = aAddress;
+  options.mKeepOpen = false;
+  return HttpConnection(options);
 }
 
 Result<PlatformVm>
@@ -127,7 +117,7 @@
   return true;
 }
 
-Result<PlatformClient::Answer>
+Result<HttpAnswer>
 PlatformClient::Get(std::string const& aPath, milliseconds aTimeout)
 {
   if (mOptions.mIsDenied && mOptions.mIsDenied(mOptions.mAddress)) {
@@ -137,13 +127,11 @@
     return Reason{ ReasonCode::LimitReached,
                    "the budget of calls to the platform is used up" };
   }
-  auto client = MakeClient(mOptions.mAddress, aTimeout);
-  auto const result = client.Get(aPath);
-  if (!result) {
+  auto answer = ConnectionTo(mOptions.mAddress).Get(aPath, aTimeout);
+  if (!answer) {
     mCounters.Add(Counter::PlatformFailures);
-    return ReasonOf(result.error());
   }
-  return Answer{ result->status, result->body };
+  return answer;
 }
 
 Result<PlatformObject>
@@ -190,9 +178,6 @@
     return Reason{ ReasonCode::LimitReached,
                    "the budget of calls to the platform is used up" };
   }
-  auto client = MakeClient(mOptions.mAddress, mOptions.mTimeout);
-  httplib::Headers const headers = { { "If-Match",
-                                       std::to_string(aExpected.mVersion) } };
   auto changes = aExpected.mChanges;
   changes.push_back(aChangeId);
   if (changes.size() > kKeptChanges) {
@@ -200,22 +185,26 @@
   }
   nlohmann::json const body = { { "changes", changes }, { "text", aText } };
   auto const result =
-    client.Put(ObjectPath(aName), headers, body.dump(), "application/json");
+    ConnectionTo(mOptions.mAddress)
+      .Put(ObjectPath(aName),
+           { { "If-Match", std::to_string(aExpected.mVersion) } },
+           body.dump(),
+           mOptions.mTimeout);
   if (!result) {
     mCounters.Add(Counter::PlatformFailures);
-    if (result.error() == httplib::Error::Connection) {
-      return ReasonOf(result.error()); // The write never left.
+    if (result.LastReason().mCode == ReasonCode::Unavailable) {
+      return result.LastReason(); // The write never left.
     }
     return SettleLostAnswer(aName, aExpected.mVersion, aChangeId);
   }
-  if (result->status >= 500) {
+  if (result->mStatus >= 500) {
     return SettleLostAnswer(aName, aExpected.mVersion, aChangeId);
   }
-  if (result->status != kStatusOk &&
-      result->status != kStatusPreconditionFailed) {
-    return ReasonOf(result->status);
+  if (result->mStatus != kStatusOk &&
+      result->mStatus != kStatusPreconditionFailed) {
+    return ReasonOf(result->mStatus);
   }
-  auto current = ParseObject(result->body);
+  auto current = ParseObject(result->mBody);
   if (!current) {
     return current.LastReason();
   }
--- a/src/tarragonsill/transport/tarragonsill_platform_client.hpp
+++ b/src/tarragonsill/transport/tarragonsill_platform_client.hpp
@@ -5,6 +5,7 @@
 #include "tarragonsill/state/tarragonsill_counters.hpp"
 #include "tarragonsill/state/tarragonsill_reason.hpp"
 #include "tarragonsill/state/tarragonsill_token_bucket.hpp"
+#include "tarragonsill/transport/tarragonsill_http_connection.hpp"
 
 #include <functional>
 #include <memory>
@@ -74,13 +75,7 @@
   milliseconds Backoff(unsigned aFailures);
 
 private:
-  struct Answer
-  {
-    int mStatus = 0;
-    std::string mBody;
-  };
-
-  Result<Answer> Get(std::string const& aPath, milliseconds aTimeout);
+  Result<HttpAnswer> Get(std::string const& aPath, milliseconds aTimeout);
   bool TakeBudget();
   Result<WriteOutcome> SettleLostAnswer(std::string const& aName,
                                         std::uint64_t aExpected,
--- a/src/tarragonsill/transport/tarragonsill_status_server.cpp
+++ b/src/tarragonsill/transport/tarragonsill_status_server.cpp
@@ -1,10 +1,8 @@
 #include "tarragonsill/transport/tarragonsill_status_server.hpp"
 
 #include "tarragonsill/coordination/tarragonsill_explanation.hpp"
+#include "tarragonsill/transport/tarragonsill_page_server.hpp"
 
-#include <thread>
-
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 namespace tarragonsill {
@@ -85,54 +83,58 @@
            { "counters", std::move(counters) } };
 }
 
-void
-SetError(httplib::Response& aResponse, int aStatus, std::string const& aText)
+constexpr char const* kJson = "application/json";
+
+Page
+ErrorPage(int aStatus, std::string const& aText)
 {
-  aResponse.status = aStatus;
   nlohmann::json const body = { { "error", aText } };
-  aResponse.set_content(body.dump(), "application/json");
+  return { aStatus, kJson, body.dump() };
+}
+
+std::string
+ParameterOf(PageServer::Parameters const& aParameters, char const* aName)
+{
+  auto const found = aParameters.find(aName);
+  return found == aParameters.end() ? std::string() : found->second;
 }
 
-void
-HandleExplain(EntryState const& aState,
-              httplib::Request const& aRequest,
-              httplib::Response& aResponse)
+Page
+ExplainPage(EntryState const& aState, PageServer::Parameters const& aParameters)
 {
-  auto const caller = ParseEndpoint(aRequest.get_param_value("flow"));
+  auto const caller = ParseEndpoint(ParameterOf(aParameters, "flow"));
   if (!caller) {
-    SetError(
-      aResponse, kStatusBadRequest, "flow: " + caller.LastReason().mText);
-    return;
+    return ErrorPage(kStatusBadRequest, "flow: " + caller.LastReason().mText);
   }
   auto const view = aState.mView.Value();
   if (!view.mSnapshot) {
-    SetError(aResponse, kStatusNotFound, "no configuration is in force");
-    return;
+    return ErrorPage(kStatusNotFound, "no configuration is in force");
   }
   FlowKey key;
   key.mCaller = *caller;
-  bool const udp = aRequest.get_param_value("protocol") == "udp";
+  bool const udp = ParameterOf(aParameters, "protocol") == "udp";
   key.mProtocol = udp ? TransportProtocol::Udp : TransportProtocol::Tcp;
   auto const explanation =
-    Explain(*view.mSnapshot, aRequest.get_param_value("service"), key);
+    Explain(*view.mSnapshot, ParameterOf(aParameters, "service"), key);
   if (!explanation) {
-    SetError(aResponse, kStatusNotFound, explanation.LastReason().mText);
-    return;
+    return ErrorPage(kStatusNotFound, explanation.LastReason().mText);
   }
   nlohmann::json const body = { { "service", explanation->mService },
                                 { "pure_choice", explanation->mPureChoice },
                                 { "owner", explanation->mOwner },
                                 { "homes", explanation->mHomes },
                                 { "candidates", explanation->mCandidates } };
-  aResponse.set_content(body.dump(), "application/json");
+  Page page;
+  page.mType = kJson;
+  page.mBody = body.dump();
+  return page;
 }
 
 } // namespace
 
 struct StatusServer::Impl
 {
-  httplib::Server mServer;
-  std::thread mThread;
+  std::unique_ptr<PageServer> mPages;
 };
 
 StatusServer::StatusServer(std::unique_ptr<Impl> aImpl)
@@ -144,38 +146,30 @@
 StatusServer::Start(std::shared_ptr<EntryState> aState)
 {
   auto const address = aState->mSettings.mMetrics;
-  auto impl = std::make_unique<Impl>();
-  auto& server = impl->mServer;
-  server.Get("/metrics", [aState](auto const&, auto& aResponse) {
-    aResponse.set_content(
-      aState->mCounters.ToExposition(aState->mSettings.mEntry),
-      "text/plain; version=0.0.4");
-  });
-  server.Get("/status", [aState](auto const&, auto& aResponse) {
-    aResponse.set_content(StatusJson(*aState).dump(), "application/json");
-  });
-  server.Get("/explain", [aState](auto const& aRequest, auto& aResponse) {
-    HandleExplain(*aState, aRequest, aResponse);
-  });
-  if (!server.bind_to_port(ToText(address.mAddress).c_str(), address.mPort)) {
-    return Reason{ ReasonCode::SystemFailure,
-                   "cannot serve metrics at " + ToText(address) };
-  }
-  impl->mThread =
-    std::thread([raw = impl.get()] { raw->mServer.listen_after_bind(); });
-  // A server that is stopped before it runs would never stop.
-  while (!server.is_running()) {
-    std::this_thread::sleep_for(std::chrono::milliseconds{ 1 });
+  std::map<std::string, PageServer::Handler> pages;
+  pages["/metrics"] = [aState](auto const&) {
+    Page page;
+    page.mBody = aState->mCounters.ToExposition(aState->mSettings.mEntry);
+    return page;
+  };
+  pages["/status"] = [aState](auto const&) {
+    Page page;
+    page.mType = kJson;
+    page.mBody = StatusJson(*aState).dump();
+    return page;
+  };
+  pages["/explain"] = [aState](auto const& aParameters) {
+    return ExplainPage(*aState, aParameters);
+  };
+  auto server = PageServer::Start(address, std::move(pages));
+  if (!server) {
+    return server.LastReason();
   }
+  auto impl = std::make_unique<Impl>();
+  impl->mPages = server.Take();
   return std::unique_ptr<StatusServer>(new StatusServer(std::move(impl)));
 }
 
-StatusServer::~StatusServer()
-{
-  mImpl->mServer.stop();
-  if (mImpl->mThread.joinable()) {
-    mImpl->mThread.join();
-  }
-}
+StatusServer::~StatusServer() = default;
 
 } // namespace tarragonsill
