Judge the queue of a zone by the time that answers take

Change: smoothed answer time against its least of late, 2.5 times as long means a queue; no count of VMs is needed.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -195,7 +195,7 @@
     mChoice.Pick(aNow,
                  *mView,
                  mView->mServices[service],
-                 { mLoads, mPressures[service].IsSaturated(), avoid });
+                 { mLoads, mPressures[service].IsSaturated(aNow), avoid });
   if (!pick) {
     return Refuse(SteeringAction::Drop, SteeringCause::NoUpstream);
   }
@@ -269,7 +269,7 @@
     mLatencies.mHandshake.Record(aNow - aFlow.mDataSent);
   }
   if (answered && aFlow.mInProgress) {
-    mLatencies.mAnswer.Record(aNow - aFlow.mDataSent);
+    NoteAnswer(aNow, aFlow);
     aFlow.mInProgress = false;
     --load.mInProgress;
   }
@@ -365,30 +365,22 @@
 }
 
 void
-CookieSteering::SamplePressure(TimePoint aNow)
+CookieSteering::NoteAnswer(TimePoint aNow, Detail::TrackedFlow const& aFlow)
 {
-  auto const vms = std::max<std::size_t>(1, mView->mDeciders.size());
-  for (std::size_t index = 0; index < mView->mServices.size(); ++index) {
-    double inProgress = 0.0;
-    double slots = 0.0;
-    for (auto const slot : mView->mServices[index].mUpstreams) {
-      auto const& upstream = mView->mUpstreams[slot];
-      if (upstream.mZone != mView->mOwnZone ||
-          !UpstreamChoice::MayTake(upstream)) {
-        continue;
-      }
-      inProgress += mLoads[slot].mInProgress;
-      slots += upstream.mRecord.mSlots;
-    }
-    mPressures[index].Sample(
-      aNow, inProgress * static_cast<double>(vms), slots);
+  auto const time = aNow - aFlow.mDataSent;
+  mLatencies.mAnswer.Record(time);
+  auto const& upstream = mView->mUpstreams[aFlow.mSlot];
+  bool const counts = upstream.mZone == mView->mOwnZone &&
+                      upstream.mService < mPressures.size() &&
+                      aNow >= upstream.mColdUntil;
+  if (counts) {
+    mPressures[upstream.mService].Answered(aNow, time);
   }
 }
 
 void
 CookieSteering::Sweep(TimePoint aNow)
 {
-  SamplePressure(aNow);
   mFlows.EraseIf([&](Detail::TrackedFlow& aFlow) {
     auto const patience =
       aFlow.mIsClosed ? Duration(kClosedTime) : Duration(mView->mIdleTimeout);
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -142,7 +142,8 @@
   /// Whether the flows of an upstream may be given up: it is silent while
   /// others answer.
   bool IsLost(TimePoint aNow, std::uint32_t aSlot) const;
-  void SamplePressure(TimePoint aNow);
+  /// Counts an answer towards the pressure on the own zone's upstreams.
+  void NoteAnswer(TimePoint aNow, Detail::TrackedFlow const& aFlow);
   SteeringVerdict ForwardTo(std::uint32_t aSlot, SteeringCause aCause) const;
   Detail::TrackedFlow& Track(TimePoint aNow,
                              FlowPacket const& aPacket,
--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -492,10 +492,16 @@
       mNextChange =
         mNextChange == TimePoint{} ? end : std::min(mNextChange, end);
     }
-    for (auto& service : aView.mServices) {
-      if (service.mName == known.mRecord.mService) {
-        service.mUpstreams.push_back(slot);
-      }
+    auto const service =
+      std::find_if(aView.mServices.begin(),
+                   aView.mServices.end(),
+                   [&](auto const& aService) {
+                     return aService.mName == known.mRecord.mService;
+                   });
+    upstream.mService =
+      static_cast<std::uint32_t>(service - aView.mServices.begin());
+    if (service != aView.mServices.end()) {
+      service->mUpstreams.push_back(slot);
     }
     aView.mUpstreams.push_back(std::move(upstream));
   }
--- a/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
@@ -14,10 +14,17 @@
 /// Added for an upstream of another zone: a cut between zones harms no flow
 /// that stays inside one.
 constexpr double kOtherZoneCost = 1e3;
-/// From this use of their slots on, the zone's upstreams let requests wait.
-constexpr double kSaturation = 0.9;
-/// Samples older than this hardly count any more.
-constexpr std::chrono::duration<double> kSmoothing{ 1.0 };
+/// Answers that take this many times the usual time wait in a queue; a cold
+/// upstream takes 1.6 times as long (operators' deployments).
+constexpr double kSaturation = 2.5;
+/// The weight of one more answer.
+constexpr double kSmoothing = 1.0 / 32;
+constexpr std::uint32_t kLeastAnswers = 64;
+/// The usual time rises by this part in a second, so that a lasting change of
+/// the work becomes usual.
+constexpr double kDrift = 0.01;
+/// Without any answer for this long nothing is known of a queue.
+constexpr milliseconds kPressureFor{ 2000 };
 /// Added for an upstream whose registration is missing.
 constexpr double kMissingCost = 1e5;
 /// Added for an upstream that owes answers; those that go silent come last.
@@ -30,20 +37,25 @@
 } // namespace
 
 void
-ZonePressure::Sample(TimePoint aNow, double aInProgress, double aSlots)
+ZonePressure::Answered(TimePoint aNow, Duration aTime)
 {
-  auto const use = aSlots > 0.0 ? aInProgress / aSlots : 0.0;
+  std::chrono::duration<double> const time = aTime;
   std::chrono::duration<double> const elapsed =
-    mSampled == TimePoint{} ? Duration{ 0 } : aNow - mSampled;
-  auto const weight = std::min(1.0, elapsed / kSmoothing);
-  mUse += weight * (use - mUse);
-  mSampled = aNow;
+    mAnswers == 0 ? Duration{ 0 } : aNow - mLast;
+  mRecent += (mAnswers == 0 ? 1.0 : kSmoothing) * (time - mRecent);
+  mLast = aNow;
+  if (++mAnswers < kLeastAnswers) {
+    mUsual = mRecent;
+    return;
+  }
+  mUsual = std::min(mUsual * (1.0 + kDrift * elapsed.count()), mRecent);
 }
 
 bool
-ZonePressure::IsSaturated() const
+ZonePressure::IsSaturated(TimePoint aNow) const
 {
-  return mUse > kSaturation;
+  return mAnswers >= kLeastAnswers && aNow < mLast + kPressureFor &&
+         mRecent > kSaturation * mUsual;
 }
 
 std::uint32_t
--- a/src/tarragonsill/coordination/tarragonsill_upstream_choice.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_choice.hpp
@@ -25,20 +25,22 @@
   std::deque<TimePoint> mColdStarts;
 };
 
-/// How busy the own zone's upstreams of a service are, judged from this VM's
-/// share of their work.
+/// Whether the own zone's upstreams of a service let requests wait, judged from
+/// the time that answers take. A VM's share of the zone's requests says little
+/// about the others' share, but each of its requests waits in the same queues.
 class ZonePressure
 {
 public:
-  /// Takes a sample of requests in progress here, scaled up to the zone's VMs,
-  /// against the slots of the zone's upstreams.
-  void Sample(TimePoint aNow, double aInProgress, double aSlots);
-  /// The zone's upstreams of the service are busy nearly all the time.
-  bool IsSaturated() const;
+  /// A request of the own zone was answered.
+  void Answered(TimePoint aNow, Duration aTime);
+  /// Answers take much longer than they do without a queue.
+  bool IsSaturated(TimePoint aNow) const;
 
 private:
-  double mUse = 0.0; ///< Requests in progress per slot, smoothed.
-  TimePoint mSampled{};
+  std::chrono::duration<double> mRecent{ 0 }; ///< Smoothed over some answers.
+  std::chrono::duration<double> mUsual{ 0 };  ///< The least of late.
+  std::uint32_t mAnswers = 0;
+  TimePoint mLast{};
 };
 
 /// A choice and what decided it.
--- a/src/tarragonsill/state/tarragonsill_routing_view.hpp
+++ b/src/tarragonsill/state/tarragonsill_routing_view.hpp
@@ -32,6 +32,8 @@
   /// Identifies the upstream in packets; unique among upstreams in use.
   std::uint32_t mCookie = 0;
   std::uint32_t mZone = 0; ///< Index of the zone.
+  /// Index of the service; past the end if the configuration has none such.
+  std::uint32_t mService = 0;
   UpstreamUse mUse = UpstreamUse::Gone;
   bool mEvacuated = false; ///< Its zone is to be given no new work.
   TimePoint mColdUntil{};
--- a/tests/coordination/test_upstream_choice.cpp
+++ b/tests/coordination/test_upstream_choice.cpp
@@ -85,18 +85,45 @@
 {
   ZonePressure pressure;
   auto now = kStart;
-  auto const sample = [&](double aInProgress, int aTimes) {
+  auto const answer = [&](milliseconds aTime, int aTimes) {
     for (int time = 0; time < aTimes; ++time) {
-      now += milliseconds{ 100 };
-      pressure.Sample(now, aInProgress, 8.0);
+      now += milliseconds{ 10 };
+      pressure.Answered(now, aTime);
     }
   };
-  sample(16.0, 3);
-  CHECK_FALSE(pressure.IsSaturated());
-  sample(16.0, 30);
-  CHECK(pressure.IsSaturated());
-  sample(2.0, 30);
-  CHECK_FALSE(pressure.IsSaturated());
+  answer(milliseconds{ 60 }, 200);
+  CHECK_FALSE(pressure.IsSaturated(now));
+  // One slow answer is not a queue.
+  answer(milliseconds{ 600 }, 1);
+  CHECK_FALSE(pressure.IsSaturated(now));
+  answer(milliseconds{ 240 }, 100);
+  CHECK(pressure.IsSaturated(now));
+  answer(milliseconds{ 60 }, 100);
+  CHECK_FALSE(pressure.IsSaturated(now));
+}
+
+TEST(UpstreamChoice, slower_work_is_no_queue_once_it_lasts)
+{
+  ZonePressure pressure;
+  auto now = kStart;
+  for (int time = 0; time < 20000; ++time) {
+    now += milliseconds{ 10 };
+    bool const isSlow = time > 1000;
+    pressure.Answered(now, milliseconds{ isSlow ? 160 : 60 });
+  }
+  CHECK_FALSE(pressure.IsSaturated(now));
+}
+
+TEST(UpstreamChoice, without_answers_nothing_is_known_of_a_queue)
+{
+  ZonePressure pressure;
+  auto now = kStart;
+  for (int time = 0; time < 400; ++time) {
+    now += milliseconds{ 10 };
+    pressure.Answered(now, milliseconds{ time < 200 ? 60 : 300 });
+  }
+  CHECK(pressure.IsSaturated(now));
+  CHECK_FALSE(pressure.IsSaturated(now + seconds{ 3 }));
 }
 
 TEST(UpstreamChoice, drained_evacuated_and_removed_upstreams_get_nothing)
