Measure a zone's queue for each kind of request and against its latency target

Cause: one measure for all routes of a service mixed work of 5 and 55 ms, so that its least was no usual time, and waits of 20 ms on weak VMs spilled flows. Change: a measure for each service and route; pressure needs a wait above a fifth of the route's latency target.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -1,5 +1,7 @@
 #include "tarragonsill/coordination/tarragonsill_cookie_steering.hpp"
 
+#include "tarragonsill/state/tarragonsill_placement.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -122,7 +124,6 @@
   }
   mView = std::move(aView);
   mLoads.resize(mView->mUpstreams.size());
-  mPressures.resize(mView->mServices.size());
 }
 
 std::vector<UnaskedReset>
@@ -191,11 +192,13 @@
     return Refuse(SteeringAction::Reset, SteeringCause::NoUpstream);
   }
   auto const service = mChoice.PickService(aRoute);
-  auto const pick =
-    mChoice.Pick(aNow,
-                 *mView,
-                 mView->mServices[service],
-                 { mLoads, mPressures[service].IsSaturated(aNow), avoid });
+  auto const pressure =
+    mPressures.find(PressureKey(service, aPacket.mDestination));
+  bool const isSaturated =
+    pressure != mPressures.end() &&
+    pressure->second.IsSaturated(aNow, aRoute.mLatencyTarget);
+  auto const pick = mChoice.Pick(
+    aNow, *mView, mView->mServices[service], { mLoads, isSaturated, avoid });
   if (!pick) {
     return Refuse(SteeringAction::Drop, SteeringCause::NoUpstream);
   }
@@ -364,6 +367,13 @@
   mFlows.Erase(aKey);
 }
 
+std::uint64_t
+CookieSteering::PressureKey(std::uint32_t aService, Endpoint aRoute) const
+{
+  return MixHash(HashText(mView->mServices[aService].mName),
+                 PlacementKey(aRoute));
+}
+
 void
 CookieSteering::NoteAnswer(TimePoint aNow, Detail::TrackedFlow const& aFlow)
 {
@@ -371,10 +381,11 @@
   mLatencies.mAnswer.Record(time);
   auto const& upstream = mView->mUpstreams[aFlow.mSlot];
   bool const counts = upstream.mZone == mView->mOwnZone &&
-                      upstream.mService < mPressures.size() &&
+                      upstream.mService < mView->mServices.size() &&
                       aNow >= upstream.mColdUntil;
   if (counts) {
-    mPressures[upstream.mService].Answered(aNow, time);
+    mPressures[PressureKey(upstream.mService, aFlow.mRoute)].Answered(aNow,
+                                                                      time);
   }
 }
 
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 /// Steers packets whose flow carries the identity of its upstream in a cookie.
@@ -142,6 +143,7 @@
   /// Whether the flows of an upstream may be given up: it is silent while
   /// others answer.
   bool IsLost(TimePoint aNow, std::uint32_t aSlot) const;
+  std::uint64_t PressureKey(std::uint32_t aService, Endpoint aRoute) const;
   /// Counts an answer towards the pressure on the own zone's upstreams.
   void NoteAnswer(TimePoint aNow, Detail::TrackedFlow const& aFlow);
   SteeringVerdict ForwardTo(std::uint32_t aSlot, SteeringCause aCause) const;
@@ -158,8 +160,9 @@
             UpstreamHealth aHealth);
 
   RoutingViewPointer mView;
-  std::vector<UpstreamLoad> mLoads;     ///< By slot.
-  std::vector<ZonePressure> mPressures; ///< By service.
+  std::vector<UpstreamLoad> mLoads; ///< By slot.
+  /// By service and route, as the kinds of requests differ in their work.
+  std::unordered_map<std::uint64_t, ZonePressure> mPressures;
   FlowTable<Detail::TrackedFlow> mFlows;
   UpstreamChoice mChoice;
   SteeringLatencies mLatencies;
--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -443,6 +443,7 @@
     RouteEntry entry;
     entry.mName = route.mName;
     entry.mKind = route.mKind;
+    entry.mLatencyTarget = route.mLatencyTarget;
     for (auto const& share : route.mShares) {
       auto const service = indices.find(share.mService);
       if (service == indices.end()) {
--- a/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
@@ -17,6 +17,8 @@
 /// Answers that take this many times the usual time wait in a queue; a cold
 /// upstream takes 1.6 times as long (operators' deployments).
 constexpr double kSaturation = 2.5;
+/// Waiting for less than this part of the latency target harms no caller.
+constexpr double kTargetPart = 0.2;
 /// The weight of one more answer.
 constexpr double kSmoothing = 1.0 / 32;
 constexpr std::uint32_t kLeastAnswers = 64;
@@ -52,10 +54,11 @@
 }
 
 bool
-ZonePressure::IsSaturated(TimePoint aNow) const
+ZonePressure::IsSaturated(TimePoint aNow, milliseconds aLatencyTarget) const
 {
-  return mAnswers >= kLeastAnswers && aNow < mLast + kPressureFor &&
-         mRecent > kSaturation * mUsual;
+  bool const isKnown = mAnswers >= kLeastAnswers && aNow < mLast + kPressureFor;
+  return isKnown && mRecent > kSaturation * mUsual &&
+         mRecent - mUsual > kTargetPart * aLatencyTarget;
 }
 
 std::uint32_t
--- a/src/tarragonsill/coordination/tarragonsill_upstream_choice.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_choice.hpp
@@ -33,8 +33,9 @@
 public:
   /// A request of the own zone was answered.
   void Answered(TimePoint aNow, Duration aTime);
-  /// Answers take much longer than they do without a queue.
-  bool IsSaturated(TimePoint aNow) const;
+  /// Answers take much longer than they do without a queue, by a part of the
+  /// time in which callers want them.
+  bool IsSaturated(TimePoint aNow, milliseconds aLatencyTarget) const;
 
 private:
   std::chrono::duration<double> mRecent{ 0 }; ///< Smoothed over some answers.
--- a/src/tarragonsill/platform/internal/tarragonsill_platform_records.cpp
+++ b/src/tarragonsill/platform/internal/tarragonsill_platform_records.cpp
@@ -83,6 +83,10 @@
   bool const idempotent = kind == "safe" || kind == "download";
   route.mKind =
     idempotent ? RequestKind::Idempotent : RequestKind::NotIdempotent;
+  if (auto const target = Unsigned(aRoute, "latencyTargetMs")) {
+    route.mLatencyTarget =
+      milliseconds{ static_cast<milliseconds::rep>(*target) };
+  }
   return route;
 }
 
--- a/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
@@ -19,6 +19,8 @@
     known.set_address(route.mAddress.mAddress.mValue);
     known.set_port(route.mAddress.mPort);
     known.set_idempotent(route.mKind == RequestKind::Idempotent);
+    known.set_latency_target_ms(
+      static_cast<std::uint32_t>(route.mLatencyTarget.count()));
     for (auto const& share : route.mShares) {
       auto& part = *known.add_shares();
       part.set_service(share.mService);
@@ -46,6 +48,7 @@
                        static_cast<std::uint16_t>(known.port()) };
     route.mKind =
       known.idempotent() ? RequestKind::Idempotent : RequestKind::NotIdempotent;
+    route.mLatencyTarget = milliseconds{ known.latency_target_ms() };
     for (auto const& part : known.shares()) {
       route.mShares.push_back({ part.service(), part.weight() });
     }
--- a/src/tarragonsill/state/tarragonsill_routing.hpp
+++ b/src/tarragonsill/state/tarragonsill_routing.hpp
@@ -33,6 +33,8 @@
   Endpoint mAddress;
   std::vector<RouteShare> mShares;
   RequestKind mKind = RequestKind::NotIdempotent;
+  /// The time within which callers want an answer.
+  milliseconds mLatencyTarget{ 500 };
 };
 
 /// What a service allows its upstreams to be given.
--- a/src/tarragonsill/state/tarragonsill_routing_view.hpp
+++ b/src/tarragonsill/state/tarragonsill_routing_view.hpp
@@ -51,6 +51,7 @@
 {
   std::string mName;
   RequestKind mKind = RequestKind::NotIdempotent;
+  milliseconds mLatencyTarget{ 500 };
   bool mRemoved = false; ///< An earlier version had it.
   struct Share
   {
--- a/tests/coordination/test_upstream_choice.cpp
+++ b/tests/coordination/test_upstream_choice.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr TimePoint kStart{ seconds{ 100 } };
+constexpr milliseconds kTarget{ 250 };
 
 } // namespace
 
@@ -92,14 +93,26 @@
     }
   };
   answer(milliseconds{ 60 }, 200);
-  CHECK_FALSE(pressure.IsSaturated(now));
+  CHECK_FALSE(pressure.IsSaturated(now, kTarget));
   // One slow answer is not a queue.
   answer(milliseconds{ 600 }, 1);
-  CHECK_FALSE(pressure.IsSaturated(now));
+  CHECK_FALSE(pressure.IsSaturated(now, kTarget));
   answer(milliseconds{ 240 }, 100);
-  CHECK(pressure.IsSaturated(now));
+  CHECK(pressure.IsSaturated(now, kTarget));
   answer(milliseconds{ 60 }, 100);
-  CHECK_FALSE(pressure.IsSaturated(now));
+  CHECK_FALSE(pressure.IsSaturated(now, kTarget));
+}
+
+TEST(UpstreamChoice, a_wait_that_no_caller_minds_is_no_pressure)
+{
+  ZonePressure pressure;
+  auto now = kStart;
+  for (int time = 0; time < 400; ++time) {
+    now += milliseconds{ 10 };
+    pressure.Answered(now, milliseconds{ time < 200 ? 10 : 50 });
+  }
+  CHECK(pressure.IsSaturated(now, milliseconds{ 100 }));
+  CHECK_FALSE(pressure.IsSaturated(now, milliseconds{ 1200 }));
 }
 
 TEST(UpstreamChoice, slower_work_is_no_queue_once_it_lasts)
@@ -111,7 +124,7 @@
     bool const isSlow = time > 1000;
     pressure.Answered(now, milliseconds{ isSlow ? 160 : 60 });
   }
-  CHECK_FALSE(pressure.IsSaturated(now));
+  CHECK_FALSE(pressure.IsSaturated(now, kTarget));
 }
 
 TEST(UpstreamChoice, without_answers_nothing_is_known_of_a_queue)
@@ -122,8 +135,8 @@
     now += milliseconds{ 10 };
     pressure.Answered(now, milliseconds{ time < 200 ? 60 : 300 });
   }
-  CHECK(pressure.IsSaturated(now));
-  CHECK_FALSE(pressure.IsSaturated(now + seconds{ 3 }));
+  CHECK(pressure.IsSaturated(now, kTarget));
+  CHECK_FALSE(pressure.IsSaturated(now + seconds{ 3 }, kTarget));
 }
 
 TEST(UpstreamChoice, drained_evacuated_and_removed_upstreams_get_nothing)
