--- a/src/tarragonsill/coordination/tarragonsill_watch_relay.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_relay.hpp
@@ -23,7 +23,7 @@
   /// Every VM is told by this many watchers.
   static constexpr std::size_t kWatchersPerVm = 2;
   /// Every VM watches at its start, until its peers are known.
-  static constexpr milliseconds kStartTime{ 3000 };
+  static constexpr milliseconds kStartTime{ 1000 };
   /// What was fresh longer ago than this is not relied on; less than the
   /// bound for a new configuration in the operators' deployments (3 s).
   static constexpr milliseconds kFreshFor{ 2000 };
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -22,7 +22,7 @@
 /// time more lets packets on their way arrive.
 constexpr milliseconds kTurnAwayTime{ 1300 };
 /// From the end of serving to the end of the process.
-constexpr milliseconds kStopTime{ 500 };
+constexpr milliseconds kStopTime{ 1000 };
 constexpr milliseconds kLeavePoll{ 50 };
 constexpr int kStatusUnavailable = 503;
 /// A peer's question is answered within this time or not at all.
