Let fallback watchers pause longer; log every refusal

Change: duties of watching are regular or fallback, and a fallback waits 0.4 to 2 s after a failed call; each refused packet is noted with its cause.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -140,6 +140,19 @@
 
 SteeringVerdict
 CookieSteering::Steer(TimePoint aNow, FlowPacket const& aPacket)
+{
+  auto const verdict = Decide(aNow, aPacket);
+  // Flows that are given up have their line already.
+  bool const isRefusal = verdict.mAction != SteeringAction::Forward &&
+                         verdict.mCause != SteeringCause::SilentUpstream;
+  if (isRefusal) {
+    Note(verdict.mCause, aPacket.mSource, aPacket.mDestination, {}, {});
+  }
+  return verdict;
+}
+
+SteeringVerdict
+CookieSteering::Decide(TimePoint aNow, FlowPacket const& aPacket)
 {
   if (mView->mVersion == 0) {
     return Refuse(SteeringAction::Drop, SteeringCause::NoConfiguration);
@@ -431,12 +444,16 @@
   if (mNotes.size() >= kMostNotes) {
     return;
   }
+  bool const hasUpstream = aCause == SteeringCause::NewFlow ||
+                           aCause == SteeringCause::SecondChoice ||
+                           aCause == SteeringCause::SilentUpstream;
   mNotes.push_back({ aCause,
                      aCaller,
                      aRoute,
                      aPick.mSlot,
                      aPick.mCost,
                      aPick.mCandidates,
+                     hasUpstream,
                      aHealth });
 }
 
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -75,9 +75,10 @@
   SteeringCause mCause = SteeringCause::NewFlow;
   Endpoint mCaller;
   Endpoint mRoute;
-  std::uint32_t mSlot = 0;
-  double mCost = 0.0;
+  std::uint32_t mSlot = 0; ///< Of the upstream, if one was chosen or given up.
+  double mCost = 0.0;      ///< Of the choice among the candidates.
   std::uint32_t mCandidates = 0;
+  bool mHasUpstream = false;
   UpstreamHealth mHealth = UpstreamHealth::Answering;
 };
 
@@ -129,6 +130,7 @@
   SteeringLatencies const& Latencies() const { return mLatencies; }
 
 private:
+  SteeringVerdict Decide(TimePoint aNow, FlowPacket const& aPacket);
   SteeringVerdict Open(TimePoint aNow,
                        FlowPacket const& aPacket,
                        RouteEntry const& aRoute);
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -83,10 +83,10 @@
   }
 }
 
-bool
-NodePeers::IsOnDuty(TimePoint aNow)
+WatchDuty
+NodePeers::Duty(TimePoint aNow)
 {
-  return mRelay.IsOnDuty(aNow, ZoneMembers(), mMembership.Self().mName);
+  return mRelay.Duty(aNow, ZoneMembers(), mMembership.Self().mName);
 }
 
 void
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -37,7 +37,7 @@
   /// until this VM has had time to find them.
   std::vector<std::uint64_t> Deciders(TimePoint aNow) const;
   /// Whether this VM is to watch the store itself.
-  bool IsOnDuty(TimePoint aNow);
+  WatchDuty Duty(TimePoint aNow);
   /// Whether peers whose watches are fresh are heard.
   bool HearsFreshWatch(TimePoint aNow) const
   {
--- a/src/tarragonsill/coordination/tarragonsill_watch_relay.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_relay.cpp
@@ -23,6 +23,20 @@
 
 } // namespace
 
+std::string_view
+ToText(WatchDuty aDuty)
+{
+  switch (aDuty) {
+    case WatchDuty::Rely:
+      return "rely_on_peers";
+    case WatchDuty::Regular:
+      return "watch";
+    case WatchDuty::Fallback:
+      return "watch_as_nobody_seems_to";
+  }
+  return "unknown";
+}
+
 void
 WatchRelay::Hear(TimePoint aNow, std::string const& aPeer, milliseconds aAge)
 {
@@ -57,22 +71,23 @@
   });
 }
 
-bool
-WatchRelay::IsOnDuty(TimePoint aNow,
-                     std::vector<Member> const& aZone,
-                     std::string const& aSelf)
+WatchDuty
+WatchRelay::Duty(TimePoint aNow,
+                 std::vector<Member> const& aZone,
+                 std::string const& aSelf)
 {
   if (mStarted == TimePoint{}) {
     mStarted = aNow;
   }
-  if (aNow < mStarted + kStartTime || !HearsFreshWatch(aNow)) {
-    return true;
-  }
   auto const watchers = Watchers(aZone);
-  return std::any_of(
-    watchers.begin(), watchers.end(), [&](Member const& aWatcher) {
+  bool const isWatcher =
+    std::any_of(watchers.begin(), watchers.end(), [&](Member const& aWatcher) {
       return aWatcher.mName == aSelf;
     });
+  if (isWatcher || aNow < mStarted + kStartTime) {
+    return WatchDuty::Regular;
+  }
+  return HearsFreshWatch(aNow) ? WatchDuty::Rely : WatchDuty::Fallback;
 }
 
 std::vector<Member>
--- a/src/tarragonsill/coordination/tarragonsill_watch_relay.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_relay.hpp
@@ -4,9 +4,10 @@
 #include "tarragonsill/state/tarragonsill_member.hpp"
 #include "tarragonsill/state/tarragonsill_time.hpp"
 
+#include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Decides which VMs of a zone watch the store, and to whom each of them passes
@@ -14,6 +15,16 @@
 /// a cut or a refusal by the store never leaves it on old knowledge.
 namespace tarragonsill {
 
+/// What a VM does about the store.
+enum class WatchDuty : std::uint8_t
+{
+  Rely,     ///< Others watch and pass on.
+  Regular,  ///< It is one of its zone's watchers, or has just started.
+  Fallback, ///< It watches as nobody seems to; others may do the same.
+};
+
+std::string_view ToText(WatchDuty aDuty);
+
 class WatchRelay
 {
 public:
@@ -30,11 +41,10 @@
 
   /// A peer reported the age of its watches.
   void Hear(TimePoint aNow, std::string const& aPeer, milliseconds aAge);
-  /// Whether this VM is to watch the store. The members are those of its zone,
-  /// itself included.
-  bool IsOnDuty(TimePoint aNow,
-                std::vector<Member> const& aZone,
-                std::string const& aSelf);
+  /// The duty of this VM. The members are those of its zone, itself included.
+  WatchDuty Duty(TimePoint aNow,
+                 std::vector<Member> const& aZone,
+                 std::string const& aSelf);
   /// Whether some peer's watches are fresh.
   bool HearsFreshWatch(TimePoint aNow) const;
   /// The members to which a VM on duty passes on what it hears.
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -131,22 +131,31 @@
         mCounters.Add(Counter::LogLinesDropped);
         continue;
       }
-      auto const& upstream = mSteering.View().mUpstreams[note.mSlot];
-      mLog.Write(
-        "steer",
-        ToText(note.mCause).data(),
-        { { "flow", ToText(note.mCaller) },
-          { "route", ToText(note.mRoute) },
-          { "upstream", upstream.mRecord.mName },
-          { "zone", upstream.mRecord.mZone },
-          { "cost", note.mCost },
-          { "candidates", static_cast<std::int64_t>(note.mCandidates) },
-          { "health", std::string(ToText(note.mHealth)) },
-          { "version",
-            static_cast<std::int64_t>(mSteering.View().mVersion) } });
+      mLog.Write("steer", ToText(note.mCause).data(), FieldsOf(note));
     }
   }
 
+  std::vector<LogField> FieldsOf(SteeringNote const& aNote) const
+  {
+    auto const& view = mSteering.View();
+    std::vector<LogField> fields = {
+      { "flow", ToText(aNote.mCaller) },
+      { "route", ToText(aNote.mRoute) },
+      { "version", static_cast<std::int64_t>(view.mVersion) },
+    };
+    if (!aNote.mHasUpstream) {
+      return fields;
+    }
+    auto const& record = view.mUpstreams[aNote.mSlot].mRecord;
+    fields.emplace_back("upstream", record.mName);
+    fields.emplace_back("zone", record.mZone);
+    fields.emplace_back("health", std::string(ToText(aNote.mHealth)));
+    fields.emplace_back("cost", aNote.mCost);
+    fields.emplace_back("candidates",
+                        static_cast<std::int64_t>(aNote.mCandidates));
+    return fields;
+  }
+
   void Handle(TimePoint aNow, Datagram const& aDatagram)
   {
     mCounters.Add(Counter::PacketsReceived);
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -141,23 +141,28 @@
   /// Starts or stops the own watches, and notes whether the store answers.
   void UpdateDuty(TimePoint aNow)
   {
-    bool const isOnDuty = mPeers.IsOnDuty(aNow);
-    if (isOnDuty != mIsOnDuty) {
-      mIsOnDuty = isOnDuty;
-      Log().Write("config", isOnDuty ? "watching" : "relying_on_peers", {});
-      mAnsweredAt.fill({});
+    auto const duty = mPeers.Duty(aNow);
+    bool const wasWatching = mDuty != WatchDuty::Rely;
+    bool const isOnDuty = duty != WatchDuty::Rely;
+    if (duty != mDuty) {
+      mDuty = duty;
+      Log().Write(
+        "config", "watch_duty", { { "outcome", std::string(ToText(duty)) } });
       for (auto const& watch : mWatches) {
-        mSelf->send(watch, WatchDuty{ isOnDuty });
+        mSelf->send(watch, SetWatchDuty{ duty });
       }
     }
+    if (isOnDuty && !wasWatching) {
+      mAnsweredAt.fill({});
+    }
     auto const oldest =
       *std::min_element(mAnsweredAt.begin(), mAnsweredAt.end());
-    bool const isWatching = mIsOnDuty && oldest != TimePoint{};
+    bool const isWatching = isOnDuty && oldest != TimePoint{};
     mPeers.SetWatched(isWatching ? std::optional(oldest) : std::nullopt);
     bool const ownAnswers = std::any_of(
       mAnswers.begin(), mAnswers.end(), [](bool aAny) { return aAny; });
     mDirectory.NoteStore(aNow,
-                         mIsOnDuty ? ownAnswers : mPeers.HearsFreshWatch(aNow));
+                         isOnDuty ? ownAnswers : mPeers.HearsFreshWatch(aNow));
   }
 
   /// In a zone that is cut off and has nothing to offer, callers are better
@@ -213,7 +218,7 @@
   NodeActorArguments mArguments;
   Directory mDirectory;
   NodePeers mPeers;
-  bool mIsOnDuty = true;
+  WatchDuty mDuty = WatchDuty::Regular;
   // By kind of objects.
   std::array<bool, kKinds> mAnswers{ true, true, true };
   std::array<TimePoint, kKinds> mAnsweredAt{};
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -109,8 +109,9 @@
       }
       aSelf->delayed_send(aSelf, step.mPause, TickAtom::value);
     },
-    [=](WatchDuty const& aDuty) {
-      loop->mIsOnDuty = aDuty.mIsOnDuty;
+    [=](SetWatchDuty const& aSet) {
+      loop->mIsOnDuty = aSet.mDuty != WatchDuty::Rely;
+      aWatch->SetIsFallback(aSet.mDuty == WatchDuty::Fallback);
       if (loop->mIsOnDuty && !loop->mIsTickDue) {
         loop->mIsTickDue = true;
         aSelf->send(aSelf, TickAtom::value);
--- a/src/tarragonsill/transport/tarragonsill_node_messages.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_messages.hpp
@@ -2,6 +2,7 @@
 #define TARRAGONSILL_NODE_MESSAGES_HPP_INCLUDED
 
 #include "tarragonsill/coordination/tarragonsill_directory.hpp"
+#include "tarragonsill/coordination/tarragonsill_watch_relay.hpp"
 #include "tarragonsill/transport/tarragonsill_actor_messages.hpp"
 
 #include <future>
@@ -24,10 +25,10 @@
   caf::actor mWatch; ///< Follows this kind.
 };
 
-/// Whether the watches of the store are to go on.
-struct WatchDuty
+/// Whether and how the watches of the store are to go on.
+struct SetWatchDuty
 {
-  bool mIsOnDuty = true;
+  WatchDuty mDuty = WatchDuty::Regular;
 };
 
 /// A peer asks for everything that is known.
@@ -55,7 +56,7 @@
 CAF_BEGIN_TYPE_ID_BLOCK(tarragonsill_node, first_custom_type_id + 100)
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::StoreNewsReceived))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::StoreAnswered))
-CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::WatchDuty))
+CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::SetWatchDuty))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::KnowledgeWanted))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::FetchKnowledge))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::KnowledgeFetched))
@@ -63,7 +64,7 @@
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::StoreNewsReceived)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::StoreAnswered)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::WatchDuty)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::SetWatchDuty)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::KnowledgeWanted)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::FetchKnowledge)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::KnowledgeFetched)
--- a/src/tarragonsill/transport/tarragonsill_store_watch.hpp
+++ b/src/tarragonsill/transport/tarragonsill_store_watch.hpp
@@ -46,6 +46,9 @@
     mConnection.Cancel();
   }
 
+  /// A fallback leaves longer pauses between calls that fail.
+  void SetIsFallback(bool aIsFallback) { mIsFallback = aIsFallback; }
+
   /// Makes one call and waits for its answer.
   WatchStep Step()
   {
@@ -89,6 +92,9 @@
   static constexpr milliseconds kConnectTimeout{ 500 };
   static constexpr milliseconds kLeastBackoff{ 50 };
   static constexpr milliseconds kMostBackoff{ 400 };
+  /// A whole zone may fall back to watching when the store is away; refused
+  /// calls count, too, and peers pass on what comes first after its return.
+  static constexpr milliseconds kMostFallbackBackoff{ 2000 };
 
   WatchStep TakeEvents(ObjectPage aPage)
   {
@@ -131,7 +137,9 @@
   WatchStep Failed(std::string aWhy)
   {
     mCounters.Add(Counter::StoreFailures);
-    auto const most = std::min(kMostBackoff, kLeastBackoff * (1 << mFailures));
+    auto const limit = mIsFallback ? kMostFallbackBackoff : kMostBackoff;
+    auto const least = mIsFallback ? kMostBackoff : kLeastBackoff;
+    auto const most = std::min(limit, least * (1 << mFailures));
     mFailures = std::min(mFailures + 1, 10);
     std::uniform_int_distribution<milliseconds::rep> draw(most.count() / 2,
                                                           most.count());
@@ -144,6 +152,7 @@
   std::vector<ObjectChange> mListed;
   std::uint64_t mListRevision = 0;
   int mFailures = 0;
+  bool mIsFallback = false;
   std::atomic<bool> mCancelled{ false };
   std::mt19937_64 mRandom;
 };
--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -219,7 +219,8 @@
   auto const onDuty = [&] {
     std::size_t count = 0;
     for (auto const index : zone) {
-      bool const watches = mGroup.At(index).IsOnDuty(mGroup.Now());
+      bool const watches =
+        mGroup.At(index).Duty(mGroup.Now()) != WatchDuty::Rely;
       mGroup.At(index).SetWatched(watches ? std::optional(mGroup.Now())
                                           : std::nullopt);
       count += watches ? 1 : 0;
@@ -238,6 +239,12 @@
   }
   mGroup.Run(WatchRelay::kFreshFor + milliseconds{ 100 });
   LONGS_EQUAL(9, onDuty());
+  std::size_t fallbacks = 0;
+  for (auto const index : zone) {
+    auto const duty = mGroup.At(index).Duty(mGroup.Now());
+    fallbacks += duty == WatchDuty::Fallback ? 1 : 0;
+  }
+  LONGS_EQUAL(7, fallbacks);
 }
 
 TEST(NodePeers, what_a_watcher_passes_on_reaches_every_vm_of_its_zone)
