--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -304,8 +304,10 @@
   auto const end =
     aPacket.mSequence + aPacket.mDataBytes + (aPacket.mCloses ? 1 : 0);
   if (!IsAfter(end, aFlow.mDataEnd)) {
-    if (aNow < aFlow.mDataSent + kRepeatAfter) {
-      return; // Overtaken on the way, not sent again.
+    bool const overtaken = aNow < aFlow.mDataSent + kRepeatAfter;
+    // A caller that gave a flow up repeats its end without waiting for answers.
+    if (overtaken || aFlow.mIsClosed) {
+      return;
     }
     load.mWatch.DataRepeated(aFlow.mDataSent, aFlow.mCopies == 0);
     ++aFlow.mCopies;
--- a/tests/coordination/test_cookie_steering.cpp
+++ b/tests/coordination/test_cookie_steering.cpp
@@ -340,6 +340,29 @@
   LONGS_EQUAL(0, watch.RepeatingFlows());
 }
 
+TEST(CookieSteering, callers_that_gave_up_prove_nothing_against_their_upstream)
+{
+  // Their VM stood still; their time ended, and they close through this one.
+  auto const& load = [&](std::uint32_t aSlot) -> UpstreamLoad const& {
+    return mSteering.Loads()[aSlot];
+  };
+  auto [first, opened] = ServeAt("a1");
+  auto [second, alsoOpened] = ServeAt("a1");
+  auto const close = [&](SampleFlow& aFlow, bool aIsCopy) {
+    auto packet = aFlow.Data(opened.mCookie, aIsCopy);
+    packet.mCloses = true;
+    return mSteering.Steer(mNow, packet).mAction;
+  };
+  (void)close(first, false);
+  (void)close(second, false);
+  for (int copy = 0; copy < 4; ++copy) {
+    mNow += milliseconds{ 400 };
+    CHECK(close(first, true) == SteeringAction::Forward);
+    CHECK(close(second, true) == SteeringAction::Forward);
+  }
+  CHECK(load(opened.mSlot).mWatch.Health(mNow) == UpstreamHealth::Answering);
+}
+
 TEST(CookieSteering, a_pause_of_the_vm_is_not_held_against_upstreams)
 {
   auto [flow, opened] = ServeAt("a1");
