--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -303,7 +303,9 @@
   auto& load = mLoads[aFlow.mSlot];
   auto const end =
     aPacket.mSequence + aPacket.mDataBytes + (aPacket.mCloses ? 1 : 0);
-  if (!IsAfter(end, aFlow.mDataEnd)) {
+  // What another VM was given first, and maybe kept, is new here.
+  bool const isNew = !aFlow.mHasSentData || IsAfter(end, aFlow.mDataEnd);
+  if (!isNew) {
     bool const overtaken = aNow < aFlow.mDataSent + kRepeatAfter;
     // A caller that gave a flow up repeats its end without waiting for answers.
     if (overtaken || aFlow.mIsClosed) {
@@ -313,9 +315,10 @@
     ++aFlow.mCopies;
     return;
   }
-  aFlow.mDataEnd = end;
+  aFlow.mDataEnd = IsAfter(end, aFlow.mDataEnd) ? end : aFlow.mDataEnd;
   aFlow.mDataSent = aNow;
   aFlow.mCopies = 0;
+  aFlow.mHasSentData = true;
   if (aPacket.mCloses) {
     Release(aFlow);
   }
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -97,8 +97,9 @@
   TimePoint mSeen{};
   TimePoint mDataSent{}; ///< When the newest data was forwarded first.
   std::uint8_t mCopies = 0;
-  bool mIsOpening = false;  ///< No packet after the opening one yet.
-  bool mInProgress = false; ///< Data was sent and nothing came back.
+  bool mIsOpening = false;   ///< No packet after the opening one yet.
+  bool mHasSentData = false; ///< Data of it passed this VM.
+  bool mInProgress = false;  ///< Data was sent and nothing came back.
   bool mWasOfferedTwice = false;
   bool mIsClosed = false; ///< The caller is done; it weighs nothing.
 };
--- a/tests/coordination/test_cookie_steering.cpp
+++ b/tests/coordination/test_cookie_steering.cpp
@@ -363,6 +363,23 @@
   CHECK(load(opened.mSlot).mWatch.Health(mNow) == UpstreamHealth::Answering);
 }
 
+TEST(CookieSteering, data_that_another_vm_was_given_first_is_no_repetition_here)
+{
+  auto [flow, opened] = ServeAt("a1");
+  CookieSteering other(4);
+  other.Use(mStore.View(mNow));
+  // The request goes to a VM that stands still; an acknowledgement of the end
+  // of the last answer and then the repetition come here.
+  (void)flow.Data(opened.mCookie);
+  (void)other.Steer(mNow, flow.Acknowledge(opened.mCookie));
+  mNow += milliseconds{ 300 };
+  (void)other.Steer(mNow, flow.Data(opened.mCookie, true));
+  LONGS_EQUAL(0, other.Loads()[opened.mSlot].mWatch.RepeatingFlows());
+  mNow += milliseconds{ 400 };
+  (void)other.Steer(mNow, flow.Data(opened.mCookie, true));
+  LONGS_EQUAL(1, other.Loads()[opened.mSlot].mWatch.RepeatingFlows());
+}
+
 TEST(CookieSteering, a_pause_of_the_vm_is_not_held_against_upstreams)
 {
   auto [flow, opened] = ServeAt("a1");
