Split the building of views off the directory

Change: moved, nothing else; the patience for a missing registration became a member, as both files use it.

--- a/src/tarragonsill/coordination/tarragonsill_directory.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.hpp
@@ -37,6 +37,10 @@
 class Directory
 {
 public:
+  /// A missing registration is back within about two seconds of the store's
+  /// return (platform); until then it says nothing about the upstream.
+  static constexpr milliseconds kReturnPatience{ 2000 };
+
   explicit Directory(NodeSettings const& aSettings);
 
   /// Takes news; returns what it changed.
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_directory_view.cpp
@@ -0,0 +1,132 @@
+#include "tarragonsill/coordination/tarragonsill_directory.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tarragonsill {
+
+namespace {
+
+/// Upstreams report changes with a delay of up to this time beyond a heartbeat
+/// (platform); a zone that returns is taken for cold until they have.
+constexpr milliseconds kReportDelay{ 800 };
+} // namespace
+
+TimePoint
+Directory::ColdUntil(KnownUpstream const& aUpstream) const
+{
+  auto const zone = mZones.find(aUpstream.mRecord.mZone);
+  if (zone == mZones.end() || zone->second.mReturnedAt == TimePoint{}) {
+    return aUpstream.mColdUntil;
+  }
+  // The zone's upstreams may have turned cold shortly before its return, and
+  // their own reports of it come later.
+  auto const* rule = FindRule(aUpstream.mRecord.mService);
+  auto const cold = rule != nullptr ? rule->mColdTime : milliseconds{ 0 };
+  auto const until = zone->second.mReturnedAt +
+                     std::max(cold, mSettings.mHeartbeat + kReportDelay);
+  return std::max(aUpstream.mColdUntil, until);
+}
+
+RoutingViewPointer
+Directory::BuildView(TimePoint aNow)
+{
+  auto view = std::make_shared<RoutingView>();
+  mIsDirty = false;
+  mNextChange = {};
+  view->mZones = mSettings.mZones;
+  auto const own =
+    std::find(view->mZones.begin(), view->mZones.end(), mSettings.mZone);
+  view->mOwnZone = static_cast<std::uint32_t>(own - view->mZones.begin());
+  view->mLongestFlow = mSettings.mBounds.mLongestFlow;
+  view->mDeciders = mDeciders;
+  view->mSelf = mSelf;
+  if (!mConfiguration) {
+    return view;
+  }
+  view->mVersion = mConfiguration->mVersion;
+  view->mIdleTimeout = mConfiguration->mIdleTimeout;
+  AddRoutes(*view);
+  AddUpstreams(aNow, *view);
+  return view;
+}
+
+void
+Directory::AddRoutes(RoutingView& aView) const
+{
+  std::map<std::string, std::uint32_t> indices;
+  for (auto const& rule : mConfiguration->mServices) {
+    indices[rule.mName] = static_cast<std::uint32_t>(aView.mServices.size());
+    aView.mServices.push_back({ rule.mName, {} });
+  }
+  aView.mRoutes = mRemovedRoutes;
+  for (auto const& route : mConfiguration->mRoutes) {
+    RouteEntry entry;
+    entry.mName = route.mName;
+    entry.mKind = route.mKind;
+    entry.mLatencyTarget = route.mLatencyTarget;
+    for (auto const& share : route.mShares) {
+      auto const service = indices.find(share.mService);
+      if (service == indices.end()) {
+        continue;
+      }
+      entry.mShares.push_back({ service->second, share.mWeight });
+    }
+    aView.mRoutes[route.mAddress] = std::move(entry);
+  }
+}
+
+void
+Directory::AddUpstreams(TimePoint aNow, RoutingView& aView)
+{
+  for (std::uint32_t slot = 0; slot < mUpstreams.size(); ++slot) {
+    auto const& known = mUpstreams[slot];
+    UpstreamEntry upstream;
+    upstream.mRecord = known.mRecord;
+    upstream.mCookie = CookieOf(known.mRecord.mName);
+    upstream.mUse = UseOf(aNow, known);
+    auto const zone =
+      std::find(aView.mZones.begin(), aView.mZones.end(), known.mRecord.mZone);
+    upstream.mZone = static_cast<std::uint32_t>(zone - aView.mZones.begin());
+    auto const evacuation = mZones.find(known.mRecord.mZone);
+    upstream.mEvacuated =
+      evacuation != mZones.end() && evacuation->second.mIsEvacuated;
+    upstream.mColdUntil = ColdUntil(known);
+    if (auto const* rule = FindRule(known.mRecord.mService)) {
+      upstream.mColdLimit =
+        rule->mColdFlowsPerSecond * mSettings.mBounds.mColdFactor +
+        mSettings.mBounds.mColdAllowance;
+    }
+    auto const [place, first] =
+      aView.mSlotByCookie.try_emplace(upstream.mCookie, slot);
+    if (!first) {
+      // Two names with one cookie: the older upstream keeps it, on every VM,
+      // and the other one takes no flows at all.
+      auto& other = aView.mUpstreams[place->second];
+      bool const otherIsOlder =
+        std::pair(other.mRecord.mStartMark, other.mRecord.mName) <
+        std::pair(known.mRecord.mStartMark, known.mRecord.mName);
+      (otherIsOlder ? upstream : other).mUse = UpstreamUse::Gone;
+      place->second = otherIsOlder ? place->second : slot;
+    }
+    if (upstream.mUse == UpstreamUse::Missing) {
+      auto const end = aNow + kReturnPatience;
+      mNextChange =
+        mNextChange == TimePoint{} ? end : std::min(mNextChange, end);
+    }
+    auto const service =
+      std::find_if(aView.mServices.begin(),
+                   aView.mServices.end(),
+                   [&](auto const& aService) {
+                     return aService.mName == known.mRecord.mService;
+                   });
+    upstream.mService =
+      static_cast<std::uint32_t>(service - aView.mServices.begin());
+    if (service != aView.mServices.end()) {
+      service->mUpstreams.push_back(slot);
+    }
+    aView.mUpstreams.push_back(std::move(upstream));
+  }
+}
+
+} // namespace tarragonsill
