--- a/tests/coordination/test_cookie_steering.cpp
+++ b/tests/coordination/test_cookie_steering.cpp
@@ -348,8 +348,10 @@
   };
   auto [first, opened] = ServeAt("a1");
   auto [second, alsoOpened] = ServeAt("a1");
+  LONGS_EQUAL(opened.mSlot, alsoOpened.mSlot);
+  auto const cookie = opened.mCookie;
   auto const close = [&](SampleFlow& aFlow, bool aIsCopy) {
-    auto packet = aFlow.Data(opened.mCookie, aIsCopy);
+    auto packet = aFlow.Data(cookie, aIsCopy);
     packet.mCloses = true;
     return mSteering.Steer(mNow, packet).mAction;
   };
