Notice a gap in what watchers pass on, and ask for the list

Cause: what a watcher passes on goes in datagrams. A second fault of the same number: a VM whose list is newer than a peer's last removal took itself for behind, and asked that peer every 200 ms until the next change.

Change: each update says after which revision and up to which it is complete. A VM keeps how far it knows without a gap, asks a peer whose last change lies beyond, and its own lists claim no more than that. What is announced (last change) and what is held (no gap) are two figures now; the last change is kept rather than searched for among all upstreams for every message.

Tests: a lost change shows although later ones arrive (failed before: the digest was that of the last change), changes that join leave no gap, split updates join. Directory, NodePeers, CookieSteering, NodeRuns pass.

--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -56,35 +56,44 @@
 }
 
 std::uint64_t
-Directory::LastUpstreamChange() const
+Directory::LastChange(ObjectKind aKind) const
 {
-  std::uint64_t last = 0;
-  for (auto const& upstream : mUpstreams) {
-    last = std::max(last, upstream.mRevision);
+  if (mListed.count(aKind) == 0) {
+    return 0;
   }
-  return last;
+  // A list without any object is knowledge, too, hence the 1.
+  auto const last = mLastChange.find(aKind);
+  return last == mLastChange.end() ? 1
+                                   : std::max<std::uint64_t>(1, last->second);
+}
+
+KnowledgeDigest
+Directory::Digest() const
+{
+  return { ConfigurationVersion(),
+           LastChange(ObjectKind::Upstreams),
+           LastChange(ObjectKind::Evacuations) };
 }
 
 std::uint64_t
-Directory::LastEvacuationChange() const
+Directory::HeldOf(ObjectKind aKind) const
 {
-  std::uint64_t last = 0;
-  for (auto const& [name, zone] : mZones) {
-    last = std::max(last, zone.mRevision);
+  auto const listed = mListed.find(aKind);
+  if (listed == mListed.end()) {
+    return 0;
   }
-  return last;
+  auto const& reach = listed->second;
+  bool const hasGap = reach.mComplete < reach.mMissedUpTo;
+  return hasGap ? reach.mComplete
+                : std::max(reach.mComplete, LastChange(aKind));
 }
 
 KnowledgeDigest
-Directory::Digest() const
+Directory::Held() const
 {
-  bool const upstreams = mListed.count(ObjectKind::Upstreams) > 0;
-  bool const evacuations = mListed.count(ObjectKind::Evacuations) > 0;
-  // A list without any object is knowledge, too, hence the 1.
   return { ConfigurationVersion(),
-           upstreams ? std::max<std::uint64_t>(1, LastUpstreamChange()) : 0,
-           evacuations ? std::max<std::uint64_t>(1, LastEvacuationChange())
-                       : 0 };
+           HeldOf(ObjectKind::Upstreams),
+           HeldOf(ObjectKind::Evacuations) };
 }
 
 StoreLists
@@ -110,7 +119,7 @@
 Directory::UpstreamList(TimePoint aNow) const
 {
   ObjectPage list;
-  list.mRevision = mListed.at(ObjectKind::Upstreams);
+  list.mRevision = mListed.at(ObjectKind::Upstreams).mComplete;
   for (auto const& upstream : mUpstreams) {
     if (!upstream.mIsRegistered) {
       continue;
@@ -129,7 +138,7 @@
 Directory::EvacuationList() const
 {
   ObjectPage list;
-  list.mRevision = mListed.at(ObjectKind::Evacuations);
+  list.mRevision = mListed.at(ObjectKind::Evacuations).mComplete;
   for (auto const& [name, zone] : mZones) {
     if (!zone.mIsEvacuated) {
       continue;
@@ -182,19 +191,34 @@
         break;
     }
   }
-  auto const listed = mListed.find(aNews.mKind);
   if (aNews.mIsWholeList) {
     RemoveUnlisted(aNow, aNews, changes);
-    mIsDirty = mIsDirty || listed == mListed.end();
-  }
-  if (aNews.mIsWholeList || listed != mListed.end()) {
-    auto& reached = mListed[aNews.mKind];
-    reached = std::max(reached, aNews.mRevision);
   }
+  NoteReach(aNews);
   mIsDirty = mIsDirty || !changes.empty();
   return changes;
 }
 
+void
+Directory::NoteReach(StoreNews const& aNews)
+{
+  auto& last = mLastChange[aNews.mKind];
+  for (auto const& change : aNews.mChanges) {
+    last = std::max(last, change.mRevision);
+  }
+  bool const isFirst = mListed.count(aNews.mKind) == 0;
+  if (isFirst && !aNews.mIsWholeList) {
+    return;
+  }
+  mIsDirty = mIsDirty || isFirst;
+  auto& reach = mListed[aNews.mKind];
+  if (aNews.mIsWholeList || aNews.mAfter <= reach.mComplete) {
+    reach.mComplete = std::max(reach.mComplete, aNews.mRevision);
+    return;
+  }
+  reach.mMissedUpTo = std::max(reach.mMissedUpTo, aNews.mAfter);
+}
+
 void
 Directory::ApplyConfiguration(ObjectChange const& aChange, Changes& aChanges)
 {
--- a/src/tarragonsill/coordination/tarragonsill_directory.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.hpp
@@ -22,7 +22,10 @@
   std::vector<ObjectChange> mChanges;
   /// The changes are the whole list: what is not in it is not there.
   bool mIsWholeList = false;
-  std::uint64_t mRevision = 0; ///< Of the store.
+  /// The store's revision to which they are up to date.
+  std::uint64_t mRevision = 0;
+  /// Changes only: nothing is missing after this revision.
+  std::uint64_t mAfter = 0;
 };
 
 /// One line for the log: what changed in the VM's belief, and why.
@@ -60,7 +63,11 @@
   std::uint64_t ConfigurationVersion() const;
   /// Whether any upstream of the own zone may be given work.
   bool OwnZoneServes(TimePoint aNow) const;
+  /// The last changes that are known, to be announced to peers.
   KnowledgeDigest Digest() const;
+  /// How far knowledge goes without a gap. A peer whose last change lies beyond
+  /// knows something that is missing here.
+  KnowledgeDigest Held() const;
   /// What is known beyond what a peer holds; kinds that are no newer or were
   /// never listed whole are left out.
   StoreLists NewerThan(KnowledgeDigest const& aHeld, TimePoint aNow) const;
@@ -95,8 +102,9 @@
                        Changes& aChanges);
   ObjectPage UpstreamList(TimePoint aNow) const;
   ObjectPage EvacuationList() const;
-  std::uint64_t LastUpstreamChange() const;
-  std::uint64_t LastEvacuationChange() const;
+  void NoteReach(StoreNews const& aNews);
+  std::uint64_t LastChange(ObjectKind aKind) const;
+  std::uint64_t HeldOf(ObjectKind aKind) const;
   void RemoveUnlisted(TimePoint aNow,
                       StoreNews const& aNews,
                       Changes& aChanges);
@@ -115,8 +123,16 @@
   std::map<std::string, std::uint32_t> mSlots;
   std::map<std::string, KnownZone> mZones;
   std::uint64_t mConfigurationRevision = 0;
-  /// Kinds of which a whole list was taken, and the revision they reach.
-  std::map<ObjectKind, std::uint64_t> mListed;
+  /// How far knowledge of a kind goes.
+  struct Reach
+  {
+    std::uint64_t mComplete = 0;   ///< No change up to here is missing.
+    std::uint64_t mMissedUpTo = 0; ///< Some change before this one may be.
+  };
+  /// Kinds of which a whole list was taken.
+  std::map<ObjectKind, Reach> mListed;
+  /// The newest revision of any object of a kind.
+  std::map<ObjectKind, std::uint64_t> mLastChange;
   std::vector<std::uint64_t> mDeciders;
   std::uint64_t mSelf = 0;
   bool mStoreAnswers = true;
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -90,17 +90,27 @@
 }
 
 void
-NodePeers::PassOn(ObjectKind aKind,
-                  std::vector<ObjectChange> const& aChanges,
-                  Outbox& aOutbox) const
+NodePeers::PassOn(StoreNews const& aNews, Outbox& aOutbox)
 {
+  auto& passedOn = mPassedOn[aNews.mKind];
+  if (aNews.mIsWholeList) {
+    // Too much for datagrams; those who lack any of it notice and ask.
+    passedOn = std::max(passedOn, aNews.mRevision);
+    return;
+  }
+  if (aNews.mChanges.empty()) {
+    return;
+  }
+  auto const after = std::min(passedOn, aNews.mAfter);
   auto const& self = mMembership.Self().mName;
   auto const audience = WatchRelay::Audience(ZoneMembers(), self);
-  for (auto const& update : ToUpdates(aKind, aChanges)) {
+  for (auto const& update :
+       ToUpdates(aNews.mKind, aNews.mChanges, { after, aNews.mRevision })) {
     for (auto const& member : audience) {
       *AddMessage(aOutbox, member.mControl).mutable_knowledge() = update;
     }
   }
+  passedOn = std::max(passedOn, aNews.mRevision);
 }
 
 bool
@@ -208,7 +218,7 @@
       mSync.Forget(member.mName);
     }
   }
-  auto const name = mSync.NextQuestion(aNow, mDigest, aIsComplete);
+  auto const name = mSync.NextQuestion(aNow, mHeld, aIsComplete);
   auto const* member = name ? mMembership.Find(*name) : nullptr;
   return member != nullptr ? std::optional(*member) : std::nullopt;
 }
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -1,11 +1,12 @@
 #ifndef TARRAGONSILL_NODE_PEERS_HPP_INCLUDED
 #define TARRAGONSILL_NODE_PEERS_HPP_INCLUDED
 
+#include "tarragonsill/coordination/tarragonsill_directory.hpp"
 #include "tarragonsill/coordination/tarragonsill_knowledge_sync.hpp"
 #include "tarragonsill/coordination/tarragonsill_membership.hpp"
 #include "tarragonsill/coordination/tarragonsill_watch_relay.hpp"
-#include "tarragonsill/protocol/tarragonsill_knowledge_message.hpp"
 
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -29,7 +30,13 @@
   /// Fills in what every message carries; to be called before sending.
   void Decorate(TimePoint aNow, Outbox& aOutbox);
 
-  void SetDigest(KnowledgeDigest const& aDigest) { mDigest = aDigest; }
+  /// What to announce to peers, and how far knowledge goes without a gap.
+  void SetDigest(KnowledgeDigest const& aLastChanges,
+                 KnowledgeDigest const& aHeld)
+  {
+    mDigest = aLastChanges;
+    mHeld = aHeld;
+  }
   void SetStage(MemberStage aStage) { mMembership.SetSelfStage(aStage); }
   /// The peer to ask for its knowledge now, if any.
   std::optional<Member> NextQuestion(TimePoint aNow, bool aIsComplete);
@@ -46,10 +53,8 @@
   /// Says when the store last answered all of this VM's watches; nothing if it
   /// does not watch.
   void SetWatched(std::optional<TimePoint> aAt) { mWatchedAt = aAt; }
-  /// Passes on changes to the VMs that rely on this one.
-  void PassOn(ObjectKind aKind,
-              std::vector<ObjectChange> const& aChanges,
-              Outbox& aOutbox) const;
+  /// Passes on what this VM's own watches brought to those that rely on it.
+  void PassOn(StoreNews const& aNews, Outbox& aOutbox);
   /// Whether routers would still find enough VMs in the zone without this one:
   /// with fewer than half of them ready they use those that are down, too.
   bool MayLeave() const;
@@ -75,6 +80,9 @@
   std::optional<TimePoint> mWatchedAt;
   TimePoint mNextReport{};
   KnowledgeDigest mDigest;
+  KnowledgeDigest mHeld;
+  /// The revision up to which changes were passed on.
+  std::map<ObjectKind, std::uint64_t> mPassedOn;
   TimePoint mStarted{};
   TimePoint mOtherZonesHeardAt{};
   TimePoint mNextAsk{};
--- a/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
@@ -134,18 +134,27 @@
 } // namespace
 
 std::vector<wire::KnowledgeUpdate>
-ToUpdates(ObjectKind aKind, std::vector<ObjectChange> const& aChanges)
+ToUpdates(ObjectKind aKind,
+          std::vector<ObjectChange> const& aChanges,
+          RevisionSpan aSpan)
 {
   std::vector<wire::KnowledgeUpdate> updates;
   if (aKind == ObjectKind::Configuration) {
     return updates;
   }
   int count = 0;
+  auto reached = aSpan.mAfter;
   for (auto const& change : aChanges) {
     if (count++ % kObjectsPerUpdate == 0) {
-      updates.emplace_back();
+      updates.emplace_back().set_after_revision(reached);
     }
     AddChange(aKind, change, updates.back());
+    // A removal may carry the revision of the object's last change.
+    reached = std::max(reached, change.mRevision);
+    updates.back().set_up_to_revision(reached);
+  }
+  if (!updates.empty()) {
+    updates.back().set_up_to_revision(std::max(reached, aSpan.mUpTo));
   }
   return updates;
 }
--- a/src/tarragonsill/protocol/tarragonsill_knowledge_message.hpp
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.hpp
@@ -38,11 +38,19 @@
 /// Reads lists; a reply that names no revision gives an empty list for it.
 StoreLists FromMessage(wire::KnowledgeReply const& aReply);
 
+/// The revisions of a store between which changes are known without a gap.
+struct RevisionSpan
+{
+  std::uint64_t mAfter = 0; ///< Not itself within the span.
+  std::uint64_t mUpTo = 0;
+};
+
 /// Splits changes of upstreams and evacuations into messages that fit one
 /// datagram each. Configurations are left out, being too large.
 std::vector<wire::KnowledgeUpdate> ToUpdates(
   ObjectKind aKind,
-  std::vector<ObjectChange> const& aChanges);
+  std::vector<ObjectChange> const& aChanges,
+  RevisionSpan aSpan);
 /// The changes of one kind in an update.
 std::vector<ObjectChange> ChangesOf(ObjectKind aKind,
                                     wire::KnowledgeUpdate const& aUpdate);
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -41,11 +41,8 @@
   void TakeOwn(StoreNews const& aNews)
   {
     Take(aNews, aNews.mIsWholeList ? "list" : "watch");
-    if (aNews.mIsWholeList || aNews.mChanges.empty()) {
-      return;
-    }
     Outbox outbox;
-    mPeers.PassOn(aNews.mKind, aNews.mChanges, outbox);
+    mPeers.PassOn(aNews, outbox);
     Send(outbox);
   }
 
@@ -92,9 +89,17 @@
     if (!message.has_knowledge()) {
       return;
     }
+    auto const& update = message.knowledge();
     for (auto const kind : { ObjectKind::Upstreams, ObjectKind::Evacuations }) {
-      // A part of what happened says nothing about the rest, hence no revision.
-      Take({ kind, ChangesOf(kind, message.knowledge()), false, 0 },
+      auto changes = ChangesOf(kind, update);
+      if (changes.empty()) {
+        continue;
+      }
+      Take({ kind,
+             std::move(changes),
+             false,
+             update.up_to_revision(),
+             update.after_revision() },
            "relay " + message.sender().name());
     }
   }
@@ -131,7 +136,7 @@
     Send(outbox);
     if (auto const peer = mPeers.NextQuestion(now, state.mIsComplete)) {
       mSelf->send(mArguments.mFetch,
-                  FetchKnowledge{ *peer, mDirectory.Digest() });
+                  FetchKnowledge{ *peer, mDirectory.Held() });
     }
     mDirectory.SetDeciders(mPeers.Deciders(now), mPeers.SelfHash());
     PublishIfChanged();
@@ -186,7 +191,7 @@
 
   void Send(Outbox& aOutbox)
   {
-    mPeers.SetDigest(mDirectory.Digest());
+    mPeers.SetDigest(mDirectory.Digest(), mDirectory.Held());
     mPeers.Decorate(Clock::now(), aOutbox);
     auto& counters = mArguments.mState->mCounters;
     for (auto const& outgoing : aOutbox) {
@@ -204,7 +209,7 @@
       return;
     }
     mArguments.mPublish(mDirectory.BuildView(now));
-    mPeers.SetDigest(mDirectory.Digest());
+    mPeers.SetDigest(mDirectory.Digest(), mDirectory.Held());
     if (!mDirectory.IsComplete() ||
         mArguments.mState->mIsComplete.exchange(true)) {
       return;
--- a/src/tarragonsill/transport/tarragonsill_store_watch.hpp
+++ b/src/tarragonsill/transport/tarragonsill_store_watch.hpp
@@ -98,10 +98,11 @@
 
   WatchStep TakeEvents(ObjectPage aPage)
   {
-    mQuery.mWatchFrom = std::max(mQuery.mWatchFrom, aPage.mRevision);
+    auto const after = mQuery.mWatchFrom;
+    mQuery.mWatchFrom = std::max(after, aPage.mRevision);
     mCounters.Add(Counter::StoreEvents, aPage.mChanges.size());
     StoreNews news{
-      mQuery.mKind, std::move(aPage.mChanges), false, aPage.mRevision
+      mQuery.mKind, std::move(aPage.mChanges), false, aPage.mRevision, after
     };
     return { true, {}, std::move(news), milliseconds{ 0 } };
   }
--- a/tests/coordination/test_directory.cpp
+++ b/tests/coordination/test_directory.cpp
@@ -139,8 +139,8 @@
   auto const now = kStart + seconds{ 1 };
   Directory fresh(SampleSettings());
   auto const lists =
-    FromMessage(ToMessage(mStore.Knowledge().NewerThan(fresh.Digest(), now)));
-  CHECK(fresh.Digest().IsBehind(mStore.Knowledge().Digest()));
+    FromMessage(ToMessage(mStore.Knowledge().NewerThan(fresh.Held(), now)));
+  CHECK(fresh.Held().IsBehind(mStore.Knowledge().Digest()));
   (void)fresh.Apply(now,
                     { ObjectKind::Configuration,
                       lists.mConfiguration.mChanges,
@@ -157,7 +157,7 @@
                       true,
                       lists.mEvacuations.mRevision });
   CHECK(fresh.IsComplete());
-  CHECK_FALSE(fresh.Digest().IsBehind(mStore.Knowledge().Digest()));
+  CHECK_FALSE(fresh.Held().IsBehind(mStore.Knowledge().Digest()));
   auto const view = fresh.BuildView(now);
   LONGS_EQUAL(4, view->mVersion);
   auto const& upstream = view->mUpstreams[SlotOf(*view, "a1")];
@@ -171,7 +171,7 @@
   mStore.ListAll(kStart);
   mStore.Configure(kStart, SampleConfiguration(4));
   mStore.Register(kStart, SampleUpstream("a1", "a"));
-  auto const request = ToMessage(mStore.Knowledge().Digest());
+  auto const request = ToMessage(mStore.Knowledge().Held());
   mStore.Configure(kStart, SampleConfiguration(5));
   auto const news = mStore.Knowledge().NewerThan(FromMessage(request), kStart);
   LONGS_EQUAL(1, news.mConfiguration.mChanges.size());
@@ -179,6 +179,60 @@
   LONGS_EQUAL(0, news.mEvacuations.mRevision);
 }
 
+TEST(Directory, a_lost_change_shows_although_later_ones_arrive)
+{
+  mStore.ListAll(kStart);
+  mStore.Configure(kStart, SampleConfiguration());
+  auto draining = SampleUpstream("a1", "a");
+  mStore.Register(kStart, draining);
+  draining.mDraining = true;
+  mStore.Register(kStart, SampleUpstream("a2", "a"));
+  auto const held = mStore.Revision();
+  auto& own = mStore.Knowledge();
+  // A peer passes on what came after a change that got lost.
+  StoreNews const later{
+    ObjectKind::Upstreams,
+    { { "a3", held + 2, false, SampleUpstream("a3", "a") } },
+    false,
+    held + 2,
+    held + 1
+  };
+  (void)own.Apply(kStart, later);
+  KnowledgeDigest const peer{ own.ConfigurationVersion(), held + 2, 1 };
+  CHECK(own.Held().IsBehind(peer));
+  LONGS_EQUAL(held, own.Held().mUpstreams);
+  // The peer's whole list fills the gap.
+  StoreNews const list{
+    ObjectKind::Upstreams,
+    { { "a1", held + 1, false, draining },
+      { "a2", held, false, SampleUpstream("a2", "a") },
+      { "a3", held + 2, false, SampleUpstream("a3", "a") } },
+    true,
+    held + 2
+  };
+  (void)own.Apply(kStart, list);
+  CHECK_FALSE(own.Held().IsBehind(peer));
+  auto const view = mStore.View(kStart);
+  CHECK(view->mUpstreams[SlotOf(*view, "a1")].mUse == UpstreamUse::Draining);
+}
+
+TEST(Directory, changes_that_join_leave_no_gap)
+{
+  mStore.ListAll(kStart);
+  mStore.Register(kStart, SampleUpstream("a1", "a"));
+  auto const held = mStore.Revision();
+  auto& own = mStore.Knowledge();
+  (void)own.Apply(kStart,
+                  { ObjectKind::Upstreams,
+                    { { "a2", held + 2, false, SampleUpstream("a2", "a") } },
+                    false,
+                    held + 4,
+                    held });
+  LONGS_EQUAL(held + 4, own.Held().mUpstreams);
+  // The last change may be older than that; peers hear of the change only.
+  LONGS_EQUAL(held + 2, own.Digest().mUpstreams);
+}
+
 TEST(Directory, slots_are_used_again_only_after_every_flow_must_have_ended)
 {
   mStore.Configure(kStart, SampleConfiguration());
@@ -245,13 +299,15 @@
   auto draining = SampleUpstream("a1", "a");
   draining.mDraining = true;
   auto const updates = ToUpdates(ObjectKind::Upstreams,
-                                 { { "a1", revision + 1, false, draining } });
+                                 { { "a1", revision + 1, false, draining } },
+                                 { revision, revision + 1 });
   LONGS_EQUAL(1, updates.size());
   (void)mStore.Knowledge().Apply(
     kStart,
     { ObjectKind::Upstreams,
       ChangesOf(ObjectKind::Upstreams, updates.front()),
       false,
-      0 });
+      updates.front().up_to_revision(),
+      updates.front().after_revision() });
   CHECK(UseOf(kStart, "a1") == UpstreamUse::Draining);
 }
--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -136,7 +136,7 @@
 
 TEST(NodePeers, a_vm_that_knows_nothing_asks_a_peer_that_does)
 {
-  mGroup.At(0).SetDigest({ 4, 20, 1 });
+  mGroup.At(0).SetDigest({ 4, 20, 1 }, { 4, 20, 1 });
   mGroup.Run(seconds{ 3 });
   auto const peer = mGroup.At(3).NextQuestion(mGroup.Now(), false);
   CHECK(peer.has_value());
@@ -147,7 +147,7 @@
 
 TEST(NodePeers, a_vm_that_restarts_inside_a_cut_is_found_by_its_neighbours)
 {
-  mGroup.At(2).SetDigest({ 4, 20, 1 });
+  mGroup.At(2).SetDigest({ 4, 20, 1 }, { 4, 20, 1 });
   mGroup.Run(seconds{ 5 });
   mGroup.Kill(3);
   // Zone a without its seed vm-0 is cut off: vm-2 and vm-3 are left to
@@ -247,23 +247,42 @@
   LONGS_EQUAL(7, fallbacks);
 }
 
+TEST(NodePeers, what_is_passed_on_joins_without_a_gap)
+{
+  mGroup.Run(seconds{ 5 });
+  std::vector<ObjectChange> changes;
+  for (std::uint64_t revision = 11; revision <= 35; ++revision) {
+    changes.push_back(
+      { "i-" + std::to_string(revision), revision, true, UnusableRecord{} });
+  }
+  auto const updates = ToUpdates(ObjectKind::Upstreams, changes, { 10, 40 });
+  CHECK(updates.size() > 1);
+  std::uint64_t reached = 10;
+  for (auto const& update : updates) {
+    LONGS_EQUAL(reached, update.after_revision());
+    reached = update.up_to_revision();
+  }
+  LONGS_EQUAL(40, reached);
+}
+
 TEST(NodePeers, what_a_watcher_passes_on_reaches_every_vm_of_its_zone)
 {
   mGroup.Run(seconds{ 5 });
   std::set<std::uint32_t> told;
-  std::vector<ObjectChange> const changes = {
-    { "i-1", 9, true, UnusableRecord{} }
+  StoreNews const news{
+    ObjectKind::Upstreams, { { "i-1", 9, true, UnusableRecord{} } }, false, 9, 5
   };
   for (std::size_t const index : { 0U, 2U, 3U }) {
     Outbox outbox;
-    mGroup.At(index).PassOn(ObjectKind::Upstreams, changes, outbox);
+    mGroup.At(index).PassOn(news, outbox);
     for (auto const& outgoing : outbox) {
       auto const back =
         ChangesOf(ObjectKind::Upstreams, outgoing.mMessage.knowledge());
       LONGS_EQUAL(1, back.size());
       CHECK(back.front().mRemoved);
+      LONGS_EQUAL(9, outgoing.mMessage.knowledge().up_to_revision());
       told.insert(outgoing.mTo.mAddress.mValue);
     }
   }
   LONGS_EQUAL(3, told.size());
-}
+}
