Let changes gather before the next watch

Cause: calls to the store were the dearest price that is ours on the grown sites.

Change: after an answer with changes a watch pauses for 150 ms. Drains have 3 to 5 s to take effect, configurations as long.

--- a/src/tarragonsill/transport/tarragonsill_store_watch.hpp
+++ b/src/tarragonsill/transport/tarragonsill_store_watch.hpp
@@ -86,6 +86,9 @@
   /// Watches wait this long, so that a watch that hears nothing is soon made
   /// anew; well under the bound for a new configuration.
   static constexpr milliseconds kWatchWait{ 800 };
+  /// After changes, further ones gather for this long: calls have a price, and
+  /// drains and configurations have seconds to take effect.
+  static constexpr milliseconds kGather{ 150 };
   /// An answer takes some milliseconds (platform); a connection without one
   /// is given up after this time.
   static constexpr milliseconds kAnswerTimeout{ 700 };
@@ -104,7 +107,8 @@
     StoreNews news{
       mQuery.mKind, std::move(aPage.mChanges), false, aPage.mRevision, after
     };
-    return { true, {}, std::move(news), milliseconds{ 0 } };
+    auto const pause = news.mChanges.empty() ? milliseconds{ 0 } : kGather;
+    return { true, {}, std::move(news), pause };
   }
 
   WatchStep TakeListPage(ObjectPage aPage)
