Ask peers before the store, and let only a few stand in for watchers

Without an answer in 60 ms, or without the hand-over in 400 ms, it lists. In a first start of the whole deployment VMs find each other first, and only the drawn watchers list. - Watchers that are heard, but whose watches are stale, tell that the store does not answer them. It may refuse only some VMs, so two others try, after half a second more six; one that is answered passes on to the whole zone and relieves the later ones. VMs that hear no watcher fall back as before. - Watchers report up to which revision they miss nothing. Who relies on them resumes a watch from there instead of listing anew.

In NodePeers the VMs at their start now ask peers first (0 watch, then 9); the rest of that test is as strict as before.

--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -96,6 +96,39 @@
            HeldOf(ObjectKind::Evacuations) };
 }
 
+std::uint64_t
+Directory::CompleteTo(ObjectKind aKind) const
+{
+  auto const listed = mListed.find(aKind);
+  return listed == mListed.end() ? 0 : listed->second.mComplete;
+}
+
+std::uint64_t
+Directory::CompleteTo() const
+{
+  return std::min({ CompleteTo(ObjectKind::Configuration),
+                    CompleteTo(ObjectKind::Upstreams),
+                    CompleteTo(ObjectKind::Evacuations) });
+}
+
+void
+Directory::NoteComplete(KnowledgeDigest const& aLastChanges,
+                        std::uint64_t aRevision)
+{
+  auto const held = Held();
+  auto const note = [&](ObjectKind aKind, bool aHasLastChange) {
+    auto const listed = mListed.find(aKind);
+    if (listed != mListed.end() && aHasLastChange) {
+      auto& complete = listed->second.mComplete;
+      complete = std::max(complete, aRevision);
+    }
+  };
+  note(ObjectKind::Configuration,
+       held.mConfiguration >= aLastChanges.mConfiguration);
+  note(ObjectKind::Upstreams, held.mUpstreams >= aLastChanges.mUpstreams);
+  note(ObjectKind::Evacuations, held.mEvacuations >= aLastChanges.mEvacuations);
+}
+
 StoreLists
 Directory::NewerThan(KnowledgeDigest const& aHeld, TimePoint aNow) const
 {
--- a/src/tarragonsill/coordination/tarragonsill_directory.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.hpp
@@ -68,6 +68,14 @@
   /// How far knowledge goes without a gap. A peer whose last change lies beyond
   /// knows something that is missing here.
   KnowledgeDigest Held() const;
+  /// The revision of the store up to which no change of a kind is missing; 0
+  /// before it was listed.
+  std::uint64_t CompleteTo(ObjectKind aKind) const;
+  /// The same for all kinds.
+  std::uint64_t CompleteTo() const;
+  /// A peer that misses nothing up to a revision announced its last changes.
+  void NoteComplete(KnowledgeDigest const& aLastChanges,
+                    std::uint64_t aRevision);
   /// What is known beyond what a peer holds; kinds that are no newer or were
   /// never listed whole are left out.
   StoreLists NewerThan(KnowledgeDigest const& aHeld, TimePoint aNow) const;
--- a/src/tarragonsill/coordination/tarragonsill_knowledge_sync.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_knowledge_sync.cpp
@@ -1,5 +1,7 @@
 #include "tarragonsill/coordination/tarragonsill_knowledge_sync.hpp"
 
+#include <algorithm>
+
 namespace tarragonsill {
 
 void
@@ -16,6 +18,16 @@
   mPeers.erase(aPeer);
 }
 
+bool
+KnowledgeSync::SomePeerKnows() const
+{
+  return std::any_of(mPeers.begin(), mPeers.end(), [](auto const& aPeer) {
+    auto const& digest = aPeer.second;
+    return digest.mConfiguration > 0 && digest.mUpstreams > 0 &&
+           digest.mEvacuations > 0;
+  });
+}
+
 std::optional<std::string>
 KnowledgeSync::NextQuestion(TimePoint aNow,
                             KnowledgeDigest const& aOwn,
--- a/src/tarragonsill/coordination/tarragonsill_knowledge_sync.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_knowledge_sync.hpp
@@ -27,6 +27,8 @@
             KnowledgeDigest const& aDigest);
   /// A peer is gone or fell silent.
   void Forget(std::string const& aPeer);
+  /// Whether some peer knows everything that is needed to serve.
+  bool SomePeerKnows() const;
   /// The peer to ask now, if any. A VM that knows too little to serve asks at
   /// once, one that is behind asks after some patience.
   std::optional<std::string> NextQuestion(TimePoint aNow,
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -78,7 +78,7 @@
 {
   mNextReport = aNow + kReportPeriod;
   auto const& self = mMembership.Self().mName;
-  for (auto const& member : WatchRelay::Audience(ZoneMembers(), self)) {
+  for (auto const& member : WatchRelay::Audience(ZoneMembers(), self, mDuty)) {
     (void)AddMessage(aOutbox, member.mControl);
   }
 }
@@ -86,7 +86,12 @@
 WatchDuty
 NodePeers::Duty(TimePoint aNow)
 {
-  return mRelay.Duty(aNow, ZoneMembers(), mMembership.Self().mName);
+  WatchRelay::Situation situation;
+  situation.mKnowsLists = mHeld.mUpstreams > 0 && mHeld.mEvacuations > 0;
+  situation.mPeerKnows = mSync.SomePeerKnows();
+  situation.mIsFirstStart = mIsFirstStart;
+  mDuty = mRelay.Duty(aNow, ZoneMembers(), mMembership.Self().mName, situation);
+  return mDuty;
 }
 
 void
@@ -103,7 +108,7 @@
   }
   auto const after = std::min(passedOn, aNews.mAfter);
   auto const& self = mMembership.Self().mName;
-  auto const audience = WatchRelay::Audience(ZoneMembers(), self);
+  auto const audience = WatchRelay::Audience(ZoneMembers(), self, mDuty);
   for (auto const& update :
        ToUpdates(aNews.mKind, aNews.mChanges, { after, aNews.mRevision })) {
     for (auto const& member : audience) {
@@ -203,8 +208,10 @@
     if (mWatchedAt) {
       auto const age =
         std::chrono::duration_cast<milliseconds>(aNow - *mWatchedAt);
-      outgoing.mMessage.mutable_watch()->set_age_ms(static_cast<std::uint32_t>(
+      auto& report = *outgoing.mMessage.mutable_watch();
+      report.set_age_ms(static_cast<std::uint32_t>(
         std::max<milliseconds::rep>(0, age.count())));
+      report.set_complete_to_revision(mCompleteTo);
     }
   }
 }
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -22,6 +22,9 @@
             std::uint64_t aSeed,
             Counters& aCounters);
 
+  /// The whole deployment starts for the first time.
+  void SetFirstStart(bool aIsFirst) { mIsFirstStart = aIsFirst; }
+
   /// Advances timers; to be called at least every 50 ms.
   void Tick(TimePoint aNow, Outbox& aOutbox);
   void Handle(TimePoint aNow,
@@ -53,6 +56,8 @@
   /// Says when the store last answered all of this VM's watches; nothing if it
   /// does not watch.
   void SetWatched(std::optional<TimePoint> aAt) { mWatchedAt = aAt; }
+  /// Says up to which revision of the store nothing is missing.
+  void SetCompleteTo(std::uint64_t aRevision) { mCompleteTo = aRevision; }
   /// Passes on what this VM's own watches brought to those that rely on it.
   void PassOn(StoreNews const& aNews, Outbox& aOutbox);
   /// Whether routers would still find enough VMs in the zone without this one:
@@ -77,7 +82,10 @@
   std::vector<Endpoint> mSeeds;
   KnowledgeSync mSync;
   WatchRelay mRelay;
+  WatchDuty mDuty = WatchDuty::Rely;
+  bool mIsFirstStart = false;
   std::optional<TimePoint> mWatchedAt;
+  std::uint64_t mCompleteTo = 0;
   TimePoint mNextReport{};
   KnowledgeDigest mDigest;
   KnowledgeDigest mHeld;
--- a/src/tarragonsill/coordination/tarragonsill_watch_relay.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_relay.cpp
@@ -21,6 +21,53 @@
   return hashes;
 }
 
+std::vector<Member>
+Ranked(std::vector<Member> const& aMembers)
+{
+  std::vector<Member> ranked;
+  for (auto const index : RankCandidates(kWatcherKey, HashesOf(aMembers))) {
+    ranked.push_back(aMembers[index]);
+  }
+  return ranked;
+}
+
+/// The serving members in the order in which they are drawn as watchers.
+std::vector<Member>
+ServingByRank(std::vector<Member> aZone)
+{
+  std::erase_if(aZone,
+                [](auto const& aMember) { return !aMember.IsServing(); });
+  return Ranked(aZone);
+}
+
+/// Those of the members that are drawn before one of them; all of them if it
+/// is none of them.
+std::vector<Member>
+Before(std::vector<Member> aRanked, std::string const& aName)
+{
+  auto const end =
+    std::find_if(aRanked.begin(), aRanked.end(), [&](Member const& aMember) {
+      return aMember.mName == aName;
+    });
+  aRanked.erase(end, aRanked.end());
+  return aRanked;
+}
+
+std::size_t
+WatcherCount(std::size_t aServing)
+{
+  constexpr auto kVms = WatchRelay::kVmsPerWatcher;
+  return std::max(WatchRelay::kLeastWatchers, (aServing + kVms - 1) / kVms);
+}
+
+std::vector<Member>
+Watchers(std::vector<Member> const& aZone)
+{
+  auto ranked = ServingByRank(aZone);
+  ranked.resize(std::min(ranked.size(), WatcherCount(ranked.size())));
+  return ranked;
+}
+
 } // namespace
 
 std::string_view
@@ -31,8 +78,10 @@
       return "rely_on_peers";
     case WatchDuty::Regular:
       return "watch";
+    case WatchDuty::StandIn:
+      return "watch_as_watchers_get_no_answer";
     case WatchDuty::Fallback:
-      return "watch_as_nobody_seems_to";
+      return "watch_as_no_watcher_is_heard";
   }
   return "unknown";
 }
@@ -40,58 +89,96 @@
 void
 WatchRelay::Hear(TimePoint aNow, std::string const& aPeer, milliseconds aAge)
 {
-  auto& freshAt = mFreshAt[aPeer];
-  freshAt = std::max(freshAt, aNow - aAge);
+  auto& peer = mPeers[aPeer];
+  peer.mFreshAt = std::max(peer.mFreshAt, aNow - aAge);
+  peer.mHeardAt = aNow;
 }
 
-std::vector<Member>
-WatchRelay::Watchers(std::vector<Member> const& aZone)
+WatchRelay::PeerWatch
+WatchRelay::Newest(std::vector<Member> const& aMembers) const
 {
-  std::vector<Member> serving;
-  for (auto const& member : aZone) {
-    if (member.IsServing()) {
-      serving.push_back(member);
+  PeerWatch newest;
+  for (auto const& member : aMembers) {
+    auto const peer = mPeers.find(member.mName);
+    if (peer == mPeers.end()) {
+      continue;
     }
+    newest.mFreshAt = std::max(newest.mFreshAt, peer->second.mFreshAt);
+    newest.mHeardAt = std::max(newest.mHeardAt, peer->second.mHeardAt);
   }
-  auto const count = std::max(
-    kLeastWatchers, (serving.size() + kVmsPerWatcher - 1) / kVmsPerWatcher);
-  std::vector<Member> watchers;
-  for (auto const index :
-       RankCandidates(kWatcherKey, HashesOf(serving), count)) {
-    watchers.push_back(serving[index]);
-  }
-  return watchers;
+  return newest;
 }
 
 bool
 WatchRelay::HearsFreshWatch(TimePoint aNow) const
 {
-  return std::any_of(mFreshAt.begin(), mFreshAt.end(), [&](auto const& aPeer) {
-    return aNow < aPeer.second + kFreshFor;
+  return std::any_of(mPeers.begin(), mPeers.end(), [&](auto const& aPeer) {
+    return aNow < aPeer.second.mFreshAt + kFreshFor;
   });
 }
 
+bool
+WatchRelay::WaitsForPeers(TimePoint aNow,
+                          bool aIsWatcher,
+                          Situation const& aSituation) const
+{
+  auto const since = aNow - mStarted;
+  if (aSituation.mIsFirstStart) {
+    return since < (aIsWatcher ? kFirstStartTime : kFirstHandOverTime);
+  }
+  return since < (aSituation.mPeerKnows ? kHandOverTime : kSeedTime);
+}
+
 WatchDuty
 WatchRelay::Duty(TimePoint aNow,
                  std::vector<Member> const& aZone,
-                 std::string const& aSelf)
+                 std::string const& aSelf,
+                 Situation const& aSituation)
 {
   if (mStarted == TimePoint{}) {
     mStarted = aNow;
   }
-  auto const watchers = Watchers(aZone);
-  bool const isWatcher =
-    std::any_of(watchers.begin(), watchers.end(), [&](Member const& aWatcher) {
-      return aWatcher.mName == aSelf;
-    });
-  if (isWatcher || aNow < mStarted + kStartTime) {
+  if (!aSituation.mKnowsLists) {
+    // Nobody serves in a first start.
+    bool const isFirst =
+      Before(Ranked(aZone), aSelf).size() < WatcherCount(aZone.size());
+    return WaitsForPeers(aNow, isFirst, aSituation) ? WatchDuty::Rely
+                                                    : WatchDuty::Regular;
+  }
+  auto const serving = ServingByRank(aZone);
+  auto const watchers = WatcherCount(serving.size());
+  auto const before = Before(serving, aSelf);
+  if (before.size() < watchers) {
     return WatchDuty::Regular;
   }
-  return HearsFreshWatch(aNow) ? WatchDuty::Rely : WatchDuty::Fallback;
+  return DutyBeside(aNow, before, watchers);
+}
+
+WatchDuty
+WatchRelay::DutyBeside(TimePoint aNow,
+                       std::vector<Member> const& aBefore,
+                       std::size_t aWatchers) const
+{
+  auto const newest = Newest(aBefore);
+  if (aNow < newest.mFreshAt + kFreshFor) {
+    return WatchDuty::Rely;
+  }
+  // In a large zone every VM hears only two of many watchers.
+  bool const hearsAllWatchers = aWatchers <= kWatchersPerVm;
+  if (aNow >= newest.mHeardAt + kHeardFor || !hearsAllWatchers) {
+    return WatchDuty::Fallback;
+  }
+  auto const standIns = aNow < newest.mFreshAt + kMoreStandInsAfter
+                          ? kFirstStandIns
+                          : kMostStandIns;
+  return aBefore.size() < aWatchers + standIns ? WatchDuty::StandIn
+                                               : WatchDuty::Rely;
 }
 
 std::vector<Member>
-WatchRelay::Audience(std::vector<Member> const& aZone, std::string const& aSelf)
+WatchRelay::Audience(std::vector<Member> const& aZone,
+                     std::string const& aSelf,
+                     WatchDuty aDuty)
 {
   auto const watchers = Watchers(aZone);
   auto const hashes = HashesOf(watchers);
@@ -100,6 +187,10 @@
     if (member.mName == aSelf || member.mHealth == MemberHealth::Gone) {
       continue;
     }
+    if (aDuty == WatchDuty::StandIn) {
+      audience.push_back(member);
+      continue;
+    }
     for (auto const index :
          RankCandidates(member.NameHash(), hashes, kWatchersPerVm)) {
       if (watchers[index].mName == aSelf) {
--- a/src/tarragonsill/coordination/tarragonsill_watch_relay.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_relay.hpp
@@ -19,8 +19,9 @@
 enum class WatchDuty : std::uint8_t
 {
   Rely,     ///< Others watch and pass on.
-  Regular,  ///< It is one of its zone's watchers, or has just started.
-  Fallback, ///< It watches as nobody seems to; others may do the same.
+  Regular,  ///< It is one of its zone's watchers, or nobody told it anything.
+  StandIn,  ///< It watches as the store does not answer its zone's watchers.
+  Fallback, ///< It watches for itself, as it hears no watcher.
 };
 
 std::string_view ToText(WatchDuty aDuty);
@@ -33,30 +34,67 @@
   static constexpr std::size_t kLeastWatchers = 2;
   /// Every VM is told by this many watchers.
   static constexpr std::size_t kWatchersPerVm = 2;
-  /// Every VM watches at its start, until its peers are known.
-  static constexpr milliseconds kStartTime{ 1000 };
   /// What was fresh longer ago than this is not relied on; less than the
   /// bound for a new configuration in the operators' deployments (3 s).
   static constexpr milliseconds kFreshFor{ 2000 };
+  /// Watchers report twice a second; three reports are missing.
+  static constexpr milliseconds kHeardFor{ 1500 };
+  /// When the store does not answer the watchers, a few others try: it may
+  /// refuse only some VMs. All of them at once would be a storm of calls.
+  static constexpr std::size_t kFirstStandIns = 2;
+  static constexpr std::size_t kMostStandIns = 6;
+  static constexpr milliseconds kMoreStandInsAfter{ 2500 };
+  /// A VM that starts asks its peers first. Seeds answer within milliseconds;
+  /// one that knows everything hands it over in some more.
+  static constexpr milliseconds kSeedTime{ 60 };
+  static constexpr milliseconds kHandOverTime{ 400 };
+  /// When the whole deployment starts for the first time, VMs find each other
+  /// before they ask the store, and most of them are told by its watchers.
+  static constexpr milliseconds kFirstStartTime{ 1500 };
+  static constexpr milliseconds kFirstHandOverTime{ 3500 };
+
+  /// What this VM knows when it decides.
+  struct Situation
+  {
+    bool mKnowsLists = false;   ///< Upstreams and evacuated zones were listed.
+    bool mPeerKnows = false;    ///< Some peer knows everything.
+    bool mIsFirstStart = false; ///< Of the whole deployment.
+  };
 
   /// A peer reported the age of its watches.
   void Hear(TimePoint aNow, std::string const& aPeer, milliseconds aAge);
   /// The duty of this VM. The members are those of its zone, itself included.
   WatchDuty Duty(TimePoint aNow,
                  std::vector<Member> const& aZone,
-                 std::string const& aSelf);
+                 std::string const& aSelf,
+                 Situation const& aSituation);
   /// Whether some peer's watches are fresh.
   bool HearsFreshWatch(TimePoint aNow) const;
-  /// The members to which a VM on duty passes on what it hears.
+  /// The members to which a VM on duty passes on what it hears. What a
+  /// stand-in hears nobody else may know.
   static std::vector<Member> Audience(std::vector<Member> const& aZone,
-                                      std::string const& aSelf);
+                                      std::string const& aSelf,
+                                      WatchDuty aDuty);
 
 private:
-  static std::vector<Member> Watchers(std::vector<Member> const& aZone);
+  struct PeerWatch
+  {
+    TimePoint mFreshAt{};
+    TimePoint mHeardAt{};
+  };
+
+  bool WaitsForPeers(TimePoint aNow,
+                     bool aIsWatcher,
+                     Situation const& aSituation) const;
+  /// The duty of a VM that is none of its zone's watchers.
+  WatchDuty DutyBeside(TimePoint aNow,
+                       std::vector<Member> const& aBefore,
+                       std::size_t aWatchers) const;
+  /// The newest report of any of these.
+  PeerWatch Newest(std::vector<Member> const& aMembers) const;
 
   TimePoint mStarted{};
-  /// When each peer's watches were fresh last.
-  std::map<std::string, TimePoint> mFreshAt;
+  std::map<std::string, PeerWatch> mPeers;
 };
 
 } // namespace tarragonsill
--- a/src/tarragonsill/platform/tarragonsill_platform_settings.cpp
+++ b/src/tarragonsill/platform/tarragonsill_platform_settings.cpp
@@ -67,6 +67,15 @@
       count * kMillisecondsPerSecond) };
   }
 
+  bool Flag(char const* aKey)
+  {
+    auto const node = mRoot.at_path(aKey);
+    if (node && !node.is_boolean()) {
+      Fault(aKey, "true or false is expected");
+    }
+    return node.value_or(false);
+  }
+
   std::vector<Endpoint> Addresses(char const* aKey)
   {
     std::vector<Endpoint> addresses;
@@ -189,6 +198,7 @@
     settings.mSeeds.push_back({ seed.mAddress, settings.mPeers.mPort });
   }
   settings.mStore = reader.Address("platform.address");
+  settings.mIsFirstStart = reader.Flag("bootstrap");
   settings.mHeartbeat =
     reader.Milliseconds("heartbeatIntervalMs", settings.mHeartbeat);
   settings.mBounds = ReadBounds(reader);
--- a/src/tarragonsill/state/tarragonsill_node_settings.hpp
+++ b/src/tarragonsill/state/tarragonsill_node_settings.hpp
@@ -38,6 +38,8 @@
   Endpoint mKnowledge;             ///< TCP, gRPC, between entry VMs.
   std::vector<Endpoint> mSeeds;    ///< Where peers may be; may be out of date.
   Endpoint mStore;                 ///< TCP, HTTP.
+  /// The whole deployment starts for the first time, so nobody waits for it.
+  bool mIsFirstStart = false;
   milliseconds mHeartbeat{ 1000 }; ///< Interval of the upstreams' reports.
   NodeBounds mBounds;
 };
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -35,6 +35,7 @@
              mArguments.mIncarnation,
              mArguments.mState->mCounters)
   {
+    mPeers.SetFirstStart(mArguments.mState->mSettings.mIsFirstStart);
   }
 
   /// Takes what this VM's own watches brought, and passes it on.
@@ -86,6 +87,12 @@
     auto const& message = *aReceived.mMessage;
     mPeers.Handle(Clock::now(), message, outbox);
     Send(outbox);
+    if (message.has_watch()) {
+      mDirectory.NoteComplete({ message.configuration_version(),
+                                message.upstreams_revision(),
+                                message.evacuations_revision() },
+                              message.watch().complete_to_revision());
+    }
     if (!message.has_knowledge()) {
       return;
     }
@@ -113,13 +120,18 @@
   void Note(StoreAnswered const& aAnswer)
   {
     auto const kind = static_cast<std::size_t>(aAnswer.mKind);
-    mWatches[kind] = aAnswer.mWatch;
     mAnswers[kind] = aAnswer.mAnswered;
     if (aAnswer.mAnswered) {
       mAnsweredAt[kind] = Clock::now();
     }
   }
 
+  void Note(StoreWatchStarted const& aStarted)
+  {
+    mWatches[static_cast<std::size_t>(aStarted.mKind)] = aStarted.mWatch;
+    SendDuty(aStarted.mKind);
+  }
+
   void Tick()
   {
     auto const now = Clock::now();
@@ -155,8 +167,10 @@
       mDuty = duty;
       Log().Write(
         "config", "watch_duty", { { "outcome", std::string(ToText(duty)) } });
-      for (auto const& watch : mWatches) {
-        mSelf->send(watch, SetWatchDuty{ duty });
+      for (auto const kind : { ObjectKind::Configuration,
+                               ObjectKind::Upstreams,
+                               ObjectKind::Evacuations }) {
+        SendDuty(kind);
       }
     }
     if (isOnDuty && !wasWatching) {
@@ -172,6 +186,14 @@
                          isOnDuty ? ownAnswers : mPeers.HearsFreshWatch(aNow));
   }
 
+  void SendDuty(ObjectKind aKind)
+  {
+    auto const& watch = mWatches[static_cast<std::size_t>(aKind)];
+    if (watch) {
+      mSelf->send(watch, SetWatchDuty{ mDuty, mDirectory.CompleteTo(aKind) });
+    }
+  }
+
   /// In a zone that is cut off and has nothing to offer, callers are better
   /// served by the VMs of other zones; routers turn there when no VM of the
   /// zone is ready.
@@ -192,6 +214,7 @@
   void Send(Outbox& aOutbox)
   {
     mPeers.SetDigest(mDirectory.Digest(), mDirectory.Held());
+    mPeers.SetCompleteTo(mDirectory.CompleteTo());
     mPeers.Decorate(Clock::now(), aOutbox);
     auto& counters = mArguments.mState->mCounters;
     for (auto const& outgoing : aOutbox) {
@@ -225,7 +248,7 @@
   NodeActorArguments mArguments;
   Directory mDirectory;
   NodePeers mPeers;
-  WatchDuty mDuty = WatchDuty::Regular;
+  WatchDuty mDuty = WatchDuty::Rely;
   // By kind of objects.
   std::array<bool, kKinds> mAnswers{ true, true, true };
   std::array<TimePoint, kKinds> mAnsweredAt{};
@@ -242,6 +265,7 @@
   return {
     [part](StoreNewsReceived const& aNews) { part->TakeOwn(*aNews.mNews); },
     [part](StoreAnswered const& aAnswer) { part->Note(aAnswer); },
+    [part](StoreWatchStarted const& aStarted) { part->Note(aStarted); },
     [part](DatagramReceived const& aReceived) { part->Take(aReceived); },
     [part](KnowledgeWanted const& aWanted) { part->Answer(aWanted); },
     [part](KnowledgeFetched const& aFetched) { part->Take(aFetched); },
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -85,11 +85,12 @@
   auto const dependency = std::make_shared<DependencyLog>(aState->mLog, aKind);
   struct Loop
   {
-    bool mIsOnDuty = true;
-    bool mIsTickDue = true; ///< A tick is on its way.
+    bool mIsOnDuty = false;
+    bool mIsTickDue = false; ///< A tick is on its way.
   };
   auto const loop = std::make_shared<Loop>();
-  aSelf->send(aSelf, TickAtom::value);
+  aSelf->send(aDirectory,
+              StoreWatchStarted{ aKind, caf::actor_cast<caf::actor>(aSelf) });
   return {
     [=](TickAtom) {
       loop->mIsTickDue = loop->mIsOnDuty;
@@ -98,10 +99,7 @@
       }
       auto step = aWatch->Step();
       dependency->Note(step);
-      aSelf->send(aDirectory,
-                  StoreAnswered{ aKind,
-                                 step.mAnswered,
-                                 caf::actor_cast<caf::actor>(aSelf) });
+      aSelf->send(aDirectory, StoreAnswered{ aKind, step.mAnswered });
       if (step.mNews) {
         aSelf->send(aDirectory,
                     StoreNewsReceived{ std::make_shared<StoreNews const>(
@@ -111,7 +109,11 @@
     },
     [=](SetWatchDuty const& aSet) {
       loop->mIsOnDuty = aSet.mDuty != WatchDuty::Rely;
-      aWatch->SetIsFallback(aSet.mDuty == WatchDuty::Fallback);
+      aWatch->SetIsFallback(aSet.mDuty == WatchDuty::StandIn ||
+                            aSet.mDuty == WatchDuty::Fallback);
+      if (loop->mIsOnDuty) {
+        aWatch->ResumeFrom(aSet.mCompleteTo);
+      }
       if (loop->mIsOnDuty && !loop->mIsTickDue) {
         loop->mIsTickDue = true;
         aSelf->send(aSelf, TickAtom::value);
--- a/src/tarragonsill/transport/tarragonsill_node_messages.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_messages.hpp
@@ -22,13 +22,21 @@
 {
   ObjectKind mKind = ObjectKind::Configuration;
   bool mAnswered = false;
-  caf::actor mWatch; ///< Follows this kind.
+};
+
+/// The actor that follows a kind of objects; it waits for its duty.
+struct StoreWatchStarted
+{
+  ObjectKind mKind = ObjectKind::Configuration;
+  caf::actor mWatch;
 };
 
 /// Whether and how the watches of the store are to go on.
 struct SetWatchDuty
 {
-  WatchDuty mDuty = WatchDuty::Regular;
+  WatchDuty mDuty = WatchDuty::Rely;
+  /// Up to here no change of the kind is missing.
+  std::uint64_t mCompleteTo = 0;
 };
 
 /// A peer asks for what is known beyond what it holds.
@@ -58,6 +66,7 @@
 CAF_BEGIN_TYPE_ID_BLOCK(tarragonsill_node, first_custom_type_id + 100)
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::StoreNewsReceived))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::StoreAnswered))
+CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::StoreWatchStarted))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::SetWatchDuty))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::KnowledgeWanted))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::FetchKnowledge))
@@ -66,6 +75,7 @@
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::StoreNewsReceived)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::StoreAnswered)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::StoreWatchStarted)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::SetWatchDuty)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::KnowledgeWanted)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::FetchKnowledge)
--- a/src/tarragonsill/transport/tarragonsill_store_watch.hpp
+++ b/src/tarragonsill/transport/tarragonsill_store_watch.hpp
@@ -49,6 +49,15 @@
   /// A fallback leaves longer pauses between calls that fail.
   void SetIsFallback(bool aIsFallback) { mIsFallback = aIsFallback; }
 
+  /// Goes on from a revision up to which changes came from elsewhere.
+  void ResumeFrom(std::uint64_t aRevision)
+  {
+    if (aRevision > mQuery.mWatchFrom) {
+      Restart();
+      mQuery.mWatchFrom = aRevision;
+    }
+  }
+
   /// Makes one call and waits for its answer.
   WatchStep Step()
   {
--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -227,7 +227,13 @@
     }
     return count;
   };
+  // Peers are asked first; none of them knows anything.
+  LONGS_EQUAL(0, onDuty());
+  mGroup.Run(WatchRelay::kSeedTime + milliseconds{ 50 });
   LONGS_EQUAL(9, onDuty());
+  for (auto const index : zone) {
+    mGroup.At(index).SetDigest({ 1, 9, 1 }, { 1, 9, 1 });
+  }
   for (int step = 0; step < 60; ++step) {
     mGroup.Run(milliseconds{ 100 });
     (void)onDuty();
