Check doubtful upstreams for reach, and give up their flows together

Cause: on the grown sites a VM holds one flow for each of some thirty upstreams.

Change: a doubt (an overdue handshake or the first repeated data) lets the VM connect to the upstream, without sending anything, twice within 150 ms. It is out of reach if it refuses, or is silent while a witness that answered lately takes a connection; a VM whose own link fails finds no witness and resets nothing. Its flows are then given up together, idle ones too, and other silent upstreams that hold flows are checked, 16 at a time, each at most once in 6 s. It gets new flows again when it takes a connection. Pauses of 0.5 to 4 s bound the checks, which have a price. The judging has no network (UpstreamReach); the sockets are in ReachProber, never waiting.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -258,7 +258,7 @@
          aPacket.mSource,
          aPacket.mDestination,
          { slot, 0.0, 0 },
-         UpstreamHealth::Silent);
+         mLoads[slot].mWatch.Health(aNow));
     Forget(key);
     return Refuse(SteeringAction::Reset, SteeringCause::SilentUpstream);
   }
@@ -312,6 +312,7 @@
       return;
     }
     load.mWatch.DataRepeated(aFlow.mDataSent, aFlow.mCopies == 0);
+    mReach.Doubt(aFlow.mSlot);
     ++aFlow.mCopies;
     return;
   }
@@ -331,8 +332,10 @@
 bool
 CookieSteering::IsLost(TimePoint aNow, std::uint32_t aSlot) const
 {
-  return mLoads[aSlot].mWatch.Health(aNow) == UpstreamHealth::Silent &&
-         aNow < mLastAnswer + kOthersAnswered;
+  auto const health = mLoads[aSlot].mWatch.Health(aNow);
+  return health == UpstreamHealth::Unreachable ||
+         (health == UpstreamHealth::Silent &&
+          aNow < mLastAnswer + kOthersAnswered);
 }
 
 SteeringVerdict
@@ -410,6 +413,7 @@
 void
 CookieSteering::Sweep(TimePoint aNow)
 {
+  mReach.Review(aNow, *mView, mLoads);
   mFlows.EraseIf([&](Detail::TrackedFlow& aFlow) {
     auto const patience =
       aFlow.mIsClosed ? Duration(kClosedTime) : Duration(mView->mIdleTimeout);
@@ -424,16 +428,38 @@
            aFlow.mCaller,
            aFlow.mRoute,
            { aFlow.mSlot, 0.0, 0 },
-           UpstreamHealth::Silent);
+           mLoads[aFlow.mSlot].mWatch.Health(aNow));
     }
     Release(aFlow);
     return true;
   });
 }
 
+std::vector<std::uint32_t>
+CookieSteering::NextReachChecks(TimePoint aNow)
+{
+  return mReach.Begin(aNow, mLoads);
+}
+
+std::vector<std::uint32_t>
+CookieSteering::NoteReach(TimePoint aNow,
+                          std::uint32_t aSlot,
+                          ReachAnswer aAnswer)
+{
+  if (aAnswer == ReachAnswer::Accepted) {
+    mLoads[aSlot].mWatch.InReach();
+  }
+  auto lost = mReach.Take(aNow, aSlot, aAnswer, mLoads);
+  for (auto const slot : lost) {
+    mLoads[slot].mWatch.OutOfReach();
+  }
+  return lost;
+}
+
 void
 CookieSteering::Forgive(TimePoint aNow)
 {
+  mReach.Forgive();
   for (auto& load : mLoads) {
     load.mWatch.Forgive(aNow);
   }
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -2,6 +2,7 @@
 #define TARRAGONSILL_COOKIE_STEERING_HPP_INCLUDED
 
 #include "tarragonsill/coordination/tarragonsill_upstream_choice.hpp"
+#include "tarragonsill/coordination/tarragonsill_upstream_reach.hpp"
 #include "tarragonsill/protocol/tarragonsill_flow_packet.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
 #include "tarragonsill/state/tarragonsill_flow_table.hpp"
@@ -118,6 +119,13 @@
   /// Forgets flows that must have ended and gives up those of upstreams that
   /// fell silent; to be called several times a second.
   void Sweep(TimePoint aNow);
+  /// The upstreams to check for reach now, by slot.
+  std::vector<std::uint32_t> NextReachChecks(TimePoint aNow);
+  /// A check ended. Returns the upstreams that turn out to be out of reach;
+  /// the next sweep gives up their flows.
+  std::vector<std::uint32_t> NoteReach(TimePoint aNow,
+                                       std::uint32_t aSlot,
+                                       ReachAnswer aAnswer);
   /// This VM stood still until now.
   void Forgive(TimePoint aNow);
 
@@ -168,6 +176,7 @@
   std::unordered_map<std::uint64_t, ZonePressure> mPressures;
   FlowTable<Detail::TrackedFlow> mFlows;
   UpstreamChoice mChoice;
+  UpstreamReach mReach;
   SteeringLatencies mLatencies;
   TimePoint mLastAnswer{}; ///< Of any upstream.
   std::vector<UnaskedReset> mResets;
--- a/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
@@ -136,6 +136,7 @@
       cost += kDoubtfulCost;
       break;
     case UpstreamHealth::Silent:
+    case UpstreamHealth::Unreachable:
       cost += kSilentCost;
       break;
   }
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_reach.cpp
@@ -0,0 +1,163 @@
+#include "tarragonsill/coordination/tarragonsill_upstream_reach.hpp"
+
+#include <algorithm>
+
+namespace tarragonsill {
+
+std::string_view
+ToText(ReachAnswer aAnswer)
+{
+  switch (aAnswer) {
+    case ReachAnswer::Accepted:
+      return "accepted";
+    case ReachAnswer::Refused:
+      return "refused";
+    case ReachAnswer::None:
+      return "no_answer";
+  }
+  return "unknown";
+}
+
+void
+UpstreamReach::Review(TimePoint aNow,
+                      RoutingView const& aView,
+                      std::vector<UpstreamLoad> const& aLoads)
+{
+  mPauses.resize(std::max(mPauses.size(), aLoads.size()));
+  for (std::uint32_t slot = 0; slot < aLoads.size(); ++slot) {
+    auto const& load = aLoads[slot];
+    auto const& upstream = aView.mUpstreams[slot];
+    bool const isOfUse =
+      upstream.mUse == UpstreamUse::Serving && !upstream.mEvacuated;
+    if (!isOfUse && load.mFlows == 0) {
+      continue;
+    }
+    bool const isLost = upstream.mUse == UpstreamUse::Missing ||
+                        upstream.mUse == UpstreamUse::Gone;
+    bool const isSilent = aNow >= load.mWatch.LastAnswer() + kSilentFor;
+    bool const isDoubtful =
+      load.mWatch.Health(aNow) != UpstreamHealth::Answering;
+    bool const holdsFlows = load.mFlows > 0 && isSilent;
+    if (isDoubtful || (holdsFlows && (isLost || IsSpreadTo(aNow, slot)))) {
+      Doubt(slot);
+    }
+  }
+}
+
+bool
+UpstreamReach::IsSpreadTo(TimePoint aNow, std::uint32_t aSlot) const
+{
+  return aNow < mSpreadUntil && aNow >= mPauses[aSlot].mAccepted + kSpreadPause;
+}
+
+bool
+UpstreamReach::MayCheck(TimePoint aNow, std::uint32_t aSlot) const
+{
+  return aSlot >= mPauses.size() || aNow >= mPauses[aSlot].mUntil;
+}
+
+std::optional<std::uint32_t>
+UpstreamReach::Witness(TimePoint aNow,
+                       std::vector<UpstreamLoad> const& aLoads) const
+{
+  std::optional<std::uint32_t> best;
+  for (std::uint32_t slot = 0; slot < aLoads.size(); ++slot) {
+    auto const& watch = aLoads[slot].mWatch;
+    if (mDoubted.count(slot) > 0 || watch.LastAnswer() == TimePoint{} ||
+        aNow >= watch.LastAnswer() + kWitnessFresh ||
+        watch.Health(aNow) != UpstreamHealth::Answering) {
+      continue;
+    }
+    if (!best || watch.LastAnswer() > aLoads[*best].mWatch.LastAnswer()) {
+      best = slot;
+    }
+  }
+  return best;
+}
+
+std::vector<std::uint32_t>
+UpstreamReach::Begin(TimePoint aNow, std::vector<UpstreamLoad> const& aLoads)
+{
+  if (!mRound.empty() || mDoubted.empty()) {
+    return {};
+  }
+  mPauses.resize(std::max(mPauses.size(), aLoads.size()));
+  auto const witness = Witness(aNow, aLoads);
+  for (auto const slot : mDoubted) {
+    if (slot >= aLoads.size() || !MayCheck(aNow, slot) ||
+        mRound.size() == kMostAtOnce) {
+      continue;
+    }
+    mRound.push_back({ slot, false, std::nullopt });
+    auto& pause = mPauses[slot];
+    pause.mLast = std::clamp(2 * pause.mLast, kLeastPause, kMostPause);
+    pause.mUntil = aNow + pause.mLast;
+  }
+  mDoubted.clear();
+  if (mRound.empty()) {
+    return {};
+  }
+  if (witness) {
+    mRound.push_back({ *witness, true, std::nullopt });
+  }
+  mRoundStarted = aNow;
+  std::vector<std::uint32_t> slots;
+  for (auto const& check : mRound) {
+    slots.push_back(check.mSlot);
+  }
+  return slots;
+}
+
+std::vector<std::uint32_t>
+UpstreamReach::Take(TimePoint aNow,
+                    std::uint32_t aSlot,
+                    ReachAnswer aAnswer,
+                    std::vector<UpstreamLoad> const& aLoads)
+{
+  bool isComplete = !mRound.empty();
+  for (auto& check : mRound) {
+    if (check.mSlot == aSlot) {
+      check.mAnswer = aAnswer;
+    }
+    isComplete = isComplete && check.mAnswer.has_value();
+  }
+  return isComplete ? Judge(aNow, aLoads) : std::vector<std::uint32_t>{};
+}
+
+std::vector<std::uint32_t>
+UpstreamReach::Judge(TimePoint aNow, std::vector<UpstreamLoad> const& aLoads)
+{
+  bool const ownLinkWorks =
+    std::any_of(mRound.begin(), mRound.end(), [](Check const& aCheck) {
+      return aCheck.mAnswer == ReachAnswer::Accepted;
+    });
+  std::vector<std::uint32_t> lost;
+  for (auto const& check : mRound) {
+    if (check.mAnswer == ReachAnswer::Accepted) {
+      mPauses[check.mSlot] = { aNow + kAcceptedPause, milliseconds{ 0 }, aNow };
+    }
+    bool const isOut = check.mAnswer == ReachAnswer::Refused ||
+                       (check.mAnswer == ReachAnswer::None && ownLinkWorks);
+    auto const& watch = aLoads[check.mSlot].mWatch;
+    bool const answeredSince = watch.LastAnswer() >= mRoundStarted;
+    bool const isKnown = watch.Health(aNow) == UpstreamHealth::Unreachable;
+    if (isOut && !answeredSince && !isKnown && !check.mIsWitness) {
+      lost.push_back(check.mSlot);
+    }
+  }
+  mRound.clear();
+  if (!lost.empty()) {
+    mSpreadUntil = aNow + kSpreadFor;
+  }
+  return lost;
+}
+
+void
+UpstreamReach::Forgive()
+{
+  // The round's answers are not looked at any more; a new one may begin.
+  mRound.clear();
+  mDoubted.clear();
+}
+
+} // namespace tarragonsill
--- a/src/tarragonsill/coordination/tarragonsill_upstream_watch.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_watch.cpp
@@ -14,6 +14,8 @@
       return "doubtful";
     case UpstreamHealth::Silent:
       return "silent";
+    case UpstreamHealth::Unreachable:
+      return "unreachable";
   }
   return "unknown";
 }
@@ -45,6 +47,7 @@
   mRepeatingSince = {};
   mRepeatingFlows = 0;
   mCopies = 0;
+  mIsOutOfReach = false;
 }
 
 void
@@ -62,6 +65,9 @@
 UpstreamHealth
 UpstreamWatch::Health(TimePoint aNow) const
 {
+  if (mIsOutOfReach) {
+    return UpstreamHealth::Unreachable;
+  }
   bool const repeating = mRepeatingSince != TimePoint{} && mCopies > 0;
   if (repeating) {
     auto const silence = aNow - mRepeatingSince;
@@ -79,6 +85,9 @@
 bool
 UpstreamWatch::IsProbeDue(TimePoint aNow) const
 {
+  if (mIsOutOfReach) {
+    return false;
+  }
   auto since = mLastProbe;
   for (auto const start : { mOpeningSince, mRepeatingSince }) {
     since = std::max(since, start);
--- a/src/tarragonsill/coordination/tarragonsill_upstream_watch.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_watch.hpp
@@ -22,6 +22,8 @@
   /// Several flows repeat themselves and nothing at all comes back: its flows
   /// are lost to their callers.
   Silent,
+  /// It takes no connection, while another upstream does.
+  Unreachable,
 };
 
 std::string_view ToText(UpstreamHealth aHealth);
@@ -48,6 +50,9 @@
   void DataRepeated(TimePoint aFirstSent, bool aIsFirstCopyOfFlow);
   /// A caller's packet shows that the upstream answered.
   void Answered(TimePoint aNow);
+  /// A connection to it failed, or was accepted.
+  void OutOfReach() { mIsOutOfReach = true; }
+  void InReach() { mIsOutOfReach = false; }
   /// This VM stood still: what seems overdue may be waiting in its own queue.
   void Forgive(TimePoint aNow);
 
@@ -68,6 +73,7 @@
   TimePoint mRepeatingSince{};
   std::uint32_t mRepeatingFlows = 0;
   std::uint32_t mCopies = 0;
+  bool mIsOutOfReach = false;
 };
 
 } // namespace tarragonsill
--- a/src/tarragonsill/state/tarragonsill_counters.cpp
+++ b/src/tarragonsill/state/tarragonsill_counters.cpp
@@ -72,6 +72,8 @@
   "tarragonsill_store_failures_total",
   "tarragonsill_store_events_total",
   "tarragonsill_log_lines_dropped_total",
+  "tarragonsill_reach_checks_total",
+  "tarragonsill_upstreams_out_of_reach_total",
 };
 
 } // namespace
--- a/src/tarragonsill/state/tarragonsill_counters.hpp
+++ b/src/tarragonsill/state/tarragonsill_counters.hpp
@@ -78,6 +78,8 @@
   StoreFailures,
   StoreEvents,
   LogLinesDropped,
+  ReachChecks,
+  UpstreamsOutOfReach,
   Count,
 };
 
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -5,6 +5,7 @@
 #include "tarragonsill/protocol/tarragonsill_byte_order.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
 #include "tarragonsill/transport/tarragonsill_node_log.hpp"
+#include "tarragonsill/transport/tarragonsill_reach_prober.hpp"
 #include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
 
 #include <array>
@@ -83,6 +84,7 @@
       auto const now = Clock::now();
       if (now > last + kStandstill) {
         mSteering.Forgive(now);
+        mProber.Clear();
       }
       last = now;
       TakeView();
@@ -91,6 +93,7 @@
         Handle(now, datagram);
       }
       mCounters.Add(Counter::DropSendFailed, mSocket.Flush());
+      CheckReach(now);
       if (now >= mNextSweep) {
         mNextSweep = now + kSweepPeriod;
         mSteering.Sweep(now);
@@ -108,6 +111,34 @@
     }
   }
 
+  /// Picks up what became of the checks that were started, and starts others.
+  void CheckReach(TimePoint aNow)
+  {
+    if (mProber.IsBusy()) {
+      for (auto const& result : mProber.Poll(aNow)) {
+        NoteReach(aNow, result);
+      }
+    }
+    for (auto const slot : mSteering.NextReachChecks(aNow)) {
+      auto const& record = mSteering.View().mUpstreams[slot].mRecord;
+      mProber.Ask(aNow, slot, record.mAddress);
+      mCounters.Add(Counter::ReachChecks);
+    }
+  }
+
+  void NoteReach(TimePoint aNow, ReachProber::Result const& aResult)
+  {
+    for (auto const slot :
+         mSteering.NoteReach(aNow, aResult.mSlot, aResult.mAnswer)) {
+      auto const& record = mSteering.View().mUpstreams[slot].mRecord;
+      mCounters.Add(Counter::UpstreamsOutOfReach);
+      mLog.Write("steer",
+                 "upstream_out_of_reach",
+                 { { "upstream", record.mName }, { "zone", record.mZone } });
+      mNextSweep = aNow;
+    }
+  }
+
   void SendResets()
   {
     for (auto const& reset : mSteering.TakeResets()) {
@@ -208,6 +239,7 @@
   Counters& mCounters;
   NodeLog& mLog;
   CookieSteering mSteering;
+  ReachProber mProber;
   RoutingViewPointer mPosted;
   RoutingViewPointer mUsed;
   /// Heads of the datagrams that are queued.
--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_reach_prober.hpp
@@ -0,0 +1,59 @@
+#ifndef TARRAGONSILL_REACH_PROBER_HPP_INCLUDED
+#define TARRAGONSILL_REACH_PROBER_HPP_INCLUDED
+
+#include "tarragonsill/coordination/tarragonsill_upstream_reach.hpp"
+#include "tarragonsill/state/tarragonsill_address.hpp"
+#include "tarragonsill/transport/tarragonsill_file_descriptor.hpp"
+
+#include <vector>
+
+/// Finds out whether upstreams take connections. It never waits: answers are
+/// picked up between packets.
+namespace tarragonsill {
+
+class ReachProber
+{
+public:
+  /// Connections are accepted within a few milliseconds in a region. One lost
+  /// packet must not count, so a second one follows after some time.
+  static constexpr milliseconds kSecondAfter{ 60 };
+  static constexpr milliseconds kGiveUpAfter{ 150 };
+
+  struct Result
+  {
+    std::uint32_t mSlot = 0;
+    ReachAnswer mAnswer = ReachAnswer::None;
+  };
+
+  /// Starts to connect; nothing is sent on the connection.
+  void Ask(TimePoint aNow, std::uint32_t aSlot, Endpoint aAddress);
+  /// The answers that are in.
+  std::vector<Result> Poll(TimePoint aNow);
+  /// Forgets what was asked.
+  void Clear() { mAsked.clear(); }
+  bool IsBusy() const { return !mAsked.empty(); }
+
+private:
+  struct Attempt
+  {
+    FileDescriptor mSocket;
+    std::optional<ReachAnswer> mAnswer;
+  };
+  struct Asked
+  {
+    std::uint32_t mSlot = 0;
+    Endpoint mAddress;
+    TimePoint mSince{};
+    std::vector<Attempt> mAttempts;
+  };
+
+  static Attempt Connect(Endpoint aAddress);
+  static void Update(Attempt& aAttempt);
+  static std::optional<ReachAnswer> AnswerOf(TimePoint aNow, Asked& aAsked);
+
+  std::vector<Asked> mAsked;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_REACH_PROBER_HPP_INCLUDED
--- a/tests/coordination/test_cookie_steering.cpp
+++ b/tests/coordination/test_cookie_steering.cpp
@@ -314,6 +314,35 @@
   LONGS_EQUAL(atFirst.size(), mSteering.TakeResets().size());
 }
 
+TEST(CookieSteering, flows_of_an_upstream_out_of_reach_are_reset_idle_ones_too)
+{
+  auto [flow, opened] = ServeAt("a1");
+  // Another one rests there.
+  (void)ServeAt("a1");
+  (void)mSteering.Steer(mNow, flow.Data(opened.mCookie));
+  mNow += milliseconds{ 200 };
+  (void)mSteering.Steer(mNow, flow.Data(opened.mCookie, true));
+  std::vector<std::uint32_t> lost;
+  for (auto const slot : mSteering.NextReachChecks(mNow)) {
+    lost = mSteering.NoteReach(mNow,
+                               slot,
+                               slot == opened.mSlot ? ReachAnswer::None
+                                                    : ReachAnswer::Accepted);
+  }
+  LONGS_EQUAL(1, lost.size());
+  mSteering.Sweep(mNow);
+  auto const& load = mSteering.Loads()[opened.mSlot];
+  LONGS_EQUAL(0, load.mFlows);
+  CHECK(mSteering.TakeResets().size() >= 2);
+  // New flows go elsewhere until it takes a connection again.
+  for (std::uint16_t port = 60000; port < 60020; ++port) {
+    SampleFlow fresh(CallerAt(port));
+    CHECK(mSteering.Steer(mNow, fresh.Opening()).mSlot != opened.mSlot);
+  }
+  (void)mSteering.NoteReach(mNow, opened.mSlot, ReachAnswer::Accepted);
+  CHECK(load.mWatch.Health(mNow) != UpstreamHealth::Unreachable);
+}
+
 TEST(CookieSteering, nothing_is_reset_while_no_upstream_answers_at_all)
 {
   auto [flow, opened] = ServeAt("a1");
