Give slow upstreams fewer new flows, by the pace of their answers

While four upstreams are five times slower, callers that they reject come back with new flows; the ones they left make these upstreams look free, and the new flows go there again.

Change: each answer is compared with what its kind of request usually takes without a queue; the smoothed ratio multiplies an upstream's cost, at least 1, forgotten after 5 s without an answer. The flow to come counts as work, so an upstream without flows isn't free of cost.

Tests: a slow upstream without flows gets a tenth of the flows, is tried again after 5 s; one late answer makes none slow.

--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_answer_pace.cpp
@@ -0,0 +1,26 @@
+#include "tarragonsill/coordination/tarragonsill_answer_pace.hpp"
+
+#include <algorithm>
+
+namespace tarragonsill {
+
+void
+AnswerPace::Answered(TimePoint aNow, double aRatio)
+{
+  if (aNow >= mLast + kForgetAfter) {
+    mRatio = 1.0;
+    mAnswers = 0;
+  }
+  mRatio += kSmoothing * (std::min(aRatio, kMostRatio) - mRatio);
+  ++mAnswers;
+  mLast = aNow;
+}
+
+double
+AnswerPace::Slowness(TimePoint aNow) const
+{
+  bool const isKnown = mAnswers >= kLeastAnswers && aNow < mLast + kForgetAfter;
+  return isKnown ? std::max(1.0, mRatio) : 1.0;
+}
+
+} // namespace tarragonsill
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -120,6 +120,7 @@
     auto const& is = aView->mUpstreams[slot].mRecord;
     if (was.mName != is.mName || was.mStartMark != is.mStartMark) {
       mLoads[slot].mWatch = {};
+      mLoads[slot].mPace = {};
     }
   }
   mView = std::move(aView);
@@ -401,12 +402,18 @@
   auto const time = aNow - aFlow.mDataSent;
   mLatencies.mAnswer.Record(time);
   auto const& upstream = mView->mUpstreams[aFlow.mSlot];
-  bool const counts = upstream.mZone == mView->mOwnZone &&
-                      upstream.mService < mView->mServices.size() &&
-                      aNow >= upstream.mColdUntil;
-  if (counts) {
-    mPressures[PressureKey(upstream.mService, aFlow.mRoute)].Answered(aNow,
-                                                                      time);
+  if (upstream.mService >= mView->mServices.size() ||
+      aNow < upstream.mColdUntil) {
+    return;
+  }
+  auto& pressure = mPressures[PressureKey(upstream.mService, aFlow.mRoute)];
+  if (upstream.mZone == mView->mOwnZone) {
+    pressure.Answered(aNow, time);
+  }
+  std::chrono::duration<double> const usual = pressure.Usual();
+  if (usual.count() > 0.0) {
+    mLoads[aFlow.mSlot].mPace.Answered(
+      aNow, std::chrono::duration<double>(time) / usual);
   }
 }
 
--- a/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
@@ -61,6 +61,12 @@
          mRecent - mUsual > kTargetPart * aLatencyTarget;
 }
 
+std::chrono::duration<double>
+ZonePressure::Usual() const
+{
+  return mAnswers >= kLeastAnswers ? mUsual : mUsual.zero();
+}
+
 std::uint32_t
 UpstreamChoice::PickService(RouteEntry const& aRoute)
 {
@@ -119,7 +125,9 @@
                      bool aIsZoneSaturated)
 {
   auto const slots = static_cast<double>(aUpstream.mRecord.mSlots);
-  double cost = (aLoad.mFlows + kInProgressWeight * aLoad.mInProgress) / slots;
+  // The flow to come counts, too, or a slow upstream without any looked free.
+  auto const work = aLoad.mFlows + 1 + kInProgressWeight * aLoad.mInProgress;
+  double cost = work * aLoad.mPace.Slowness(aNow) / slots;
   if (aUpstream.mZone != aView.mOwnZone && !aIsZoneSaturated) {
     cost += kOtherZoneCost;
   }
--- a/src/tarragonsill/coordination/tarragonsill_upstream_choice.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_choice.hpp
@@ -1,6 +1,7 @@
 #ifndef TARRAGONSILL_UPSTREAM_CHOICE_HPP_INCLUDED
 #define TARRAGONSILL_UPSTREAM_CHOICE_HPP_INCLUDED
 
+#include "tarragonsill/coordination/tarragonsill_answer_pace.hpp"
 #include "tarragonsill/coordination/tarragonsill_upstream_watch.hpp"
 #include "tarragonsill/state/tarragonsill_routing_view.hpp"
 
@@ -21,6 +22,7 @@
   std::uint32_t mFlows = 0;      ///< Flows that pass this VM.
   std::uint32_t mInProgress = 0; ///< Requests without an answer yet.
   UpstreamWatch mWatch;
+  AnswerPace mPace;
   /// When this VM gave it new flows while it was cold; the last second.
   std::deque<TimePoint> mColdStarts;
 };
@@ -36,6 +38,8 @@
   /// Answers take much longer than they do without a queue, by a part of the
   /// time in which callers want them.
   bool IsSaturated(TimePoint aNow, milliseconds aLatencyTarget) const;
+  /// What an answer takes without a queue; 0 while it is not known.
+  std::chrono::duration<double> Usual() const;
 
 private:
   std::chrono::duration<double> mRecent{ 0 }; ///< Smoothed over some answers.
--- a/tests/coordination/test_upstream_choice.cpp
+++ b/tests/coordination/test_upstream_choice.cpp
@@ -73,6 +73,45 @@
   }
 }
 
+TEST(UpstreamChoice, a_slow_upstream_gets_fewer_flows_also_when_callers_left_it)
+{
+  auto const slow = SlotOf(*mView, "a1");
+  for (int count = 0; count < 40; ++count) {
+    mLoads[slow].mPace.Answered(kStart, 5.0);
+  }
+  // The others hold flows, the slow one lost all of its own.
+  for (char const* name : { "a2", "a3", "a4" }) {
+    mLoads[SlotOf(*mView, name)].mFlows = 10;
+  }
+  auto counts = PickMany(60);
+  // A fifth of the flows of another one.
+  CHECK(counts["a1"] <= 6);
+  CHECK(counts["a2"] >= 15);
+}
+
+TEST(UpstreamChoice, a_slow_upstream_is_tried_again_after_some_time)
+{
+  AnswerPace pace;
+  for (int count = 0; count < 40; ++count) {
+    pace.Answered(kStart, 5.0);
+  }
+  CHECK(pace.Slowness(kStart) > 4.0);
+  auto const later = kStart + AnswerPace::kForgetAfter;
+  DOUBLES_EQUAL(1.0, pace.Slowness(later), 1e-9);
+  pace.Answered(later, 1.0);
+  DOUBLES_EQUAL(1.0, pace.Slowness(later), 1e-9);
+}
+
+TEST(UpstreamChoice, one_late_answer_makes_no_upstream_slow)
+{
+  AnswerPace pace;
+  for (int count = 0; count < 20; ++count) {
+    pace.Answered(kStart, 1.0);
+  }
+  pace.Answered(kStart, 9.0);
+  CHECK(pace.Slowness(kStart) <= 2.0);
+}
+
 TEST(UpstreamChoice, a_zone_under_full_load_shares_with_the_others)
 {
   auto const counts = PickMany(600, true);
