Let the stand-in upstreams listen, crash, and tell what callers saw

Change: stand-in hosts listen for status checks and may crash; callers hand out what became of each opening, with the VM that took it.

--- a/lab/platform/tarragonsill_lab_flow_callers.cpp
+++ b/lab/platform/tarragonsill_lab_flow_callers.cpp
@@ -43,7 +43,18 @@
 }
 
 void
-FlowCallers::Send(Flow const& aFlow, bool aIsRequest)
+FlowCallers::Note(Flow const& aFlow, FlowEvent::Kind aKind)
+{
+  mEvents.push_back({ aKind,
+                      aFlow.mRoute,
+                      aFlow.mVm,
+                      aFlow.mCookie,
+                      aFlow.mAsked,
+                      aFlow.mHasMoved });
+}
+
+void
+FlowCallers::Send(Flow& aFlow, bool aIsRequest)
 {
   FlowPacket packet;
   packet.mSource = aFlow.mCaller;
@@ -57,6 +68,10 @@
   packet.mDataBytes = aIsRequest && aFlow.mIsOpen ? kRequestBytes : 0;
   FlowKey const key{ aFlow.mCaller, aFlow.mRoute, TransportProtocol::Tcp };
   auto const& vm = mVms[key.Hash() % mVms.size()];
+  if (!aFlow.mIsOpen) {
+    aFlow.mHasMoved = aFlow.mHasMoved || (aFlow.mCopies > 0 && aFlow.mVm != vm);
+    aFlow.mVm = aFlow.mCopies == 0 ? vm : aFlow.mVm;
+  }
   (void)mSocket.Send(vm, MakePacket(packet));
 }
 
@@ -73,6 +88,7 @@
   }
   if (aNow > aFlow.mAsked + kStall) {
     ++mReport.mStalled;
+    Note(aFlow, FlowEvent::Kind::Stalled);
     aFlow.mHasEnded = true;
     return;
   }
@@ -108,6 +124,8 @@
   }
   if (aPacket.mResets) {
     ++(flow.mIsOpen ? mReport.mResets : mReport.mRefused);
+    Note(flow,
+         flow.mIsOpen ? FlowEvent::Kind::Reset : FlowEvent::Kind::Refused);
     flow.mHasEnded = true;
     return;
   }
@@ -115,6 +133,7 @@
   if (!flow.mIsOpen) {
     flow.mIsOpen = true;
     ++mReport.mOpened;
+    Note(flow, FlowEvent::Kind::Opened);
     ++flow.mSequence;
     flow.mAcknowledged = aPacket.mSequence + 1;
     flow.mIsWaiting = false;
--- a/lab/platform/tarragonsill_lab_flow_callers.hpp
+++ b/lab/platform/tarragonsill_lab_flow_callers.hpp
@@ -4,6 +4,7 @@
 #include "tarragonsill/platform/tarragonsill_platform_packet.hpp"
 #include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
 
+#include <utility>
 #include <vector>
 
 /// Stand-ins of callers behind the platform's routers: long flows with one
@@ -20,6 +21,24 @@
   std::uint64_t mRefused = 0; ///< Opening packets answered by a reset.
 };
 
+/// What became of an opening or of an open flow.
+struct FlowEvent
+{
+  enum class Kind
+  {
+    Opened,
+    Refused,
+    Reset,
+    Stalled,
+  };
+  Kind mKind = Kind::Opened;
+  Endpoint mRoute;
+  Endpoint mVm; ///< That was given the opening packet first.
+  std::uint32_t mCookie = 0;
+  TimePoint mAsked{};     ///< When the opening or the request was sent first.
+  bool mHasMoved = false; ///< Copies went to other VMs, too.
+};
+
 class FlowCallers
 {
 public:
@@ -34,6 +53,8 @@
   void Work(TimePoint aNow);
 
   FlowCallerReport const& Report() const { return mReport; }
+  /// Everything that happened since the last call.
+  std::vector<FlowEvent> TakeEvents() { return std::exchange(mEvents, {}); }
 
 private:
   struct Flow
@@ -44,6 +65,8 @@
     std::uint32_t mAcknowledged = 0;
     std::uint32_t mCookie = 0;
     std::uint32_t mCopies = 0;
+    Endpoint mVm;
+    bool mHasMoved = false;
     bool mIsOpen = false;
     bool mIsWaiting = true;
     bool mHasEnded = false;
@@ -52,7 +75,8 @@
   };
 
   FlowCallers(UdpSocket aSocket, Endpoint aAddress);
-  void Send(Flow const& aFlow, bool aIsRequest);
+  void Send(Flow& aFlow, bool aIsRequest);
+  void Note(Flow const& aFlow, FlowEvent::Kind aKind);
   void SendDue(TimePoint aNow, Flow& aFlow);
   void Take(TimePoint aNow, FlowPacket const& aPacket);
 
@@ -62,6 +86,7 @@
   std::vector<Flow> mFlows;
   std::uint16_t mNextPort = 10000;
   FlowCallerReport mReport;
+  std::vector<FlowEvent> mEvents;
 };
 
 } // namespace tarragonsill::Lab
--- a/lab/platform/tarragonsill_lab_flow_hosts.cpp
+++ b/lab/platform/tarragonsill_lab_flow_hosts.cpp
@@ -2,6 +2,9 @@
 
 #include "tarragonsill/protocol/tarragonsill_byte_order.hpp"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 namespace tarragonsill::Lab {
 
 namespace {
@@ -19,6 +22,31 @@
          LoadU32(aDatagram, sizeof(std::uint32_t));
 }
 
+/// Status checks that wait to be taken.
+constexpr int kBacklog = 64;
+
+Result<FileDescriptor>
+Listen(Endpoint aAddress)
+{
+  FileDescriptor listener(
+    ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  int const yes = 1;
+  (void)::setsockopt(
+    listener.Number(), SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aAddress.mPort);
+  address.sin_addr.s_addr = htonl(aAddress.mAddress.mValue);
+  if (::bind(listener.Number(),
+             reinterpret_cast<sockaddr const*>(&address),
+             sizeof(address)) != 0 ||
+      ::listen(listener.Number(), kBacklog) != 0) {
+    return Reason{ ReasonCode::SystemFailure,
+                   "cannot listen at " + ToText(aAddress) };
+  }
+  return listener;
+}
+
 } // namespace
 
 std::vector<std::byte>
@@ -46,9 +74,11 @@
 }
 
 FlowHost::FlowHost(UdpSocket aSocket,
+                   FileDescriptor aListener,
                    std::uint64_t aIdentity,
                    std::uint16_t aCallerPort)
   : mSocket(std::move(aSocket))
+  , mListener(std::move(aListener))
   , mIdentity(aIdentity)
   , mCallerPort(aCallerPort)
 {
@@ -63,13 +93,36 @@
   if (!socket) {
     return socket.LastReason();
   }
-  return FlowHost(socket.Take(), aIdentity, aCallerPort);
+  auto listener = Listen(aAddress);
+  if (!listener) {
+    return listener.LastReason();
+  }
+  return FlowHost(socket.Take(), listener.Take(), aIdentity, aCallerPort);
+}
+
+void
+FlowHost::Crash()
+{
+  mHasCrashed = true;
+  mSocket.reset();
+  mListener = FileDescriptor();
+  mFlows.clear();
 }
 
 void
 FlowHost::Work()
 {
-  for (auto const& datagram : mSocket.Receive(milliseconds{ 0 })) {
+  if (mHasCrashed) {
+    return;
+  }
+  while (true) {
+    FileDescriptor const taken(
+      ::accept4(mListener.Number(), nullptr, nullptr, SOCK_CLOEXEC));
+    if (!taken.IsOpen()) {
+      break;
+    }
+  }
+  for (auto const& datagram : mSocket->Receive(milliseconds{ 0 })) {
     if (mIsSilent || datagram.mBytes.size() < kIdentityBytes) {
       continue;
     }
@@ -132,8 +185,8 @@
   aAnswer.mCookie = aTo.mCookie;
   aAnswer.mSequence = aFlow.mOwnSequence;
   aAnswer.mAcknowledged = aFlow.mExpected;
-  (void)mSocket.Send({ aTo.mSource.mAddress, mCallerPort },
-                     MakePacket(aAnswer));
+  (void)mSocket->Send({ aTo.mSource.mAddress, mCallerPort },
+                      MakePacket(aAnswer));
 }
 
 } // namespace tarragonsill::Lab
--- a/lab/platform/tarragonsill_lab_flow_hosts.hpp
+++ b/lab/platform/tarragonsill_lab_flow_hosts.hpp
@@ -5,6 +5,7 @@
 #include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,8 +28,11 @@
 
   /// Takes the packets that wait and answers them.
   void Work();
-  /// A silent upstream takes nothing and answers nothing.
+  /// A silent upstream takes connections, but answers no packet.
   void SetSilent(bool aIsSilent) { mIsSilent = aIsSilent; }
+  /// Ends without a word; nothing listens at its address any more.
+  void Crash();
+  bool HasCrashed() const { return mHasCrashed; }
 
   std::uint64_t OpenedFlows() const { return mOpened; }
   /// Packets of flows that it does not hold.
@@ -43,16 +47,19 @@
   };
 
   FlowHost(UdpSocket aSocket,
+           FileDescriptor aListener,
            std::uint64_t aIdentity,
            std::uint16_t aCallerPort);
   void Take(FlowPacket const& aPacket);
   void Answer(FlowPacket const& aTo, Flow const& aFlow, FlowPacket aAnswer);
 
-  UdpSocket mSocket;
+  std::optional<UdpSocket> mSocket;
+  FileDescriptor mListener; ///< For status checks.
   std::uint64_t mIdentity;
   std::uint16_t mCallerPort;
   std::map<Endpoint, Flow> mFlows; ///< By caller.
   bool mIsSilent = false;
+  bool mHasCrashed = false;
   std::uint64_t mOpened = 0;
   std::uint64_t mForeign = 0;
 };
--- a/tests/transport/test_node_runs.cpp
+++ b/tests/transport/test_node_runs.cpp
@@ -258,6 +258,15 @@
   LONGS_EQUAL(before, mHosts[0].OpenedFlows());
 }
 
+TEST(NodeRuns, flows_of_an_upstream_that_crashed_are_given_up_together)
+{
+  auto const lost = mHosts[0].OpenedFlows();
+  mHosts[0].Crash();
+  // The first repeated data raises a doubt, a refused connection proves it.
+  Run(milliseconds{ 900 });
+  LONGS_EQUAL(lost, mCallers->Report().mResets);
+}
+
 TEST(NodeRuns, flows_of_an_upstream_that_fell_silent_are_given_up)
 {
   mHosts[0].SetSilent(true);
