Drop openings that waited while the VM stood still

On the real wire a second upstream's answer carries another cookie and can lead the caller astray; the stand-in upstreams even started the open flow anew, so that it never got an answer again, and the VM gave up upstreams that lived.

Change: what opens a flow and was read within 20 ms of a standstill is dropped; its caller sends a copy. A standstill is measured on a clock that also counts a suspended VM's time (the steady clock does not). The stand-in upstreams leave open flows alone.

Test: openings that waited are dropped, the copy is forwarded (failed before).

--- a/lab/platform/tarragonsill_lab_flow_hosts.cpp
+++ b/lab/platform/tarragonsill_lab_flow_hosts.cpp
@@ -141,6 +141,9 @@
 {
   if (aPacket.mOpens) {
     auto& flow = mFlows[aPacket.mSource];
+    if (flow.mIsOpen) {
+      return;
+    }
     flow.mOwnSequence = static_cast<std::uint32_t>(mIdentity) + 1;
     flow.mExpected = aPacket.mSequence + 1;
     FlowPacket answer;
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds kRepeatAfter{ 150 };
 /// The last packets of a closed flow come within this time.
 constexpr milliseconds kClosedTime{ 3000 };
+/// After a standstill it takes this long to read what waited meanwhile.
+constexpr milliseconds kReadWaiting{ 20 };
 /// Notes that wait to be taken; more are dropped.
 constexpr std::size_t kMostNotes = 256;
 
@@ -70,6 +72,8 @@
       return "second_choice";
     case SteeringCause::SilentUpstream:
       return "silent_upstream";
+    case SteeringCause::LateOpening:
+      return "late_opening";
   }
   return "unknown";
 }
@@ -98,6 +102,8 @@
       return Counter::FlowsSecondChoice;
     case SteeringCause::SilentUpstream:
       return Counter::ResetsSilentUpstream;
+    case SteeringCause::LateOpening:
+      return Counter::DropStale;
     case SteeringCause::OpenFlow:
       break;
   }
@@ -172,6 +178,11 @@
   if (!aPacket.mOpens) {
     return Continue(aNow, aPacket);
   }
+  // Its caller has sent copies since, and may have opened the flow at another
+  // upstream through another VM; a second answer would lead it astray.
+  if (aNow < mStoodStillUntil + kReadWaiting) {
+    return Refuse(SteeringAction::Drop, SteeringCause::LateOpening);
+  }
   if (isKnown) {
     return Open(aNow, aPacket, route->second);
   }
@@ -467,6 +478,7 @@
 CookieSteering::Forgive(TimePoint aNow)
 {
   mReach.Forgive();
+  mStoodStillUntil = aNow;
   for (auto& load : mLoads) {
     load.mWatch.Forgive(aNow);
   }
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -39,6 +39,7 @@
   UnknownCookie,
   NotFromCaller,
   SilentUpstream,
+  LateOpening, ///< It waited while this VM stood still.
 };
 
 std::string_view ToText(SteeringCause aCause);
@@ -179,6 +180,7 @@
   UpstreamReach mReach;
   SteeringLatencies mLatencies;
   TimePoint mLastAnswer{}; ///< Of any upstream.
+  TimePoint mStoodStillUntil{};
   std::vector<UnaskedReset> mResets;
   std::vector<SteeringNote> mNotes;
 };
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -4,6 +4,7 @@
 #include "tarragonsill/coordination/tarragonsill_cookie_steering.hpp"
 #include "tarragonsill/protocol/tarragonsill_byte_order.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
+#include "tarragonsill/transport/tarragonsill_boot_clock.hpp"
 #include "tarragonsill/transport/tarragonsill_node_log.hpp"
 #include "tarragonsill/transport/tarragonsill_reach_prober.hpp"
 #include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
@@ -78,15 +79,16 @@
 
   void Run()
   {
-    auto last = Clock::now();
+    auto last = BootClock::now();
     while (!mStop) {
       auto const batch = mSocket.Receive(kReceiveTimeout);
       auto const now = Clock::now();
-      if (now > last + kStandstill) {
+      auto const boot = BootClock::now();
+      if (boot > last + kStandstill) {
         mSteering.Forgive(now);
         mProber.Clear();
       }
-      last = now;
+      last = boot;
       TakeView();
       mHeads = 0;
       for (auto const& datagram : batch) {
--- a/tests/coordination/test_cookie_steering.cpp
+++ b/tests/coordination/test_cookie_steering.cpp
@@ -424,6 +424,20 @@
   }
 }
 
+TEST(CookieSteering, openings_that_waited_while_the_vm_stood_still_are_dropped)
+{
+  // Found by the soak, seed 15: their callers had long opened the flows through
+  // other VMs, at other upstreams.
+  mSteering.Forgive(mNow);
+  SampleFlow flow;
+  auto const late = mSteering.Steer(mNow, flow.Opening());
+  CHECK(late.mAction == SteeringAction::Drop);
+  CHECK(late.mCause == SteeringCause::LateOpening);
+  mNow += milliseconds{ 200 };
+  auto const copy = mSteering.Steer(mNow, flow.Opening(1));
+  CHECK(copy.mAction == SteeringAction::Forward);
+}
+
 TEST(CookieSteering, loads_return_to_zero_when_flows_close_or_are_forgotten)
 {
   CheckProperty("loads are balanced", [&] {
--- a/tools/soak-tests.sh
+++ b/tools/soak-tests.sh
@@ -11,6 +11,9 @@
 # 11: data that was repeated late, by thirty flows at once, made a VM give up a
 # living upstream.
 soak --seed 11 --seconds 25 --network 2
+# 15: a VM stood still, then answered openings that had waited; stand-in upstreams
+# took them for new flows.
+soak --seed 15 --seconds 25 --entries 6 --network 4
 # Each check has to notice what breaks its rule.
 for mutant in stale-vm false-reset no-restart; do
   status=0
