Ask the next peer for what changed, and only when lagging for real

Under steady changes a VM is always some milliseconds behind somebody, so that after 250 ms it asked for lists every 200 ms though it kept pace. - Every VM began with the first peer by name, the same one for all. - An answer held all upstreams, about 80 bytes each. - After a kill of all, list pages were given up after 700 ms while the store's link was full, and were sent again.

Change: a VM asks once it still lacks what peers knew 250 ms ago; the first question goes to the peer after its own name; the answer holds what changed or left since, the whole list only where removals were forgotten; a list page may take 2.5 s.

Tests: a VM that keeps pace asks nobody (failed before: a question every 200 ms), one that stands still asks the next peer, a peer that lags is told two changes instead of four upstreams.

--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -140,7 +140,10 @@
       { "configuration", mConfigurationRevision, false, *mConfiguration });
   }
   if (own.mUpstreams > aHeld.mUpstreams) {
-    lists.mUpstreams = UpstreamList(aNow);
+    bool const knowsRemovals = aHeld.mUpstreams > mForgottenUpTo;
+    lists.mUpstreamsAfter = knowsRemovals ? aHeld.mUpstreams : 0;
+    lists.mUpstreams = knowsRemovals ? UpstreamsAfter(aHeld.mUpstreams, aNow)
+                                     : AllUpstreams(aNow);
   }
   if (own.mEvacuations > aHeld.mEvacuations) {
     lists.mEvacuations = EvacuationList();
@@ -148,25 +151,44 @@
   return lists;
 }
 
+ObjectChange
+Directory::ToChange(KnownUpstream const& aUpstream, TimePoint aNow) const
+{
+  auto record = aUpstream.mRecord;
+  record.mColdLeft = std::max(
+    milliseconds{ 0 },
+    std::chrono::duration_cast<milliseconds>(aUpstream.mColdUntil - aNow));
+  return {
+    record.mName, aUpstream.mRevision, !aUpstream.mIsRegistered, record
+  };
+}
+
 ObjectPage
-Directory::UpstreamList(TimePoint aNow) const
+Directory::AllUpstreams(TimePoint aNow) const
 {
   ObjectPage list;
-  list.mRevision = mListed.at(ObjectKind::Upstreams).mComplete;
+  list.mRevision = CompleteTo(ObjectKind::Upstreams);
   for (auto const& upstream : mUpstreams) {
-    if (!upstream.mIsRegistered) {
-      continue;
+    if (upstream.mIsRegistered) {
+      list.mChanges.push_back(ToChange(upstream, aNow));
     }
-    auto record = upstream.mRecord;
-    record.mColdLeft = std::max(
-      milliseconds{ 0 },
-      std::chrono::duration_cast<milliseconds>(upstream.mColdUntil - aNow));
-    list.mChanges.push_back(
-      { record.mName, upstream.mRevision, false, record });
   }
   return list;
 }
 
+ObjectPage
+Directory::UpstreamsAfter(std::uint64_t aRevision, TimePoint aNow) const
+{
+  ObjectPage changes;
+  changes.mRevision = CompleteTo(ObjectKind::Upstreams);
+  for (auto const& upstream : mUpstreams) {
+    if (upstream.mChangedBy > aRevision) {
+      changes.mChanges.push_back(ToChange(upstream, aNow));
+    }
+  }
+  return changes;
+}
+
 ObjectPage
 Directory::EvacuationList() const
 {
@@ -227,11 +249,28 @@
   if (aNews.mIsWholeList) {
     RemoveUnlisted(aNow, aNews, changes);
   }
+  if (aNews.mKind == ObjectKind::Upstreams) {
+    NoteChanged(changes, aNews.mRevision);
+  }
   NoteReach(aNews);
   mIsDirty = mIsDirty || !changes.empty();
   return changes;
 }
 
+void
+Directory::NoteChanged(Changes const& aChanges, std::uint64_t aRevision)
+{
+  for (auto const& change : aChanges) {
+    auto const known = mSlots.find(change.mSubject);
+    if (known == mSlots.end()) {
+      continue;
+    }
+    auto& upstream = mUpstreams[known->second];
+    upstream.mChangedBy =
+      std::max({ upstream.mChangedBy, upstream.mRevision, aRevision });
+  }
+}
+
 void
 Directory::NoteReach(StoreNews const& aNews)
 {
@@ -418,6 +457,7 @@
       continue;
     }
     mSlots.erase(upstream.mRecord.mName);
+    mForgottenUpTo = std::max(mForgottenUpTo, upstream.mChangedBy);
     upstream = {};
     mSlots[aName] = slot;
     return slot;
--- a/src/tarragonsill/coordination/tarragonsill_directory.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.hpp
@@ -85,6 +85,9 @@
   {
     UpstreamRecord mRecord;
     std::uint64_t mRevision = 0;
+    /// The store's revision by which its last change had happened; a removal
+    /// may carry the revision of the change before.
+    std::uint64_t mChangedBy = 0;
     TimePoint mColdUntil{};
     bool mIsRegistered = true;
     TimePoint mRemovedAt{};
@@ -108,9 +111,14 @@
   void ApplyEvacuation(TimePoint aNow,
                        ObjectChange const& aChange,
                        Changes& aChanges);
-  ObjectPage UpstreamList(TimePoint aNow) const;
+  /// The upstreams that changed after a revision, removed ones too, or all
+  /// that are registered.
+  ObjectPage UpstreamsAfter(std::uint64_t aRevision, TimePoint aNow) const;
+  ObjectPage AllUpstreams(TimePoint aNow) const;
+  ObjectChange ToChange(KnownUpstream const& aUpstream, TimePoint aNow) const;
   ObjectPage EvacuationList() const;
   void NoteReach(StoreNews const& aNews);
+  void NoteChanged(Changes const& aChanges, std::uint64_t aRevision);
   std::uint64_t LastChange(ObjectKind aKind) const;
   std::uint64_t HeldOf(ObjectKind aKind) const;
   void RemoveUnlisted(TimePoint aNow,
@@ -129,6 +137,8 @@
   std::map<Endpoint, RouteEntry> mRemovedRoutes;
   std::vector<KnownUpstream> mUpstreams; ///< By slot.
   std::map<std::string, std::uint32_t> mSlots;
+  /// Removals up to this revision may be forgotten.
+  std::uint64_t mForgottenUpTo = 0;
   std::map<std::string, KnownZone> mZones;
   std::uint64_t mConfigurationRevision = 0;
   /// How far knowledge of a kind goes.
--- a/src/tarragonsill/coordination/tarragonsill_knowledge_sync.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_knowledge_sync.cpp
@@ -35,10 +35,15 @@
 {
   std::optional<std::string> first;
   std::optional<std::string> next;
+  KnowledgeDigest newest;
   for (auto const& [name, digest] : mPeers) {
     if (!aOwn.IsBehind(digest)) {
       continue;
     }
+    newest.mConfiguration =
+      std::max(newest.mConfiguration, digest.mConfiguration);
+    newest.mUpstreams = std::max(newest.mUpstreams, digest.mUpstreams);
+    newest.mEvacuations = std::max(newest.mEvacuations, digest.mEvacuations);
     first = first ? first : name;
     // Peers are asked in turn, in case one of them does not answer.
     next = !next && name > mLastAsked ? std::optional(name) : next;
@@ -47,8 +52,9 @@
     mBehindSince = {};
     return std::nullopt;
   }
-  if (mBehindSince == TimePoint{}) {
+  if (mBehindSince == TimePoint{} || !aOwn.IsBehind(mTarget)) {
     mBehindSince = aNow;
+    mTarget = newest;
   }
   bool const isPatient = aIsComplete && aNow < mBehindSince + kPatience;
   if (isPatient || aNow < mNextQuestion) {
--- a/src/tarragonsill/coordination/tarragonsill_knowledge_sync.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_knowledge_sync.hpp
@@ -21,6 +21,13 @@
   /// The pause after a question, answered or not.
   static constexpr milliseconds kRetry{ 200 };
 
+  /// Questions start with the peer after the own name, so that the VMs of a
+  /// deployment do not all ask the same one.
+  explicit KnowledgeSync(std::string aSelf)
+    : mLastAsked(std::move(aSelf))
+  {
+  }
+
   /// A peer said how far its knowledge goes.
   void Hear(TimePoint aNow,
             std::string const& aPeer,
@@ -37,6 +44,9 @@
 
 private:
   std::map<std::string, KnowledgeDigest> mPeers;
+  /// What peers knew when this VM fell behind; under steady changes it is
+  /// always some milliseconds behind somebody.
+  KnowledgeDigest mTarget;
   TimePoint mBehindSince{};
   TimePoint mNextQuestion{};
   std::string mLastAsked;
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -39,6 +39,7 @@
                      Counters& aCounters)
   : mMembership(OptionsFor(aSeed), std::move(aSelf), aCounters)
   , mSeeds(std::move(aSeeds))
+  , mSync(mMembership.Self().mName)
 {
 }
 
--- a/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
@@ -215,9 +215,11 @@
     }
   }
   reply.set_upstreams_revision(aLists.mUpstreams.mRevision);
+  reply.set_upstreams_after(aLists.mUpstreamsAfter);
   for (auto const& change : aLists.mUpstreams.mChanges) {
     auto const* record = std::get_if<UpstreamRecord>(&change.mContent);
-    if (record == nullptr) {
+    if (change.mRemoved || record == nullptr) {
+      AddRemoval(change, *reply.add_removed_upstreams());
       continue;
     }
     auto& known = *reply.add_upstreams();
@@ -245,10 +247,15 @@
       { "configuration", known.revision(), false, Read(known) });
   }
   lists.mUpstreams.mRevision = aReply.upstreams_revision();
+  lists.mUpstreamsAfter = aReply.upstreams_after();
   for (auto const& known : aReply.upstreams()) {
     lists.mUpstreams.mChanges.push_back(
       { known.name(), known.revision(), false, Read(known) });
   }
+  for (auto const& removal : aReply.removed_upstreams()) {
+    lists.mUpstreams.mChanges.push_back(
+      { removal.name(), removal.revision(), true, UnusableRecord{} });
+  }
   lists.mEvacuations.mRevision = aReply.evacuations_revision();
   for (auto const& known : aReply.evacuations()) {
     lists.mEvacuations.mChanges.push_back(
--- a/src/tarragonsill/protocol/tarragonsill_knowledge_message.hpp
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.hpp
@@ -22,12 +22,14 @@
   }
 };
 
-/// Whole lists of each kind, as one VM hands them to another.
+/// What one VM hands to another.
 struct StoreLists
 {
   /// A configuration, if one is known, in a list of one.
   ObjectPage mConfiguration;
   ObjectPage mUpstreams;
+  /// The upstreams are only what changed after this revision; 0: all of them.
+  std::uint64_t mUpstreamsAfter = 0;
   ObjectPage mEvacuations;
 };
 
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -71,14 +71,18 @@
       return;
     }
     auto const source = "peer " + aFetched.mPeer;
-    auto const take = [&](ObjectKind aKind, ObjectPage const& aPage) {
-      if (aPage.mRevision > 0) {
-        Take({ aKind, aPage.mChanges, true, aPage.mRevision }, source);
-      }
-    };
-    take(ObjectKind::Configuration, aFetched.mLists->mConfiguration);
-    take(ObjectKind::Upstreams, aFetched.mLists->mUpstreams);
-    take(ObjectKind::Evacuations, aFetched.mLists->mEvacuations);
+    auto const take =
+      [&](ObjectKind aKind, ObjectPage const& aPage, std::uint64_t aAfter) {
+        if (aPage.mRevision > 0) {
+          bool const isWhole = aAfter == 0;
+          Take({ aKind, aPage.mChanges, isWhole, aPage.mRevision, aAfter },
+               source);
+        }
+      };
+    auto const& lists = *aFetched.mLists;
+    take(ObjectKind::Configuration, lists.mConfiguration, 0);
+    take(ObjectKind::Upstreams, lists.mUpstreams, lists.mUpstreamsAfter);
+    take(ObjectKind::Evacuations, lists.mEvacuations, 0);
   }
 
   void Take(DatagramReceived const& aReceived)
--- a/src/tarragonsill/transport/tarragonsill_store_watch.hpp
+++ b/src/tarragonsill/transport/tarragonsill_store_watch.hpp
@@ -71,7 +71,8 @@
     // watch that lags is noticed by its peers.
     mQuery.mMayBeStale = isWatch;
     auto const answer =
-      mConnection.Get(Format::Path(mQuery), mQuery.mWait + kAnswerTimeout);
+      mConnection.Get(Format::Path(mQuery),
+                      isWatch ? mQuery.mWait + kAnswerTimeout : kListTimeout);
     if (!answer) {
       return Failed(answer.LastReason().mText);
     }
@@ -101,6 +102,9 @@
   /// An answer takes some milliseconds (platform); a connection without one
   /// is given up after this time.
   static constexpr milliseconds kAnswerTimeout{ 700 };
+  /// A page of a list is large; when many VMs start at once the store's link is
+  /// full for some seconds, and a page that is given up was sent in vain.
+  static constexpr milliseconds kListTimeout{ 2500 };
   static constexpr milliseconds kConnectTimeout{ 500 };
   static constexpr milliseconds kLeastBackoff{ 50 };
   static constexpr milliseconds kMostBackoff{ 400 };
--- a/tests/coordination/test_directory.cpp
+++ b/tests/coordination/test_directory.cpp
@@ -179,6 +179,37 @@
   LONGS_EQUAL(0, news.mEvacuations.mRevision);
 }
 
+TEST(Directory, a_peer_that_lags_is_told_only_what_changed_and_what_left)
+{
+  mStore.ListAll(kStart);
+  mStore.Configure(kStart, SampleConfiguration());
+  for (char const* name : { "a1", "a2", "a3", "a4" }) {
+    mStore.Register(kStart, SampleUpstream(name, "a"));
+  }
+  auto& own = mStore.Knowledge();
+  Directory peer(SampleSettings());
+  auto const give = [&] {
+    auto const lists =
+      FromMessage(ToMessage(own.NewerThan(peer.Held(), kStart)));
+    (void)peer.Apply(kStart,
+                     { ObjectKind::Upstreams,
+                       lists.mUpstreams.mChanges,
+                       lists.mUpstreamsAfter == 0,
+                       lists.mUpstreams.mRevision,
+                       lists.mUpstreamsAfter });
+    return lists.mUpstreams.mChanges.size();
+  };
+  LONGS_EQUAL(4, give());
+  auto draining = SampleUpstream("a1", "a");
+  draining.mDraining = true;
+  mStore.Register(kStart, draining);
+  mStore.Remove(kStart, "a2");
+  LONGS_EQUAL(2, give());
+  CHECK_FALSE(peer.Held().mUpstreams < own.Digest().mUpstreams);
+  auto const left = peer.NewerThan({}, kStart).mUpstreams.mChanges;
+  LONGS_EQUAL(3, left.size());
+}
+
 TEST(Directory, a_lost_change_shows_although_later_ones_arrive)
 {
   mStore.ListAll(kStart);
--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -145,6 +145,33 @@
   CHECK_FALSE(mGroup.At(3).NextQuestion(mGroup.Now(), false).has_value());
 }
 
+TEST(NodePeers, a_vm_that_keeps_pace_under_steady_changes_asks_nobody)
+{
+  KnowledgeSync sync("vm-1");
+  std::uint64_t revision = 100;
+  int questions = 0;
+  for (int step = 0; step < 100; ++step) {
+    auto const now = kStart + milliseconds{ 50 } * step;
+    // Changes come all the time, and reach this VM 150 ms after its peer.
+    revision += 1;
+    sync.Hear(now, "vm-2", { 1, revision, 1 });
+    KnowledgeDigest const held{ 1, revision - 3, 1 };
+    questions += sync.NextQuestion(now, held, true) ? 1 : 0;
+  }
+  LONGS_EQUAL(0, questions);
+  // One that stands still does ask, and a peer that comes after it.
+  KnowledgeDigest const old{ 1, revision, 1 };
+  auto const later = kStart + seconds{ 10 };
+  for (char const* name : { "vm-0", "vm-2", "vm-3" }) {
+    sync.Hear(later, name, { 1, revision + 9, 1 });
+  }
+  CHECK_FALSE(sync.NextQuestion(later, old, true).has_value());
+  auto const asked =
+    sync.NextQuestion(later + KnowledgeSync::kPatience, old, true);
+  CHECK(asked.has_value());
+  STRCMP_EQUAL("vm-2", asked->c_str());
+}
+
 TEST(NodePeers, a_vm_that_restarts_inside_a_cut_is_found_by_its_neighbours)
 {
   mGroup.At(2).SetDigest({ 4, 20, 1 }, { 4, 20, 1 });
