Follow the settings file, announced or not; split two long files

Change: the file is read again on SIGHUP and every 2 s; bounds and times are taken over, a change of names, zones or addresses is refused with what differs. What a VM learns of flows, and how far its knowledge goes, have files of their own, with no other change. `PendingAsk::mTo` is gone.

Tests: other bounds hold from the next view on; Directory, Ownership, CookieSteering, Platform* pass.

--- a/src/tarragonsill/cli/tarragonsill_cli_node.cpp
+++ b/src/tarragonsill/cli/tarragonsill_cli_node.cpp
@@ -4,9 +4,12 @@
 #include "tarragonsill/transport/tarragonsill_log.hpp"
 #include "tarragonsill/transport/tarragonsill_node_daemon.hpp"
 
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <ctime>
 #include <iostream>
+#include <optional>
 
 #include <pthread.h>
 
@@ -14,9 +17,12 @@
 
 namespace {
 
+/// The settings file may change without any signal (platform).
+constexpr milliseconds kLookPeriod{ 2000 };
+
 /// Reads and checks the settings; the reason holds every fault.
 Result<NodeSettings>
-LoadNodeSettings(std::string const& aFile)
+LoadNodeSettings(std::string const& aFile, std::uint16_t aMetricsPort)
 {
   auto const text = ReadFile(aFile);
   if (!text) {
@@ -25,6 +31,9 @@
   FileFaults faults(aFile);
   auto settings = Platform::ReadNodeSettings(*text, faults);
   if (settings) {
+    if (aMetricsPort != 0) {
+      settings->mMetrics.mPort = aMetricsPort;
+    }
     return std::move(*settings);
   }
   std::string all;
@@ -49,6 +58,50 @@
   return signals;
 }
 
+/// Waits for a signal; nothing if none came in time.
+std::optional<int>
+NextSignal(sigset_t const& aSignals, milliseconds aTimeout)
+{
+  constexpr long kNanosecondsPerMillisecond = 1'000'000;
+  auto const whole = std::chrono::duration_cast<seconds>(aTimeout);
+  timespec const time{
+    whole.count(), (aTimeout - whole).count() * kNanosecondsPerMillisecond
+  };
+  int const signal = ::sigtimedwait(&aSignals, nullptr, &time);
+  return signal > 0 ? std::optional(signal) : std::nullopt;
+}
+
+/// Takes over settings as they change, announced or not, until the process is
+/// asked to leave.
+void
+FollowSettings(NodeDaemon& aDaemon,
+               std::string const& aFile,
+               std::uint16_t aMetricsPort,
+               sigset_t const& aSignals)
+{
+  auto known = ReadFile(aFile);
+  while (true) {
+    auto const signal = NextSignal(aSignals, kLookPeriod);
+    if (signal && *signal != SIGHUP) {
+      return;
+    }
+    auto const text = ReadFile(aFile);
+    bool const isSame = text && known && *text == *known;
+    bool const isStillUnreadable = !text && !known;
+    if (!signal && (isSame || isStillUnreadable)) {
+      continue;
+    }
+    known = text;
+    auto const changed = LoadNodeSettings(aFile, aMetricsPort);
+    if (changed) {
+      aDaemon.Reload(*changed);
+      continue;
+    }
+    LogError("entry: settings were not reloaded: " +
+             changed.LastReason().mText);
+  }
+}
+
 } // namespace
 
 int
@@ -61,36 +114,20 @@
     auto const* named = std::getenv(Platform::kSettingsVariable);
     file = named == nullptr ? "" : named;
   }
-  auto settings = LoadNodeSettings(file);
+  auto settings = LoadNodeSettings(file, aMetricsPort);
   if (!settings) {
     std::cerr << settings.LastReason().mText << '\n';
     return settings.LastReason().mCode == ReasonCode::Invalid
              ? ExitStatus::kRefused
              : ExitStatus::kTrouble;
   }
-  if (aMetricsPort != 0) {
-    settings.Value().mMetrics.mPort = aMetricsPort;
-  }
   ConfigureStructuredLog();
   auto daemon = NodeDaemon::Start(settings.Take());
   if (!daemon) {
     std::cerr << daemon.LastReason().mText << '\n';
     return ExitStatus::kTrouble;
   }
-  int signal = SIGHUP;
-  while (signal == SIGHUP) {
-    sigwait(&signals, &signal);
-    if (signal != SIGHUP) {
-      break;
-    }
-    auto const changed = LoadNodeSettings(file);
-    if (changed) {
-      daemon.Value()->Reload(*changed);
-    } else {
-      LogError("entry: settings were not reloaded: " +
-               changed.LastReason().mText);
-    }
-  }
+  FollowSettings(*daemon.Value(), file, aMetricsPort, signals);
   daemon.Value()->Leave();
   return ExitStatus::kOk;
 }
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -106,6 +106,9 @@
   bool mIsClosed = false; ///< The caller is done; it weighs nothing.
 };
 
+/// The key of the flow that a packet belongs to.
+std::uint64_t KeyOf(FlowPacket const& aPacket);
+
 } // namespace Detail
 
 class CookieSteering
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -0,0 +1,229 @@
+#include "tarragonsill/coordination/tarragonsill_cookie_steering.hpp"
+
+#include "tarragonsill/state/tarragonsill_placement.hpp"
+
+namespace tarragonsill {
+
+namespace {
+
+/// Callers repeat data after 200 ms (platform); what comes again sooner was
+/// only overtaken by later packets.
+constexpr milliseconds kRepeatAfter{ 150 };
+
+/// Whether a sequence number comes after another one, across the wrap.
+bool
+IsAfter(std::uint32_t aLeft, std::uint32_t aRight)
+{
+  return static_cast<std::int32_t>(aLeft - aRight) > 0;
+}
+
+} // namespace
+
+std::uint64_t
+Detail::KeyOf(FlowPacket const& aPacket)
+{
+  return FlowKey{ aPacket.mSource,
+                  aPacket.mDestination,
+                  TransportProtocol::Tcp }
+    .Hash();
+}
+
+std::string_view
+ToText(SteeringCause aCause)
+{
+  switch (aCause) {
+    case SteeringCause::NewFlow:
+      return "new_flow";
+    case SteeringCause::OpenFlow:
+      return "open_flow";
+    case SteeringCause::OpeningCopy:
+      return "opening_copy";
+    case SteeringCause::NoConfiguration:
+      return "no_configuration";
+    case SteeringCause::UnknownRoute:
+      return "unknown_route";
+    case SteeringCause::RemovedRoute:
+      return "removed_route";
+    case SteeringCause::NoUpstream:
+      return "no_upstream";
+    case SteeringCause::UnknownCookie:
+      return "unknown_cookie";
+    case SteeringCause::NotFromCaller:
+      return "not_from_caller";
+    case SteeringCause::SecondChoice:
+      return "second_choice";
+    case SteeringCause::SilentUpstream:
+      return "silent_upstream";
+    case SteeringCause::LateOpening:
+      return "late_opening";
+  }
+  return "unknown";
+}
+
+std::optional<Counter>
+CounterOf(SteeringCause aCause)
+{
+  switch (aCause) {
+    case SteeringCause::NewFlow:
+      return Counter::FlowsAdmitted;
+    case SteeringCause::OpeningCopy:
+      return Counter::OpeningCopies;
+    case SteeringCause::NoConfiguration:
+      return Counter::DropNoConfiguration;
+    case SteeringCause::UnknownRoute:
+      return Counter::DropUnknownService;
+    case SteeringCause::RemovedRoute:
+      return Counter::ResetsRemovedRoute;
+    case SteeringCause::NoUpstream:
+      return Counter::DropNoCapacity;
+    case SteeringCause::UnknownCookie:
+      return Counter::DropUnknownFlow;
+    case SteeringCause::NotFromCaller:
+      return Counter::DropForeignSender;
+    case SteeringCause::SecondChoice:
+      return Counter::FlowsSecondChoice;
+    case SteeringCause::SilentUpstream:
+      return Counter::ResetsSilentUpstream;
+    case SteeringCause::LateOpening:
+      return Counter::DropStale;
+    case SteeringCause::OpenFlow:
+      break;
+  }
+  return std::nullopt;
+}
+
+void
+CookieSteering::Learn(TimePoint aNow,
+                      FlowPacket const& aPacket,
+                      Detail::TrackedFlow& aFlow)
+{
+  auto& load = mLoads[aFlow.mSlot];
+  aFlow.mSeen = aNow;
+  bool const answered =
+    aFlow.mIsOpening || (aPacket.mAcknowledges &&
+                         IsAfter(aPacket.mAcknowledged, aFlow.mAcknowledged));
+  if (answered) {
+    load.mWatch.Answered(aNow);
+    mLastAnswer = aNow;
+    aFlow.mCopies = 0;
+    aFlow.mAcknowledged = aPacket.mAcknowledged;
+  }
+  if (aFlow.mIsOpening) {
+    mLatencies.mHandshake.Record(aNow - aFlow.mDataSent);
+  }
+  if (answered && aFlow.mInProgress) {
+    NoteAnswer(aNow, aFlow);
+    aFlow.mInProgress = false;
+    --load.mInProgress;
+  }
+  aFlow.mIsOpening = false;
+  if (aPacket.mDataBytes > 0 || aPacket.mCloses) {
+    LearnData(aNow, aPacket, aFlow);
+  }
+}
+
+void
+CookieSteering::LearnData(TimePoint aNow,
+                          FlowPacket const& aPacket,
+                          Detail::TrackedFlow& aFlow)
+{
+  auto& load = mLoads[aFlow.mSlot];
+  auto const end =
+    aPacket.mSequence + aPacket.mDataBytes + (aPacket.mCloses ? 1 : 0);
+  // What another VM was given first, and maybe kept, is new here.
+  bool const isNew = !aFlow.mHasSentData || IsAfter(end, aFlow.mDataEnd);
+  if (!isNew) {
+    bool const overtaken = aNow < aFlow.mDataSent + kRepeatAfter;
+    // A caller that gave a flow up repeats its end without waiting for answers.
+    if (overtaken || aFlow.mIsClosed) {
+      return;
+    }
+    load.mWatch.DataRepeated(aNow, aFlow.mDataSent, aFlow.mCopies == 0);
+    mReach.Doubt(aFlow.mSlot);
+    ++aFlow.mCopies;
+    return;
+  }
+  aFlow.mDataEnd = IsAfter(end, aFlow.mDataEnd) ? end : aFlow.mDataEnd;
+  aFlow.mDataSent = aNow;
+  aFlow.mCopies = 0;
+  aFlow.mHasSentData = true;
+  if (aPacket.mCloses) {
+    Release(aFlow);
+  }
+  if (aPacket.mDataBytes > 0 && !aFlow.mInProgress && !aFlow.mIsClosed) {
+    aFlow.mInProgress = true;
+    ++load.mInProgress;
+  }
+}
+
+Detail::TrackedFlow&
+CookieSteering::Track(TimePoint aNow,
+                      FlowPacket const& aPacket,
+                      std::uint32_t aSlot)
+{
+  auto& flow = mFlows.FindOrInsert(Detail::KeyOf(aPacket));
+  flow.mCaller = aPacket.mSource;
+  flow.mRoute = aPacket.mDestination;
+  flow.mSlot = aSlot;
+  flow.mFirstSequence = aPacket.mSequence;
+  flow.mDataEnd = aPacket.mSequence + (aPacket.mOpens ? 1 : 0);
+  flow.mAcknowledged = aPacket.mAcknowledged;
+  flow.mSeen = aNow;
+  flow.mDataSent = aNow;
+  ++mLoads[aSlot].mFlows;
+  return flow;
+}
+
+void
+CookieSteering::Release(Detail::TrackedFlow& aFlow)
+{
+  if (aFlow.mIsClosed) {
+    return;
+  }
+  auto& load = mLoads[aFlow.mSlot];
+  --load.mFlows;
+  load.mInProgress -= aFlow.mInProgress ? 1 : 0;
+  aFlow.mInProgress = false;
+  aFlow.mIsClosed = true;
+}
+
+void
+CookieSteering::Forget(std::uint64_t aKey)
+{
+  auto* const flow = mFlows.Find(aKey);
+  if (flow == nullptr) {
+    return;
+  }
+  Release(*flow);
+  mFlows.Erase(aKey);
+}
+
+std::uint64_t
+CookieSteering::PressureKey(std::uint32_t aService, Endpoint aRoute) const
+{
+  return MixHash(HashText(mView->mServices[aService].mName),
+                 PlacementKey(aRoute));
+}
+
+void
+CookieSteering::NoteAnswer(TimePoint aNow, Detail::TrackedFlow const& aFlow)
+{
+  auto const time = aNow - aFlow.mDataSent;
+  mLatencies.mAnswer.Record(time);
+  auto const& upstream = mView->mUpstreams[aFlow.mSlot];
+  if (upstream.mService >= mView->mServices.size() ||
+      aNow < upstream.mColdUntil) {
+    return;
+  }
+  auto& pressure = mPressures[PressureKey(upstream.mService, aFlow.mRoute)];
+  if (upstream.mZone == mView->mOwnZone) {
+    pressure.Answered(aNow, time);
+  }
+  std::chrono::duration<double> const usual = pressure.Usual();
+  if (usual.count() > 0.0) {
+    mLoads[aFlow.mSlot].mPace.Answered(
+      aNow, std::chrono::duration<double>(time) / usual);
+  }
+}
+
+} // namespace tarragonsill
--- a/src/tarragonsill/coordination/tarragonsill_directory.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.hpp
@@ -46,6 +46,8 @@
 
   explicit Directory(NodeSettings const& aSettings);
 
+  /// Goes by other bounds and times from now on.
+  void Adopt(NodeSettings const& aSettings);
   /// Takes news; returns what it changed.
   std::vector<BeliefChange> Apply(TimePoint aNow, StoreNews const& aNews);
   /// Notes whether the store answers. Registrations that lapse while it does
--- a/src/tarragonsill/coordination/tarragonsill_ownership.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_ownership.cpp
@@ -195,7 +195,6 @@
     if (!control) {
       continue;
     }
-    ask.mTo = name;
     ask.mSequence = ++mSequence;
     ask.mSentAt = aNow;
     auto* message = AddMessage(aOutbox, *control).mutable_lease_ask();
--- a/src/tarragonsill/coordination/tarragonsill_ownership.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_ownership.hpp
@@ -121,7 +121,6 @@
   };
   struct PendingAsk
   {
-    std::string mTo;
     std::uint64_t mSequence = 0;
     TimePoint mSentAt{};
     std::map<Endpoint, WorkLimit> mCeilings;
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -115,6 +115,12 @@
     }
   }
 
+  void Adopt(SettingsChanged const& aChanged)
+  {
+    mDirectory.Adopt(*aChanged.mSettings);
+    PublishIfChanged();
+  }
+
   void Answer(KnowledgeWanted const& aWanted)
   {
     aWanted.mAnswer->set_value(
@@ -271,6 +277,7 @@
     [part](StoreAnswered const& aAnswer) { part->Note(aAnswer); },
     [part](StoreWatchStarted const& aStarted) { part->Note(aStarted); },
     [part](DatagramReceived const& aReceived) { part->Take(aReceived); },
+    [part](SettingsChanged const& aChanged) { part->Adopt(aChanged); },
     [part](KnowledgeWanted const& aWanted) { part->Answer(aWanted); },
     [part](KnowledgeFetched const& aFetched) { part->Take(aFetched); },
     [part, aSelf](TickAtom) {
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -42,6 +42,26 @@
   return aConfig;
 }
 
+/// The setting that differs and is only read at the start, if any does.
+std::optional<std::string>
+NeedsRestart(NodeSettings const& aOld, NodeSettings const& aNew)
+{
+  for (auto const& [name, differs] :
+       { std::pair("name", aOld.mName != aNew.mName),
+         std::pair("zone", aOld.mZone != aNew.mZone),
+         std::pair("zones", aOld.mZones != aNew.mZones),
+         std::pair("packets", aOld.mPackets != aNew.mPackets),
+         std::pair("readiness", aOld.mReadiness != aNew.mReadiness),
+         std::pair("peers", aOld.mPeers != aNew.mPeers),
+         std::pair("metrics", aOld.mMetrics != aNew.mMetrics),
+         std::pair("store", aOld.mStore != aNew.mStore) }) {
+    if (differs) {
+      return name;
+    }
+  }
+  return std::nullopt;
+}
+
 /// Logs the first failure of a row and its end.
 class DependencyLog
 {
@@ -128,6 +148,7 @@
 {
   explicit Impl(NodeSettings aSettings)
     : mState(std::make_shared<NodeState>(std::move(aSettings)))
+    , mGrace(mState->mSettings.mBounds.mGrace)
     , mSystem(PrepareNodeConfig(mConfig))
   {
   }
@@ -151,6 +172,7 @@
   Result<Done> StartPages();
 
   std::shared_ptr<NodeState> mState;
+  milliseconds mGrace; ///< From SIGTERM to the forced end.
   std::unique_ptr<Worker> mWorker;
   caf::actor_system_config mConfig;
   caf::actor_system mSystem;
@@ -298,14 +320,19 @@
 NodeDaemon::Reload(NodeSettings const& aSettings)
 {
   auto const& current = mImpl->mState->mSettings;
-  bool const needsRestart = aSettings.mPackets != current.mPackets ||
-                            aSettings.mStore != current.mStore;
+  auto const restart = NeedsRestart(current, aSettings);
+  if (!restart) {
+    mImpl->mGrace = aSettings.mBounds.mGrace;
+    caf::anon_send(
+      mImpl->mNode,
+      SettingsChanged{ std::make_shared<NodeSettings const>(aSettings) });
+  }
   mImpl->mState->mLog.Write(
     "entry",
     "reloaded",
     { { "outcome",
-        needsRestart ? "addresses changed; they need a restart"
-                     : "no address changed" } });
+        restart ? "refused, needs a restart" : "bounds and times taken over" },
+      { "reason", restart ? *restart + " differs" : "" } });
 }
 
 void
@@ -313,8 +340,7 @@
 {
   auto& state = *mImpl->mState;
   auto const asked = Clock::now();
-  auto const latest =
-    asked + state.mSettings.mBounds.mGrace - kTurnAwayTime - kStopTime;
+  auto const latest = asked + mImpl->mGrace - kTurnAwayTime - kStopTime;
   state.mLog.Write("entry", "asked_to_leave", {});
   while (!state.mMayLeave && Clock::now() < latest) {
     std::this_thread::sleep_for(kLeavePoll);
--- a/src/tarragonsill/transport/tarragonsill_node_messages.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_messages.hpp
@@ -39,6 +39,12 @@
   std::uint64_t mCompleteTo = 0;
 };
 
+/// The settings file holds other bounds or times.
+struct SettingsChanged
+{
+  std::shared_ptr<NodeSettings const> mSettings;
+};
+
 /// A peer asks for what is known beyond what it holds.
 struct KnowledgeWanted
 {
@@ -68,6 +74,7 @@
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::StoreAnswered))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::StoreWatchStarted))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::SetWatchDuty))
+CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::SettingsChanged))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::KnowledgeWanted))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::FetchKnowledge))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::KnowledgeFetched))
@@ -77,6 +84,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::StoreAnswered)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::StoreWatchStarted)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::SetWatchDuty)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::SettingsChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::KnowledgeWanted)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::FetchKnowledge)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::KnowledgeFetched)
--- a/tests/coordination/test_directory.cpp
+++ b/tests/coordination/test_directory.cpp
@@ -210,6 +210,24 @@
   LONGS_EQUAL(3, left.size());
 }
 
+TEST(Directory, other_bounds_hold_from_the_next_view_on)
+{
+  mStore.ListAll(kStart);
+  mStore.Configure(kStart, SampleConfiguration());
+  auto cold = SampleUpstream("a1", "a");
+  cold.mColdLeft = seconds{ 3 };
+  mStore.Register(kStart, cold);
+  auto const before = mStore.View(kStart);
+  auto settings = SampleSettings();
+  settings.mBounds.mColdAllowance += 2.0;
+  mStore.Knowledge().Adopt(settings);
+  CHECK(mStore.Knowledge().HasChanged(kStart));
+  auto const after = mStore.View(kStart);
+  DOUBLES_EQUAL(before->mUpstreams[0].mColdLimit + 2.0,
+                after->mUpstreams[0].mColdLimit,
+                1e-9);
+}
+
 TEST(Directory, a_lost_change_shows_although_later_ones_arrive)
 {
   mStore.ListAll(kStart);
