--- a/lab/platform/tarragonsill_lab_soak.cpp
+++ b/lab/platform/tarragonsill_lab_soak.cpp
@@ -169,7 +169,7 @@
         ApplyToUpstream(aNow, aFault);
         break;
       case SoakFaultKind::ToggleRoute:
-        mWorld.ToggleRoute(aNow);
+        mWorld.ToggleRoute();
         break;
       case SoakFaultKind::EvacuateZone:
         ApplyToZone(aNow, end, aFault.mTarget);
--- a/lab/platform/tarragonsill_lab_soak_world.cpp
+++ b/lab/platform/tarragonsill_lab_soak_world.cpp
@@ -269,7 +269,7 @@
 }
 
 void
-SoakWorld::ToggleRoute(TimePoint)
+SoakWorld::ToggleRoute()
 {
   mHasSecondRoute = !mHasSecondRoute;
   Configure();
--- a/lab/platform/tarragonsill_lab_soak_world.hpp
+++ b/lab/platform/tarragonsill_lab_soak_world.hpp
@@ -98,7 +98,7 @@
   void AddUpstream(std::size_t aService);
   void Drain(TimePoint aNow, std::size_t aUpstream);
   void Crash(std::size_t aUpstream, bool aIsKnown);
-  void ToggleRoute(TimePoint aNow);
+  void ToggleRoute();
   void Evacuate(TimePoint aNow, std::size_t aZone, bool aIsOut);
   bool IsEvacuated() const { return mIsEvacuated; }
   /// Packets of flows that living upstreams do not hold.
--- /dev/null
+++ b/tests/support/cookie_fixture.hpp
@@ -0,0 +1,75 @@
+#ifndef TARRAGONSILL_COOKIE_FIXTURE_HPP_INCLUDED
+#define TARRAGONSILL_COOKIE_FIXTURE_HPP_INCLUDED
+
+#include "tarragonsill_test.hpp"
+
+#include "support/routing_fixture.hpp"
+
+/// A VM of zone `a` that steers flows by cookie.
+namespace tarragonsill::Test {
+
+constexpr TimePoint kStart{ seconds{ 100 } };
+
+inline Endpoint
+CallerAt(std::uint16_t aPort)
+{
+  return { kCaller.mAddress, aPort };
+}
+
+TEST_BASE(CookieFixture)
+{
+  SampleStore mStore;
+  CookieSteering mSteering{ 1 };
+  TimePoint mNow = kStart;
+
+  void setup() override
+  {
+    mStore.ListAll(mNow);
+    mStore.Configure(mNow, SampleConfiguration());
+    for (char const* name : { "a1", "a2", "a3" }) {
+      mStore.Register(mNow, SampleUpstream(name, "a"));
+    }
+    mStore.Register(mNow, SampleUpstream("b1", "b"));
+    mStore.Register(mNow, SampleUpstream("l1", "a", "label"));
+    Refresh();
+  }
+
+  void Refresh()
+  {
+    mSteering.Use(mStore.View(mNow));
+  }
+
+  std::string NameAt(SteeringVerdict const& aVerdict) const
+  {
+    return mSteering.View().mUpstreams[aVerdict.mSlot].mRecord.mName;
+  }
+
+  /// Opens a flow, sends a request and takes the answer.
+  SteeringVerdict Serve(SampleFlow & aFlow)
+  {
+    auto const opened = mSteering.Steer(mNow, aFlow.Opening());
+    mNow += milliseconds{ 8 };
+    (void)mSteering.Steer(mNow, aFlow.FirstData(opened.mCookie));
+    mNow += milliseconds{ 20 };
+    (void)mSteering.Steer(mNow, aFlow.Acknowledge(opened.mCookie));
+    return opened;
+  }
+
+  /// Opens flows until one is at the upstream.
+  std::pair<SampleFlow, SteeringVerdict> ServeAt(std::string const& aName)
+  {
+    for (std::uint16_t port = 50000; port < 50100; ++port) {
+      SampleFlow flow(CallerAt(port));
+      auto const verdict = Serve(flow);
+      if (NameAt(verdict) == aName) {
+        return { flow, verdict };
+      }
+    }
+    FAIL("no flow reached the upstream");
+    return { SampleFlow(), {} };
+  }
+};
+
+} // namespace tarragonsill::Test
+
+#endif // TARRAGONSILL_COOKIE_FIXTURE_HPP_INCLUDED
