--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -4,7 +4,7 @@
 #include "tarragonsill/coordination/tarragonsill_cookie_steering.hpp"
 #include "tarragonsill/protocol/tarragonsill_byte_order.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
-#include "tarragonsill/transport/tarragonsill_boot_clock.hpp"
+#include "tarragonsill/transport/tarragonsill_boot_time.hpp"
 #include "tarragonsill/transport/tarragonsill_node_log.hpp"
 #include "tarragonsill/transport/tarragonsill_reach_prober.hpp"
 #include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
@@ -79,11 +79,11 @@
 
   void Run()
   {
-    auto last = BootClock::now();
+    auto last = TimeSinceBoot();
     while (!mStop) {
       auto const batch = mSocket.Receive(kReceiveTimeout);
       auto const now = Clock::now();
-      auto const boot = BootClock::now();
+      auto const boot = TimeSinceBoot();
       if (boot > last + kStandstill) {
         mSteering.Forgive(now);
         mProber.Clear();
