--- a/tools/soak-tests.sh
+++ b/tools/soak-tests.sh
@@ -4,19 +4,19 @@
 set -eu
 build="$1"
 soak() {
-  "$build/tarragonsill-lab" soak --entries 4 "$@"
+  "$build/tarragonsill-lab" soak "$@"
 }
 # 7: a signal that came before the process had blocked it ended the process.
-soak --seed 7 --seconds 18 --network 1
+soak --seed 7 --seconds 18 --entries 4 --network 1
 # 11: data that was repeated late, by thirty flows at once, made a VM give up a
 # living upstream.
-soak --seed 11 --seconds 25 --network 2
+soak --seed 11 --seconds 25 --entries 6 --network 2
 # 15: a VM stood still, then answered openings that had waited; stand-in upstreams
 # took them for new flows.
 soak --seed 15 --seconds 25 --entries 6 --network 4
 # Each check has to notice what breaks its rule.
 for mutant in stale-vm false-reset no-restart; do
   status=0
-  soak --seed 3 --seconds 24 --network 3 --mutant "$mutant" || status=$?
+  soak --seed 3 --seconds 24 --entries 4 --network 3 --mutant "$mutant" || status=$?
   [ "$status" -eq 1 ] || { echo "mutant $mutant was not noticed"; exit 1; }
 done
