--- a/tools/soak-tests.sh
+++ b/tools/soak-tests.sh
@@ -15,8 +15,11 @@
 # took them for new flows.
 soak --seed 15 --seconds 25 --entries 6 --network 4
 # Each check has to notice what breaks its rule.
+kept=$(mktemp -d)
+trap 'rm -rf "$kept"' EXIT
 for mutant in stale-vm false-reset no-restart; do
   status=0
-  soak --seed 3 --seconds 24 --entries 4 --network 3 --mutant "$mutant" || status=$?
+  soak --seed 3 --seconds 24 --entries 4 --network 3 --mutant "$mutant" \
+    --keep "$kept/$mutant" || status=$?
   [ "$status" -eq 1 ] || { echo "mutant $mutant was not noticed"; exit 1; }
 done
