Give the soak's VMs no sockets of the stand-ins

VMs that are started again inherited the lab's own sockets; with six VMs the most was 39. Change: the child closes everything above standard error.

--- a/lab/platform/tarragonsill_lab_node_process.cpp
+++ b/lab/platform/tarragonsill_lab_node_process.cpp
@@ -99,6 +99,8 @@
   ::posix_spawn_file_actions_addopen(
     &actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // The stand-ins' sockets are not the VM's.
+  ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   auto const failure = ::posix_spawn(
     &mPid, mProgram.c_str(), &actions, nullptr, arguments.data(), environ);
   ::posix_spawn_file_actions_destroy(&actions);
