Write the conversion of addresses and the listening socket once

Change: ToSocketAddress in transport/, used by all four; Listen and TakeConnection for the stand-ins. Nothing else.

--- a/lab/platform/tarragonsill_lab_fault_proxy.cpp
+++ b/lab/platform/tarragonsill_lab_fault_proxy.cpp
@@ -1,11 +1,13 @@
 #include "tarragonsill_lab_fault_proxy.hpp"
 
+#include "tarragonsill/transport/tarragonsill_socket_address.hpp"
+#include "tarragonsill_lab_listener.hpp"
+
 #include <array>
 #include <cerrno>
 #include <vector>
 
 #include <fcntl.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -14,19 +16,8 @@
 namespace {
 
 constexpr milliseconds kPoll{ 10 };
-constexpr int kBacklog = 64;
 constexpr std::size_t kChunkBytes = 65536;
 
-sockaddr_in
-ToSocketAddress(Endpoint aAddress)
-{
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(aAddress.mPort);
-  address.sin_addr.s_addr = htonl(aAddress.mAddress.mValue);
-  return address;
-}
-
 void
 SetNonBlocking(int aSocket)
 {
@@ -51,21 +42,11 @@
 Result<std::unique_ptr<FaultProxy>>
 FaultProxy::Start(Endpoint aListen, Endpoint aTarget)
 {
-  FileDescriptor listener(
-    ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  int const yes = 1;
-  (void)::setsockopt(
-    listener.Number(), SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
-  auto const address = ToSocketAddress(aListen);
-  if (::bind(listener.Number(),
-             reinterpret_cast<sockaddr const*>(&address),
-             sizeof(address)) != 0 ||
-      ::listen(listener.Number(), kBacklog) != 0) {
-    return Reason{ ReasonCode::SystemFailure,
-                   "cannot listen at " + ToText(aListen) };
+  auto listener = Listen(aListen);
+  if (!listener) {
+    return listener.LastReason();
   }
-  return std::unique_ptr<FaultProxy>(
-    new FaultProxy(std::move(listener), aTarget));
+  return std::unique_ptr<FaultProxy>(new FaultProxy(listener.Take(), aTarget));
 }
 
 void
@@ -80,8 +61,7 @@
 void
 FaultProxy::Accept()
 {
-  FileDescriptor caller(
-    ::accept4(mListener.Number(), nullptr, nullptr, SOCK_CLOEXEC));
+  auto caller = TakeConnection(mListener);
   if (!caller.IsOpen()) {
     return;
   }
--- a/lab/platform/tarragonsill_lab_flow_hosts.cpp
+++ b/lab/platform/tarragonsill_lab_flow_hosts.cpp
@@ -1,9 +1,7 @@
 #include "tarragonsill_lab_flow_hosts.hpp"
 
 #include "tarragonsill/protocol/tarragonsill_byte_order.hpp"
-
-#include <netinet/in.h>
-#include <sys/socket.h>
+#include "tarragonsill_lab_listener.hpp"
 
 namespace tarragonsill::Lab {
 
@@ -22,31 +20,6 @@
          LoadU32(aDatagram, sizeof(std::uint32_t));
 }
 
-/// Status checks that wait to be taken.
-constexpr int kBacklog = 64;
-
-Result<FileDescriptor>
-Listen(Endpoint aAddress)
-{
-  FileDescriptor listener(
-    ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  int const yes = 1;
-  (void)::setsockopt(
-    listener.Number(), SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(aAddress.mPort);
-  address.sin_addr.s_addr = htonl(aAddress.mAddress.mValue);
-  if (::bind(listener.Number(),
-             reinterpret_cast<sockaddr const*>(&address),
-             sizeof(address)) != 0 ||
-      ::listen(listener.Number(), kBacklog) != 0) {
-    return Reason{ ReasonCode::SystemFailure,
-                   "cannot listen at " + ToText(aAddress) };
-  }
-  return listener;
-}
-
 } // namespace
 
 std::vector<std::byte>
@@ -115,12 +88,8 @@
   if (mHasCrashed) {
     return;
   }
-  while (true) {
-    FileDescriptor const taken(
-      ::accept4(mListener.Number(), nullptr, nullptr, SOCK_CLOEXEC));
-    if (!taken.IsOpen()) {
-      break;
-    }
+  while (TakeConnection(mListener).IsOpen()) {
+    // A status check; it ends as soon as it was taken.
   }
   for (auto const& datagram : mSocket->Receive(milliseconds{ 0 })) {
     if (mIsSilent || datagram.mBytes.size() < kIdentityBytes) {
--- a/src/tarragonsill/transport/tarragonsill_reach_prober.cpp
+++ b/src/tarragonsill/transport/tarragonsill_reach_prober.cpp
@@ -1,9 +1,10 @@
 #include "tarragonsill/transport/tarragonsill_reach_prober.hpp"
 
+#include "tarragonsill/transport/tarragonsill_socket_address.hpp"
+
 #include <algorithm>
 #include <cerrno>
 
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -37,10 +38,7 @@
     attempt.mAnswer = ReachAnswer::None;
     return attempt;
   }
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(aAddress.mPort);
-  address.sin_addr.s_addr = htonl(aAddress.mAddress.mValue);
+  auto const address = ToSocketAddress(aAddress);
   auto const result = ::connect(attempt.mSocket.Number(),
                                 reinterpret_cast<sockaddr const*>(&address),
                                 sizeof(address));
--- a/src/tarragonsill/transport/tarragonsill_udp_socket.cpp
+++ b/src/tarragonsill/transport/tarragonsill_udp_socket.cpp
@@ -1,10 +1,10 @@
 #include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
 
+#include "tarragonsill/transport/tarragonsill_socket_address.hpp"
+
 #include <cerrno>
 #include <cstring>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -14,22 +14,6 @@
 
 constexpr int kSocketBufferBytes = 4 * 1024 * 1024;
 
-sockaddr_in
-ToSockaddr(Endpoint aEndpoint)
-{
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(aEndpoint.mAddress.mValue);
-  address.sin_port = htons(aEndpoint.mPort);
-  return address;
-}
-
-Endpoint
-FromSockaddr(sockaddr_in const& aAddress)
-{
-  return { { ntohl(aAddress.sin_addr.s_addr) }, ntohs(aAddress.sin_port) };
-}
-
 } // namespace
 
 struct UdpSocket::Buffers
@@ -79,7 +63,7 @@
                        &kSocketBufferBytes,
                        sizeof(kSocketBufferBytes));
   }
-  auto const address = ToSockaddr(aLocal);
+  auto const address = ToSocketAddress(aLocal);
   auto const* const generic = reinterpret_cast<sockaddr const*>(&address);
   if (::bind(socket.Number(), generic, sizeof(address)) != 0) {
     return failure("bind");
@@ -113,7 +97,7 @@
   auto const received = static_cast<std::size_t>(count);
   for (std::size_t index = 0; index < received; ++index) {
     buffers.mDatagrams[index] = {
-      FromSockaddr(buffers.mSenders[index]),
+      FromSocketAddress(buffers.mSenders[index]),
       std::span(buffers.mBytes[index]).first(buffers.mReceive[index].msg_len)
     };
   }
@@ -133,7 +117,7 @@
   auto const part = [](std::span<std::byte const> aBytes) {
     return iovec{ const_cast<std::byte*>(aBytes.data()), aBytes.size() };
   };
-  buffers.mReceivers[index] = ToSockaddr(aTo);
+  buffers.mReceivers[index] = ToSocketAddress(aTo);
   buffers.mSendParts[index] = { part(aHead), part(aBody) };
   auto& header = buffers.mSend[index].msg_hdr;
   header = {};
@@ -169,7 +153,7 @@
 bool
 UdpSocket::Send(Endpoint aTo, std::span<std::byte const> aBytes)
 {
-  auto const address = ToSockaddr(aTo);
+  auto const address = ToSocketAddress(aTo);
   auto const sent = ::sendto(mSocket.Number(),
                              aBytes.data(),
                              aBytes.size(),
