Start the lab's processes by one piece, and end them with the lab

Cause (reading the change again): the soak had written again what the fleet of entry VMs had: posix_spawn with a file for the output, and the wait. Change: lab/tarragonsill_lab_spawn serves both. The soak works out an upstream's address in one place instead of two.

--- a/lab/platform/tarragonsill_lab_node_process.cpp
+++ b/lab/platform/tarragonsill_lab_node_process.cpp
@@ -1,13 +1,13 @@
 #include "tarragonsill_lab_node_process.hpp"
 
+#include "tarragonsill_lab_spawn.hpp"
+
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <utility>
 
-#include <fcntl.h>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -86,26 +86,10 @@
 NodeProcess::Start()
 {
   WriteSettings();
-  auto const log = LogFile();
   auto const settings = mDirectory + "/" + mPlace.mName + ".toml";
-  std::string node = "node";
-  std::string option = "--settings";
-  std::string file = settings;
-  std::vector<char*> arguments = {
-    mProgram.data(), node.data(), option.data(), file.data(), nullptr
-  };
-  posix_spawn_file_actions_t actions;
-  ::posix_spawn_file_actions_init(&actions);
-  ::posix_spawn_file_actions_addopen(
-    &actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-  ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  // The stand-ins' sockets are not the VM's.
-  ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-  auto const failure = ::posix_spawn(
-    &mPid, mProgram.c_str(), &actions, nullptr, arguments.data(), environ);
-  ::posix_spawn_file_actions_destroy(&actions);
-  if (failure != 0) {
-    mPid = 0;
+  mPid =
+    Spawn(mProgram, { "node", "--settings", settings }, { LogFile(), true });
+  if (mPid == 0) {
     return Reason{ ReasonCode::SystemFailure, "cannot start " + mProgram };
   }
   return Done{};
@@ -126,7 +110,7 @@
     return;
   }
   ::kill(mPid, SIGKILL);
-  ::waitpid(mPid, nullptr, 0);
+  (void)WaitForEnd(mPid);
   mPid = 0;
 }
 
@@ -136,10 +120,11 @@
   if (mPid <= 0) {
     return false;
   }
-  int status = 0;
-  if (::waitpid(mPid, &status, WNOHANG) != mPid) {
+  auto const ended = StatusIfEnded(mPid);
+  if (!ended) {
     return true;
   }
+  int const status = *ended;
   mPid = 0;
   // A process that has hardly begun may end by the signal itself.
   bool const isStopped = WIFSIGNALED(status) && WTERMSIG(status) == SIGTERM;
--- a/lab/platform/tarragonsill_lab_soak_world.cpp
+++ b/lab/platform/tarragonsill_lab_soak_world.cpp
@@ -126,6 +126,13 @@
   return { { mOptions.mNetwork.Stores() + aNumber }, kStorePort };
 }
 
+Endpoint
+SoakWorld::HostAt(std::size_t aUpstream) const
+{
+  auto const number = static_cast<std::uint32_t>(aUpstream) + 1;
+  return { { mOptions.mNetwork.Hosts() + number }, kHostPort };
+}
+
 Result<Done>
 SoakWorld::StartAll()
 {
@@ -194,11 +201,8 @@
 SoakWorld::Register(std::size_t aUpstream)
 {
   auto const& host = mHosts[aUpstream];
-  Endpoint const address{ { mOptions.mNetwork.Hosts() +
-                            static_cast<std::uint32_t>(aUpstream) + 1 },
-                          kHostPort };
   nlohmann::json const entry = { { "service", ServiceName(host.mService) },
-                                 { "address", ToText(address) },
+                                 { "address", ToText(HostAt(aUpstream)) },
                                  { "zone", host.mZone },
                                  { "slots", 4 },
                                  { "state",
@@ -216,11 +220,8 @@
 SoakWorld::AddUpstream(std::size_t aService)
 {
   auto const index = mHosts.size();
-  Endpoint const address{ { mOptions.mNetwork.Hosts() +
-                            static_cast<std::uint32_t>(index) + 1 },
-                          kHostPort };
   auto const identity = kFirstIdentity + index;
-  auto host = FlowHost::Start(address, identity, NodePlace::kPacketPort);
+  auto host = FlowHost::Start(HostAt(index), identity, NodePlace::kPacketPort);
   if (!host) {
     return;
   }
--- a/lab/tarragonsill_lab_entries.cpp
+++ b/lab/tarragonsill_lab_entries.cpp
@@ -1,20 +1,15 @@
 #include "tarragonsill_lab_entries.hpp"
 
-#include <array>
-#include <atomic>
+#include "tarragonsill_lab_spawn.hpp"
+
 #include <csignal>
-#include <cstdlib>
 #include <fstream>
 
-#include <fcntl.h>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace tarragonsill::Lab {
 
 namespace {
@@ -38,27 +33,6 @@
          std::to_string(aPrefix.mLength);
 }
 
-/// The processes to end if the lab itself is ended by a signal.
-std::array<std::atomic<pid_t>, EntryFleet::kMostEntries> sRunning{};
-
-extern "C" void
-EndProcesses(int)
-{
-  for (auto const& running : sRunning) {
-    auto const pid = running.load();
-    if (pid > 0) {
-      ::kill(pid, SIGKILL);
-    }
-  }
-  ::_exit(EXIT_FAILURE);
-}
-
-void
-SetRunning(std::size_t aIndex, pid_t aPid)
-{
-  sRunning[aIndex] = aPid;
-}
-
 } // namespace
 
 Prefix
@@ -97,8 +71,6 @@
   : mOptions(std::move(aOptions))
 {
   mEntries.reserve(kMostEntries);
-  std::signal(SIGTERM, EndProcesses);
-  std::signal(SIGINT, EndProcesses);
 }
 
 EntryFleet::~EntryFleet()
@@ -132,12 +104,12 @@
     settings.mSeeds.push_back(other.mSettings.mControl);
   }
   WriteSettings(entry);
-  entry.mPid = Spawn({ "entry", "--settings", entry.mSettingsFile }, false);
+  entry.mPid = Spawn(
+    mOptions.mProgram, { "entry", "--settings", entry.mSettingsFile }, {});
   if (entry.mPid <= 0) {
     return Reason{ ReasonCode::SystemFailure,
                    "cannot start " + mOptions.mProgram };
   }
-  SetRunning(index, entry.mPid);
   mEntries.push_back(std::move(entry));
   return &mEntries.back();
 }
@@ -174,33 +146,6 @@
       << ".log\n";
 }
 
-pid_t
-EntryFleet::Spawn(std::vector<std::string> const& aArguments, bool aQuiet) const
-{
-  std::vector<std::string> words = { mOptions.mProgram };
-  words.insert(words.end(), aArguments.begin(), aArguments.end());
-  std::vector<char*> pointers;
-  for (auto& word : words) {
-    pointers.push_back(word.data());
-  }
-  pointers.push_back(nullptr);
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  if (aQuiet) {
-    posix_spawn_file_actions_addopen(
-      &actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
-  }
-  pid_t pid = 0;
-  int const status = ::posix_spawn(&pid,
-                                   mOptions.mProgram.c_str(),
-                                   &actions,
-                                   nullptr,
-                                   pointers.data(),
-                                   environ);
-  posix_spawn_file_actions_destroy(&actions);
-  return status == 0 ? pid : 0;
-}
-
 EntryProcess*
 EntryFleet::Find(std::string const& aName)
 {
@@ -215,8 +160,7 @@
 void
 EntryFleet::Reap(EntryProcess& aEntry)
 {
-  ::waitpid(aEntry.mPid, nullptr, 0);
-  SetRunning(static_cast<std::size_t>(&aEntry - mEntries.data()), 0);
+  (void)WaitForEnd(aEntry.mPid);
   aEntry.mPid = 0;
 }
 
@@ -346,12 +290,11 @@
 int
 EntryFleet::RunCommand(std::vector<std::string> const& aArguments) const
 {
-  auto const pid = Spawn(aArguments, true);
+  auto const pid = Spawn(mOptions.mProgram, aArguments, { "/dev/null", false });
   if (pid <= 0) {
     return -1;
   }
-  int status = 0;
-  ::waitpid(pid, &status, 0);
+  int const status = WaitForEnd(pid);
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
--- a/lab/tarragonsill_lab_entries.hpp
+++ b/lab/tarragonsill_lab_entries.hpp
@@ -102,7 +102,6 @@
   /// Waits for a process that is ending.
   void Reap(EntryProcess& aEntry);
   void WriteSettings(EntryProcess const& aEntry) const;
-  pid_t Spawn(std::vector<std::string> const& aArguments, bool aQuiet) const;
 
   Options mOptions;
   std::vector<EntryProcess> mEntries;
