Do once what the watch relay, reach checks and directory did twice

Change: members with a higher score are counted without an order, only as many watchers are ranked as are needed, the witness comes after the round, kObjectKinds serves all, one function tells the peers' part how far knowledge goes. Two tests call Hear without the time; their assertions are as before.

--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -44,8 +44,7 @@
 bool
 Directory::IsComplete() const
 {
-  constexpr std::size_t kKinds = 3;
-  return mConfiguration && mListed.size() == kKinds;
+  return mConfiguration && mListed.size() == kObjectKinds.size();
 }
 
 bool
--- a/src/tarragonsill/coordination/tarragonsill_directory_reach.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_reach.cpp
@@ -12,9 +12,7 @@
     return 0;
   }
   // A list without any object is knowledge, too, hence the 1.
-  auto const last = mLastChange.find(aKind);
-  return last == mLastChange.end() ? 1
-                                   : std::max<std::uint64_t>(1, last->second);
+  return std::max<std::uint64_t>(1, mLastChange.at(aKind));
 }
 
 KnowledgeDigest
@@ -143,7 +141,7 @@
 Directory::EvacuationList() const
 {
   ObjectPage list;
-  list.mRevision = mListed.at(ObjectKind::Evacuations).mComplete;
+  list.mRevision = CompleteTo(ObjectKind::Evacuations);
   for (auto const& [name, zone] : mZones) {
     if (!zone.mIsEvacuated) {
       continue;
--- a/src/tarragonsill/coordination/tarragonsill_knowledge_sync.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_knowledge_sync.cpp
@@ -5,9 +5,7 @@
 namespace tarragonsill {
 
 void
-KnowledgeSync::Hear(TimePoint,
-                    std::string const& aPeer,
-                    KnowledgeDigest const& aDigest)
+KnowledgeSync::Hear(std::string const& aPeer, KnowledgeDigest const& aDigest)
 {
   mPeers[aPeer] = aDigest;
 }
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -155,8 +155,7 @@
   if (from == nullptr) {
     return;
   }
-  mSync.Hear(aNow,
-             sender,
+  mSync.Hear(sender,
              { aMessage.configuration_version(),
                aMessage.upstreams_revision(),
                aMessage.evacuations_revision() });
--- a/src/tarragonsill/coordination/tarragonsill_upstream_reach.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_reach.cpp
@@ -50,12 +50,6 @@
   return aNow < mSpreadUntil && aNow >= mPauses[aSlot].mAccepted + kSpreadPause;
 }
 
-bool
-UpstreamReach::MayCheck(TimePoint aNow, std::uint32_t aSlot) const
-{
-  return aSlot >= mPauses.size() || aNow >= mPauses[aSlot].mUntil;
-}
-
 std::optional<std::uint32_t>
 UpstreamReach::Witness(TimePoint aNow,
                        std::vector<UpstreamLoad> const& aLoads) const
@@ -82,9 +76,8 @@
     return {};
   }
   mPauses.resize(std::max(mPauses.size(), aLoads.size()));
-  auto const witness = Witness(aNow, aLoads);
   for (auto const slot : mDoubted) {
-    if (slot >= aLoads.size() || !MayCheck(aNow, slot) ||
+    if (slot >= aLoads.size() || aNow < mPauses[slot].mUntil ||
         mRound.size() == kMostAtOnce) {
       continue;
     }
@@ -93,13 +86,12 @@
     pause.mLast = std::clamp(2 * pause.mLast, kLeastPause, kMostPause);
     pause.mUntil = aNow + pause.mLast;
   }
-  mDoubted.clear();
-  if (mRound.empty()) {
-    return {};
-  }
-  if (witness) {
-    mRound.push_back({ *witness, true, std::nullopt });
+  if (!mRound.empty()) {
+    if (auto const witness = Witness(aNow, aLoads)) {
+      mRound.push_back({ *witness, true, std::nullopt });
+    }
   }
+  mDoubted.clear();
   mRoundStarted = aNow;
   std::vector<std::uint32_t> slots;
   for (auto const& check : mRound) {
--- a/src/tarragonsill/coordination/tarragonsill_upstream_reach.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_reach.hpp
@@ -78,7 +78,6 @@
   };
 
   bool IsSpreadTo(TimePoint aNow, std::uint32_t aSlot) const;
-  bool MayCheck(TimePoint aNow, std::uint32_t aSlot) const;
   std::optional<std::uint32_t> Witness(
     TimePoint aNow,
     std::vector<UpstreamLoad> const& aLoads) const;
--- a/src/tarragonsill/coordination/tarragonsill_watch_relay.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_relay.cpp
@@ -22,35 +22,30 @@
 }
 
 std::vector<Member>
-Ranked(std::vector<Member> const& aMembers)
-{
-  std::vector<Member> ranked;
-  for (auto const index : RankCandidates(kWatcherKey, HashesOf(aMembers))) {
-    ranked.push_back(aMembers[index]);
-  }
-  return ranked;
-}
-
-/// The serving members in the order in which they are drawn as watchers.
-std::vector<Member>
-ServingByRank(std::vector<Member> aZone)
+ServingOf(std::vector<Member> aZone)
 {
   std::erase_if(aZone,
                 [](auto const& aMember) { return !aMember.IsServing(); });
-  return Ranked(aZone);
+  return aZone;
 }
 
-/// Those of the members that are drawn before one of them; all of them if it
-/// is none of them.
+/// Those that are drawn as watchers before one of the members; all of them if
+/// it is none of them.
 std::vector<Member>
-Before(std::vector<Member> aRanked, std::string const& aName)
+DrawnBefore(std::vector<Member> aMembers, std::string const& aName)
 {
-  auto const end =
-    std::find_if(aRanked.begin(), aRanked.end(), [&](Member const& aMember) {
+  bool const isThere =
+    std::any_of(aMembers.begin(), aMembers.end(), [&](Member const& aMember) {
       return aMember.mName == aName;
     });
-  aRanked.erase(end, aRanked.end());
-  return aRanked;
+  if (!isThere) {
+    return aMembers;
+  }
+  auto const own = PlacementScore(kWatcherKey, HashText(aName));
+  std::erase_if(aMembers, [&](Member const& aMember) {
+    return PlacementScore(kWatcherKey, aMember.NameHash()) <= own;
+  });
+  return aMembers;
 }
 
 std::size_t
@@ -63,9 +58,13 @@
 std::vector<Member>
 Watchers(std::vector<Member> const& aZone)
 {
-  auto ranked = ServingByRank(aZone);
-  ranked.resize(std::min(ranked.size(), WatcherCount(ranked.size())));
-  return ranked;
+  auto const serving = ServingOf(aZone);
+  std::vector<Member> watchers;
+  for (auto const index : RankCandidates(
+         kWatcherKey, HashesOf(serving), WatcherCount(serving.size()))) {
+    watchers.push_back(serving[index]);
+  }
+  return watchers;
 }
 
 } // namespace
@@ -141,13 +140,13 @@
   if (!aSituation.mKnowsLists) {
     // Nobody serves in a first start.
     bool const isFirst =
-      Before(Ranked(aZone), aSelf).size() < WatcherCount(aZone.size());
+      DrawnBefore(aZone, aSelf).size() < WatcherCount(aZone.size());
     return WaitsForPeers(aNow, isFirst, aSituation) ? WatchDuty::Rely
                                                     : WatchDuty::Regular;
   }
-  auto const serving = ServingByRank(aZone);
+  auto const serving = ServingOf(aZone);
   auto const watchers = WatcherCount(serving.size());
-  auto const before = Before(serving, aSelf);
+  auto const before = DrawnBefore(serving, aSelf);
   if (before.size() < watchers) {
     return WatchDuty::Regular;
   }
--- a/src/tarragonsill/protocol/tarragonsill_stored_object.hpp
+++ b/src/tarragonsill/protocol/tarragonsill_stored_object.hpp
@@ -5,6 +5,7 @@
 #include "tarragonsill/state/tarragonsill_routing.hpp"
 #include "tarragonsill/state/tarragonsill_time.hpp"
 
+#include <array>
 #include <concepts>
 #include <cstdint>
 #include <string>
@@ -22,6 +23,11 @@
   Evacuations,
 };
 
+/// All of them.
+inline constexpr std::array kObjectKinds = { ObjectKind::Configuration,
+                                             ObjectKind::Upstreams,
+                                             ObjectKind::Evacuations };
+
 std::string_view ToText(ObjectKind aKind);
 
 /// A request that a zone be given no new work, named after the zone.
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -165,8 +165,6 @@
   }
 
 private:
-  static constexpr std::size_t kKinds = 3;
-
   /// Starts or stops the own watches, and notes whether the store answers.
   void UpdateDuty(TimePoint aNow)
   {
@@ -177,9 +175,7 @@
       mDuty = duty;
       Log().Write(
         "config", "watch_duty", { { "outcome", std::string(ToText(duty)) } });
-      for (auto const kind : { ObjectKind::Configuration,
-                               ObjectKind::Upstreams,
-                               ObjectKind::Evacuations }) {
+      for (auto const kind : kObjectKinds) {
         SendDuty(kind);
       }
     }
@@ -221,10 +217,16 @@
 
   NodeLog& Log() { return mArguments.mState->mLog; }
 
-  void Send(Outbox& aOutbox)
+  /// Tells the part that talks to peers how far knowledge goes.
+  void ShareReach()
   {
     mPeers.SetDigest(mDirectory.Digest(), mDirectory.Held());
     mPeers.SetCompleteTo(mDirectory.CompleteTo());
+  }
+
+  void Send(Outbox& aOutbox)
+  {
+    ShareReach();
     mPeers.Decorate(Clock::now(), aOutbox);
     auto& counters = mArguments.mState->mCounters;
     for (auto const& outgoing : aOutbox) {
@@ -242,7 +244,7 @@
       return;
     }
     mArguments.mPublish(mDirectory.BuildView(now));
-    mPeers.SetDigest(mDirectory.Digest(), mDirectory.Held());
+    ShareReach();
     if (!mDirectory.IsComplete() ||
         mArguments.mState->mIsComplete.exchange(true)) {
       return;
@@ -260,9 +262,9 @@
   NodePeers mPeers;
   WatchDuty mDuty = WatchDuty::Rely;
   // By kind of objects.
-  std::array<bool, kKinds> mAnswers{ true, true, true };
-  std::array<TimePoint, kKinds> mAnsweredAt{};
-  std::array<caf::actor, kKinds> mWatches;
+  std::array<bool, kObjectKinds.size()> mAnswers{ true, true, true };
+  std::array<TimePoint, kObjectKinds.size()> mAnsweredAt{};
+  std::array<caf::actor, kObjectKinds.size()> mWatches;
 };
 
 } // namespace
--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -154,7 +154,7 @@
     auto const now = kStart + milliseconds{ 50 } * step;
     // Changes come all the time, and reach this VM 150 ms after its peer.
     revision += 1;
-    sync.Hear(now, "vm-2", { 1, revision, 1 });
+    sync.Hear("vm-2", { 1, revision, 1 });
     KnowledgeDigest const held{ 1, revision - 3, 1 };
     questions += sync.NextQuestion(now, held, true) ? 1 : 0;
   }
@@ -163,7 +163,7 @@
   KnowledgeDigest const old{ 1, revision, 1 };
   auto const later = kStart + seconds{ 10 };
   for (char const* name : { "vm-0", "vm-2", "vm-3" }) {
-    sync.Hear(later, name, { 1, revision + 9, 1 });
+    sync.Hear(name, { 1, revision + 9, 1 });
   }
   CHECK_FALSE(sync.NextQuestion(later, old, true).has_value());
   auto const asked =
--- a/tests/platform/test_platform_objects.cpp
+++ b/tests/platform/test_platform_objects.cpp
@@ -193,9 +193,7 @@
     for (auto const& [place, byte] : changes) {
       body[static_cast<std::size_t>(place)] = byte;
     }
-    for (auto const kind : { ObjectKind::Configuration,
-                             ObjectKind::Upstreams,
-                             ObjectKind::Evacuations }) {
+    for (auto const kind : kObjectKinds) {
       auto const page = ObjectFormat::Decode(ListOf(kind), body);
       RC_ASSERT(page.HasValue() || !page.LastReason().mText.empty());
       (void)ObjectFormat::Decode(WatchOf(kind), body);
--- a/tests/support/routing_fixture.cpp
+++ b/tests/support/routing_fixture.cpp
@@ -96,9 +96,7 @@
 void
 SampleStore::ListAll(TimePoint aNow)
 {
-  for (auto const kind : { ObjectKind::Configuration,
-                           ObjectKind::Upstreams,
-                           ObjectKind::Evacuations }) {
+  for (auto const kind : kObjectKinds) {
     // A list from before every object: it says nothing about any of them.
     (void)mDirectory.Apply(aNow, { kind, {}, true, 1 });
   }
