Read a changed settings file once, and refuse it in a structured line

Change: the text that was compared is the text that is parsed; a refused reload is an `entry` `reloaded` line like the others; FileFaults gives its lines joined.

--- a/src/tarragonsill/cli/tarragonsill_cli_node.cpp
+++ b/src/tarragonsill/cli/tarragonsill_cli_node.cpp
@@ -20,27 +20,25 @@
 /// The settings file may change without any signal (platform).
 constexpr milliseconds kLookPeriod{ 2000 };
 
-/// Reads and checks the settings; the reason holds every fault.
+/// Checks the text of a settings file, if it could be read; the reason holds
+/// every fault.
 Result<NodeSettings>
-LoadNodeSettings(std::string const& aFile, std::uint16_t aMetricsPort)
+ParseNodeSettings(std::string const& aFile,
+                  Result<std::string> const& aText,
+                  std::uint16_t aMetricsPort)
 {
-  auto const text = ReadFile(aFile);
-  if (!text) {
-    return text.LastReason();
+  if (!aText) {
+    return aText.LastReason();
   }
   FileFaults faults(aFile);
-  auto settings = Platform::ReadNodeSettings(*text, faults);
+  auto settings = Platform::ReadNodeSettings(*aText, faults);
   if (settings) {
     if (aMetricsPort != 0) {
       settings->mMetrics.mPort = aMetricsPort;
     }
     return std::move(*settings);
   }
-  std::string all;
-  for (auto const& fault : faults.All()) {
-    all += (all.empty() ? "" : "\n") + fault.ToText();
-  }
-  return Reason{ ReasonCode::Invalid, all };
+  return Reason{ ReasonCode::Invalid, faults.ToText() };
 }
 
 sigset_t
@@ -76,29 +74,28 @@
 void
 FollowSettings(NodeDaemon& aDaemon,
                std::string const& aFile,
+               Result<std::string> aKnown,
                std::uint16_t aMetricsPort,
                sigset_t const& aSignals)
 {
-  auto known = ReadFile(aFile);
   while (true) {
     auto const signal = NextSignal(aSignals, kLookPeriod);
     if (signal && *signal != SIGHUP) {
       return;
     }
     auto const text = ReadFile(aFile);
-    bool const isSame = text && known && *text == *known;
-    bool const isStillUnreadable = !text && !known;
+    bool const isSame = text && aKnown && *text == *aKnown;
+    bool const isStillUnreadable = !text && !aKnown;
     if (!signal && (isSame || isStillUnreadable)) {
       continue;
     }
-    known = text;
-    auto const changed = LoadNodeSettings(aFile, aMetricsPort);
+    aKnown = text;
+    auto const changed = ParseNodeSettings(aFile, text, aMetricsPort);
     if (changed) {
       aDaemon.Reload(*changed);
       continue;
     }
-    LogError("entry: settings were not reloaded: " +
-             changed.LastReason().mText);
+    aDaemon.RefuseReload(changed.LastReason());
   }
 }
 
@@ -114,7 +111,8 @@
     auto const* named = std::getenv(Platform::kSettingsVariable);
     file = named == nullptr ? "" : named;
   }
-  auto settings = LoadNodeSettings(file, aMetricsPort);
+  auto text = ReadFile(file);
+  auto settings = ParseNodeSettings(file, text, aMetricsPort);
   if (!settings) {
     std::cerr << settings.LastReason().mText << '\n';
     return settings.LastReason().mCode == ReasonCode::Invalid
@@ -127,7 +125,7 @@
     std::cerr << daemon.LastReason().mText << '\n';
     return ExitStatus::kTrouble;
   }
-  FollowSettings(*daemon.Value(), file, aMetricsPort, signals);
+  FollowSettings(*daemon.Value(), file, std::move(text), aMetricsPort, signals);
   daemon.Value()->Leave();
   return ExitStatus::kOk;
 }
--- a/src/tarragonsill/cli/tarragonsill_cli_platform.cpp
+++ b/src/tarragonsill/cli/tarragonsill_cli_platform.cpp
@@ -175,9 +175,7 @@
   YamlFaults faults(aFile);
   auto const configuration = ReadConfiguration(*text, faults);
   if (!configuration) {
-    for (auto const& fault : faults.All()) {
-      std::cerr << fault.ToText() << '\n';
-    }
+    std::cerr << faults.ToText() << '\n';
     return ExitStatus::kRefused;
   }
   Change change(aOptions);
--- a/src/tarragonsill/state/tarragonsill_file_faults.cpp
+++ b/src/tarragonsill/state/tarragonsill_file_faults.cpp
@@ -12,6 +12,16 @@
   return text + ": " + (mKey.empty() ? "document" : mKey) + ": " + mExpected;
 }
 
+std::string
+FileFaults::ToText() const
+{
+  std::string text;
+  for (auto const& fault : mFaults) {
+    text += (text.empty() ? "" : "\n") + fault.ToText();
+  }
+  return text;
+}
+
 void
 FileFaults::AddAtLine(int aLine, std::string aKey, std::string aExpected)
 {
--- a/src/tarragonsill/state/tarragonsill_file_faults.hpp
+++ b/src/tarragonsill/state/tarragonsill_file_faults.hpp
@@ -28,6 +28,8 @@
   }
   void AddAtLine(int aLine, std::string aKey, std::string aExpected);
   std::vector<FileFault> const& All() const { return mFaults; }
+  /// One line each, without a break after the last one.
+  std::string ToText() const;
 
 private:
   std::string mFile;
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -200,9 +200,7 @@
   arguments.mIncarnation = NewIncarnation();
   mActors.push_back(arguments.mFetch);
   mNode = mSystem.spawn(NodeActor, std::move(arguments));
-  for (auto const kind : { ObjectKind::Configuration,
-                           ObjectKind::Upstreams,
-                           ObjectKind::Evacuations }) {
+  for (auto const kind : kObjectKinds) {
     auto const seed =
       MixHash(HashText(mState->mSettings.mName), static_cast<unsigned>(kind));
     mWatches.push_back(std::make_shared<Watch>(
@@ -335,6 +333,15 @@
       { "reason", restart ? *restart + " differs" : "" } });
 }
 
+void
+NodeDaemon::RefuseReload(Reason const& aWhy)
+{
+  mImpl->mState->mLog.Write(
+    "entry",
+    "reloaded",
+    { { "outcome", "refused, nothing changed" }, { "reason", aWhy.mText } });
+}
+
 void
 NodeDaemon::Leave()
 {
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.hpp
@@ -20,6 +20,8 @@
   /// Takes over settings that may change while the process runs; says in the
   /// log which ones need a restart.
   void Reload(NodeSettings const& aSettings);
+  /// Logs that the settings file was not taken over.
+  void RefuseReload(Reason const& aWhy);
   /// Stops being ready, forwards on until the routers have turned away.
   void Leave();
 
