Let one watch of the store find out for the others, and wait by the bounds

Change: WatchRetry, a module without network. The first watch that fails is the scout; the others wait until it is answered (4 s at most). Its pauses end at 0.8 s, or at 2 s where the zone's other watchers are fresh. Waits and the age up to which a watcher is relied on are parts of the shortest bound in force (4/15 and 2/3: 0.8 and 2 s at 3 s as before, 1.33 and 3.3 s at 5 s).

--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -22,6 +22,9 @@
             std::uint64_t aSeed,
             Counters& aCounters);
 
+  /// How old knowledge may get and how long watches wait.
+  void SetWatchTimes(WatchTimes const& aTimes) { mRelay.SetTimes(aTimes); }
+  WatchTimes const& Times() const { return mRelay.Times(); }
   /// The whole deployment starts for the first time.
   void SetFirstStart(bool aIsFirst) { mIsFirstStart = aIsFirst; }
 
--- a/src/tarragonsill/coordination/tarragonsill_watch_relay.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_relay.cpp
@@ -69,6 +69,14 @@
 
 } // namespace
 
+WatchTimes
+WatchTimes::For(milliseconds aChangeInForce)
+{
+  // A VM that finds what it knows too old still has a third of the time left to
+  // ask the store itself; several answers come while it is fresh.
+  return { aChangeInForce * 4 / 15, aChangeInForce * 2 / 3 };
+}
+
 std::string_view
 ToText(WatchDuty aDuty)
 {
@@ -112,7 +120,7 @@
 WatchRelay::HearsFreshWatch(TimePoint aNow) const
 {
   return std::any_of(mPeers.begin(), mPeers.end(), [&](auto const& aPeer) {
-    return aNow < aPeer.second.mFreshAt + kFreshFor;
+    return aNow < aPeer.second.mFreshAt + mTimes.mFreshFor;
   });
 }
 
@@ -159,7 +167,7 @@
                        std::size_t aWatchers) const
 {
   auto const newest = Newest(aBefore);
-  if (aNow < newest.mFreshAt + kFreshFor) {
+  if (aNow < newest.mFreshAt + mTimes.mFreshFor) {
     return WatchDuty::Rely;
   }
   // In a large zone every VM hears only two of many watchers.
@@ -167,9 +175,10 @@
   if (aNow >= newest.mHeardAt + kHeardFor || !hearsAllWatchers) {
     return WatchDuty::Fallback;
   }
-  auto const standIns = aNow < newest.mFreshAt + kMoreStandInsAfter
-                          ? kFirstStandIns
-                          : kMostStandIns;
+  auto const standIns =
+    aNow < newest.mFreshAt + mTimes.mFreshFor + kMoreStandInsAfter
+      ? kFirstStandIns
+      : kMostStandIns;
   return aBefore.size() < aWatchers + standIns ? WatchDuty::StandIn
                                                : WatchDuty::Rely;
 }
--- a/src/tarragonsill/coordination/tarragonsill_watch_relay.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_relay.hpp
@@ -26,6 +26,19 @@
 
 std::string_view ToText(WatchDuty aDuty);
 
+/// The times of watches, as parts of the time in which a change has to be in
+/// force. Waits are short, so that a watch that hears nothing is soon made
+/// anew.
+struct WatchTimes
+{
+  /// How long the store may hold back its answer while nothing changes.
+  milliseconds mWait{ 800 };
+  /// What was fresh longer ago than this is not relied on.
+  milliseconds mFreshFor{ 2000 };
+
+  static WatchTimes For(milliseconds aChangeInForce);
+};
+
 class WatchRelay
 {
 public:
@@ -34,16 +47,13 @@
   static constexpr std::size_t kLeastWatchers = 2;
   /// Every VM is told by this many watchers.
   static constexpr std::size_t kWatchersPerVm = 2;
-  /// What was fresh longer ago than this is not relied on; less than the
-  /// bound for a new configuration in the operators' deployments (3 s).
-  static constexpr milliseconds kFreshFor{ 2000 };
   /// Watchers report twice a second; three reports are missing.
   static constexpr milliseconds kHeardFor{ 1500 };
   /// When the store does not answer the watchers, a few others try: it may
   /// refuse only some VMs. All of them at once would be a storm of calls.
   static constexpr std::size_t kFirstStandIns = 2;
   static constexpr std::size_t kMostStandIns = 6;
-  static constexpr milliseconds kMoreStandInsAfter{ 2500 };
+  static constexpr milliseconds kMoreStandInsAfter{ 500 };
   /// A VM that starts asks its peers first. Seeds answer within milliseconds;
   /// one that knows everything hands it over in some more.
   static constexpr milliseconds kSeedTime{ 60 };
@@ -61,6 +71,8 @@
     bool mIsFirstStart = false; ///< Of the whole deployment.
   };
 
+  void SetTimes(WatchTimes const& aTimes) { mTimes = aTimes; }
+  WatchTimes const& Times() const { return mTimes; }
   /// A peer reported the age of its watches.
   void Hear(TimePoint aNow, std::string const& aPeer, milliseconds aAge);
   /// The duty of this VM. The members are those of its zone, itself included.
@@ -93,6 +105,7 @@
   /// The newest report of any of these.
   PeerWatch Newest(std::vector<Member> const& aMembers) const;
 
+  WatchTimes mTimes;
   TimePoint mStarted{};
   std::map<std::string, PeerWatch> mPeers;
 };
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_watch_retry.hpp
@@ -0,0 +1,68 @@
+#ifndef TARRAGONSILL_WATCH_RETRY_HPP_INCLUDED
+#define TARRAGONSILL_WATCH_RETRY_HPP_INCLUDED
+
+#include "tarragonsill/protocol/tarragonsill_stored_object.hpp"
+#include "tarragonsill/state/tarragonsill_time.hpp"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <vector>
+
+/// Decides when a VM's watches of the store are tried again after failed calls.
+///
+/// What keeps one kind of objects from being answered mostly keeps them all, so
+/// one watch, the scout, finds out for the others.
+namespace tarragonsill {
+
+class WatchRetry
+{
+public:
+  /// Pauses double from the first to the second of these.
+  struct Backoff
+  {
+    milliseconds mLeast;
+    milliseconds mMost;
+  };
+  /// A VM that others rely on. The store's return is noticed within a second,
+  /// a part of the two seconds in which registrations come back (platform).
+  static constexpr Backoff kUrgent{ milliseconds{ 50 }, milliseconds{ 800 } };
+  /// A VM that watches besides others or while they know what is new.
+  static constexpr Backoff kRelaxed{ milliseconds{ 400 },
+                                     milliseconds{ 2000 } };
+  /// A watch that waits for the scout tries for itself after this time.
+  static constexpr milliseconds kFollowerPause{ 4000 };
+
+  explicit WatchRetry(std::uint64_t aSeed)
+    : mRandom(aSeed)
+  {
+  }
+
+  /// A call was answered; watches that wait for the scout go on.
+  void Answered(TimePoint aNow, ObjectKind aKind);
+  /// A call failed.
+  void Failed(TimePoint aNow, ObjectKind aKind, Backoff const& aBackoff);
+  /// The watches to try now; each is named once.
+  std::vector<ObjectKind> Due(TimePoint aNow);
+  /// The watches begin or end.
+  void Reset();
+
+private:
+  struct Kind
+  {
+    int mFailures = 0;
+    std::optional<TimePoint> mRetryAt; ///< Set while it is to be tried again.
+  };
+
+  Kind& Of(ObjectKind aKind) { return mKinds[static_cast<std::size_t>(aKind)]; }
+
+  std::array<Kind, kObjectKinds.size()> mKinds;
+  /// The first watch that failed, until it is answered.
+  std::optional<ObjectKind> mScout;
+  std::mt19937_64 mRandom;
+};
+
+} // namespace tarragonsill
+
+#endif // TARRAGONSILL_WATCH_RETRY_HPP_INCLUDED
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -1,8 +1,11 @@
 #include "tarragonsill/transport/tarragonsill_node_actor.hpp"
 
 #include "tarragonsill/coordination/tarragonsill_node_peers.hpp"
+#include "tarragonsill/coordination/tarragonsill_watch_retry.hpp"
 #include "tarragonsill/transport/tarragonsill_knowledge_server.hpp"
 
+#include <algorithm>
+
 namespace tarragonsill {
 
 namespace {
@@ -23,6 +26,14 @@
   return self;
 }
 
+WatchTimes
+TimesOf(NodeSettings const& aSettings)
+{
+  auto const& bounds = aSettings.mBounds;
+  return WatchTimes::For(
+    std::min({ bounds.mConfiguration, bounds.mDrain, bounds.mEvacuation }));
+}
+
 class NodePart
 {
 public:
@@ -34,7 +45,9 @@
              mArguments.mState->mSettings.mSeeds,
              mArguments.mIncarnation,
              mArguments.mState->mCounters)
+    , mRetry(mArguments.mIncarnation)
   {
+    mPeers.SetWatchTimes(TimesOf(mArguments.mState->mSettings));
     mPeers.SetFirstStart(mArguments.mState->mSettings.mIsFirstStart);
   }
 
@@ -118,6 +131,8 @@
   void Adopt(SettingsChanged const& aChanged)
   {
     mDirectory.Adopt(*aChanged.mSettings);
+    mPeers.SetWatchTimes(TimesOf(*aChanged.mSettings));
+    SendDuties();
     PublishIfChanged();
   }
 
@@ -130,10 +145,18 @@
   void Note(StoreAnswered const& aAnswer)
   {
     auto const kind = static_cast<std::size_t>(aAnswer.mKind);
+    auto const now = Clock::now();
     mAnswers[kind] = aAnswer.mAnswered;
     if (aAnswer.mAnswered) {
-      mAnsweredAt[kind] = Clock::now();
+      mAnsweredAt[kind] = now;
+      mRetry.Answered(now, aAnswer.mKind);
+      return;
     }
+    bool const isRelaxed =
+      mDuty != WatchDuty::Regular || mPeers.HearsFreshWatch(now);
+    mRetry.Failed(now,
+                  aAnswer.mKind,
+                  isRelaxed ? WatchRetry::kRelaxed : WatchRetry::kUrgent);
   }
 
   void Note(StoreWatchStarted const& aStarted)
@@ -152,6 +175,7 @@
     mPeers.SetStage(stage);
     mArguments.mState->mMayLeave = mPeers.MayLeave();
     UpdateDuty(now);
+    RetryWatches(now);
     UpdateReach(now);
     Outbox outbox;
     mPeers.Tick(now, outbox);
@@ -175,12 +199,11 @@
       mDuty = duty;
       Log().Write(
         "config", "watch_duty", { { "outcome", std::string(ToText(duty)) } });
-      for (auto const kind : kObjectKinds) {
-        SendDuty(kind);
-      }
+      SendDuties();
     }
     if (isOnDuty && !wasWatching) {
       mAnsweredAt.fill({});
+      mRetry.Reset();
     }
     auto const oldest =
       *std::min_element(mAnsweredAt.begin(), mAnsweredAt.end());
@@ -192,11 +215,27 @@
                          isOnDuty ? ownAnswers : mPeers.HearsFreshWatch(aNow));
   }
 
+  void RetryWatches(TimePoint aNow)
+  {
+    for (auto const kind : mRetry.Due(aNow)) {
+      mSelf->send(mWatches[static_cast<std::size_t>(kind)], RetryWatch{});
+    }
+  }
+
+  void SendDuties()
+  {
+    for (auto const kind : kObjectKinds) {
+      SendDuty(kind);
+    }
+  }
+
   void SendDuty(ObjectKind aKind)
   {
     auto const& watch = mWatches[static_cast<std::size_t>(aKind)];
     if (watch) {
-      mSelf->send(watch, SetWatchDuty{ mDuty, mDirectory.CompleteTo(aKind) });
+      auto const wait = mPeers.Times().mWait;
+      mSelf->send(watch,
+                  SetWatchDuty{ mDuty, mDirectory.CompleteTo(aKind), wait });
     }
   }
 
@@ -260,6 +299,7 @@
   NodeActorArguments mArguments;
   Directory mDirectory;
   NodePeers mPeers;
+  WatchRetry mRetry;
   WatchDuty mDuty = WatchDuty::Rely;
   // By kind of objects.
   std::array<bool, kObjectKinds.size()> mAnswers{ true, true, true };
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -109,6 +109,12 @@
     bool mIsTickDue = false; ///< A tick is on its way.
   };
   auto const loop = std::make_shared<Loop>();
+  auto const start = [=] {
+    if (!loop->mIsTickDue) {
+      loop->mIsTickDue = true;
+      aSelf->send(aSelf, TickAtom::value);
+    }
+  };
   aSelf->send(aDirectory,
               StoreWatchStarted{ aKind, caf::actor_cast<caf::actor>(aSelf) });
   return {
@@ -125,18 +131,23 @@
                     StoreNewsReceived{ std::make_shared<StoreNews const>(
                       std::move(*step.mNews)) });
       }
-      aSelf->delayed_send(aSelf, step.mPause, TickAtom::value);
+      // The directory's actor says when to try a failed call again.
+      loop->mIsTickDue = step.mAnswered;
+      if (step.mAnswered) {
+        aSelf->delayed_send(aSelf, step.mPause, TickAtom::value);
+      }
     },
     [=](SetWatchDuty const& aSet) {
       loop->mIsOnDuty = aSet.mDuty != WatchDuty::Rely;
-      aWatch->SetIsFallback(aSet.mDuty == WatchDuty::StandIn ||
-                            aSet.mDuty == WatchDuty::Fallback);
+      aWatch->SetWait(aSet.mWait);
       if (loop->mIsOnDuty) {
         aWatch->ResumeFrom(aSet.mCompleteTo);
+        start();
       }
-      if (loop->mIsOnDuty && !loop->mIsTickDue) {
-        loop->mIsTickDue = true;
-        aSelf->send(aSelf, TickAtom::value);
+    },
+    [=](RetryWatch const&) {
+      if (loop->mIsOnDuty) {
+        start();
       }
     },
   };
@@ -201,10 +212,8 @@
   mActors.push_back(arguments.mFetch);
   mNode = mSystem.spawn(NodeActor, std::move(arguments));
   for (auto const kind : kObjectKinds) {
-    auto const seed =
-      MixHash(HashText(mState->mSettings.mName), static_cast<unsigned>(kind));
     mWatches.push_back(std::make_shared<Watch>(
-      mState->mSettings.mStore, kind, seed, mState->mCounters));
+      mState->mSettings.mStore, kind, mState->mCounters));
     mActors.push_back(mSystem.spawn<caf::detached>(
       StoreWatchActor, mState, mNode, kind, mWatches.back()));
   }
--- a/src/tarragonsill/transport/tarragonsill_node_messages.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_messages.hpp
@@ -37,8 +37,14 @@
   WatchDuty mDuty = WatchDuty::Rely;
   /// Up to here no change of the kind is missing.
   std::uint64_t mCompleteTo = 0;
+  /// How long the store may hold back its answer while nothing changes.
+  milliseconds mWait{ 0 };
 };
 
+/// A watch whose last call failed is to be tried again.
+struct RetryWatch
+{};
+
 /// The settings file holds other bounds or times.
 struct SettingsChanged
 {
@@ -74,6 +80,7 @@
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::StoreAnswered))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::StoreWatchStarted))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::SetWatchDuty))
+CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::RetryWatch))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::SettingsChanged))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::KnowledgeWanted))
 CAF_ADD_TYPE_ID(tarragonsill_node, (tarragonsill::FetchKnowledge))
@@ -84,6 +91,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::StoreAnswered)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::StoreWatchStarted)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::SetWatchDuty)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::RetryWatch)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::SettingsChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::KnowledgeWanted)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(tarragonsill::FetchKnowledge)
--- a/src/tarragonsill/transport/tarragonsill_store_watch.hpp
+++ b/src/tarragonsill/transport/tarragonsill_store_watch.hpp
@@ -2,12 +2,12 @@
 #define TARRAGONSILL_STORE_WATCH_HPP_INCLUDED
 
 #include "tarragonsill/coordination/tarragonsill_directory.hpp"
+#include "tarragonsill/coordination/tarragonsill_watch_relay.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
 #include "tarragonsill/transport/tarragonsill_http_connection.hpp"
 
 #include <algorithm>
 #include <atomic>
-#include <random>
 
 /// Follows one kind of objects in an object store: lists them, then watches for
 /// changes, and lists again when the store has lost the history in between.
@@ -20,7 +20,7 @@
   std::string mFailure; ///< Why there was no answer that can be used.
   /// Changes, or a whole list; nothing while a list is incomplete.
   std::optional<StoreNews> mNews;
-  /// The pause before the next call.
+  /// The pause before the next call, if this one was answered.
   milliseconds mPause{ 0 };
 };
 
@@ -28,13 +28,9 @@
 class StoreWatch
 {
 public:
-  StoreWatch(Endpoint aStore,
-             ObjectKind aKind,
-             std::uint64_t aSeed,
-             Counters& aCounters)
+  StoreWatch(Endpoint aStore, ObjectKind aKind, Counters& aCounters)
     : mConnection({ aStore, kConnectTimeout, true })
     , mCounters(aCounters)
-    , mRandom(aSeed)
   {
     mQuery.mKind = aKind;
   }
@@ -46,8 +42,8 @@
     mConnection.Cancel();
   }
 
-  /// A fallback leaves longer pauses between calls that fail.
-  void SetIsFallback(bool aIsFallback) { mIsFallback = aIsFallback; }
+  /// How long the store may hold back its answer while nothing changes.
+  void SetWait(milliseconds aWait) { mWait = aWait; }
 
   /// Goes on from a revision up to which changes came from elsewhere.
   void ResumeFrom(std::uint64_t aRevision)
@@ -62,11 +58,11 @@
   WatchStep Step()
   {
     if (mCancelled) {
-      return { false, "cancelled", {}, kMostBackoff };
+      return { false, "cancelled", {}, {} };
     }
     mCounters.Add(Counter::StoreCalls);
     bool const isWatch = mQuery.mWatchFrom > 0;
-    mQuery.mWait = isWatch ? kWatchWait : milliseconds{ 0 };
+    mQuery.mWait = isWatch ? mWait : milliseconds{ 0 };
     // A list has to show at least what was known when the history was lost; a
     // watch that lags is noticed by its peers.
     mQuery.mMayBeStale = isWatch;
@@ -87,15 +83,11 @@
     if (!page) {
       return Failed(page.LastReason().mText);
     }
-    mFailures = 0;
     return isWatch ? TakeEvents(page.Take()) : TakeListPage(page.Take());
   }
 
 private:
   static constexpr int kStatusGone = 410;
-  /// Watches wait this long, so that a watch that hears nothing is soon made
-  /// anew; well under the bound for a new configuration.
-  static constexpr milliseconds kWatchWait{ 800 };
   /// After changes, further ones gather for this long: calls have a price, and
   /// drains and configurations have seconds to take effect.
   static constexpr milliseconds kGather{ 150 };
@@ -106,11 +98,6 @@
   /// full for some seconds, and a page that is given up was sent in vain.
   static constexpr milliseconds kListTimeout{ 2500 };
   static constexpr milliseconds kConnectTimeout{ 500 };
-  static constexpr milliseconds kLeastBackoff{ 50 };
-  static constexpr milliseconds kMostBackoff{ 400 };
-  /// A whole zone may fall back to watching when the store is away; refused
-  /// calls count, too, and peers pass on what comes first after its return.
-  static constexpr milliseconds kMostFallbackBackoff{ 2000 };
 
   WatchStep TakeEvents(ObjectPage aPage)
   {
@@ -155,13 +142,7 @@
   WatchStep Failed(std::string aWhy)
   {
     mCounters.Add(Counter::StoreFailures);
-    auto const limit = mIsFallback ? kMostFallbackBackoff : kMostBackoff;
-    auto const least = mIsFallback ? kMostBackoff : kLeastBackoff;
-    auto const most = std::min(limit, least * (1 << mFailures));
-    mFailures = std::min(mFailures + 1, 10);
-    std::uniform_int_distribution<milliseconds::rep> draw(most.count() / 2,
-                                                          most.count());
-    return { false, std::move(aWhy), {}, milliseconds{ draw(mRandom) } };
+    return { false, std::move(aWhy), {}, {} };
   }
 
   HttpConnection mConnection;
@@ -169,10 +150,8 @@
   ObjectQuery mQuery;
   std::vector<ObjectChange> mListed;
   std::uint64_t mListRevision = 0;
-  int mFailures = 0;
-  bool mIsFallback = false;
+  milliseconds mWait = WatchTimes{}.mWait;
   std::atomic<bool> mCancelled{ false };
-  std::mt19937_64 mRandom;
 };
 
 } // namespace tarragonsill
--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -270,7 +270,7 @@
   for (auto const index : zone) {
     mGroup.At(index).SetWatched(std::nullopt);
   }
-  mGroup.Run(WatchRelay::kFreshFor + milliseconds{ 100 });
+  mGroup.Run(WatchTimes{}.mFreshFor + milliseconds{ 100 });
   LONGS_EQUAL(9, onDuty());
   std::size_t fallbacks = 0;
   for (auto const index : zone) {
--- a/tests/coordination/test_watch_relay.cpp
+++ b/tests/coordination/test_watch_relay.cpp
@@ -131,7 +131,7 @@
 
 TEST(WatchRelay, vms_that_hear_no_watcher_watch_for_themselves)
 {
-  auto const now = kStart + WatchRelay::kFreshFor;
+  auto const now = kStart + WatchTimes{}.mFreshFor;
   LONGS_EQUAL(18, Count(now, WatchDuty::Fallback));
 }
 
@@ -169,3 +169,14 @@
   LONGS_EQUAL(2, early);
   LONGS_EQUAL(20, late);
 }
+
+TEST(WatchRelay, times_follow_the_bound_for_a_change)
+{
+  auto const times = WatchTimes::For(milliseconds{ 3000 });
+  LONGS_EQUAL(WatchTimes{}.mWait.count(), times.mWait.count());
+  LONGS_EQUAL(WatchTimes{}.mFreshFor.count(), times.mFreshFor.count());
+  // A watch that went silent and one that is made anew both fit the bound.
+  auto const longer = WatchTimes::For(milliseconds{ 6000 });
+  LONGS_EQUAL(1600, longer.mWait.count());
+  LONGS_EQUAL(4000, longer.mFreshFor.count());
+}
