Reset no flow on evidence that has grown old

Of the causes of a reset only a verdict on the upstream fits (route and configuration were in force). Such a verdict had no end: a failed check stood until a connection was accepted, and repeated data until something was acknowledged through the same VM. An upstream without new flows (evacuated, drained) whose flows pass other VMs is neither checked nor heard again.

Change: a failed check gives up flows for 3 s, renewed by each further one; repetitions count as silence for 2 s after the last of them. New flows stay away as before. A flow that comes back is forwarded and its upstream checked.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -197,9 +197,9 @@
 bool
 CookieSteering::IsLost(TimePoint aNow, std::uint32_t aSlot) const
 {
-  auto const health = mLoads[aSlot].mWatch.Health(aNow);
-  return health == UpstreamHealth::Unreachable ||
-         (health == UpstreamHealth::Silent &&
+  auto const& watch = mLoads[aSlot].mWatch;
+  return watch.IsProvenOutOfReach(aNow) ||
+         (watch.Health(aNow) == UpstreamHealth::Silent &&
           aNow < mLastAnswer + kOthersAnswered);
 }
 
@@ -250,9 +250,13 @@
   if (aAnswer == ReachAnswer::Accepted) {
     mLoads[aSlot].mWatch.InReach(aNow);
   }
-  auto lost = mReach.Take(aNow, aSlot, aAnswer, mLoads);
-  for (auto const slot : lost) {
-    mLoads[slot].mWatch.OutOfReach();
+  std::vector<std::uint32_t> lost;
+  for (auto const slot : mReach.Take(aNow, aSlot, aAnswer, mLoads)) {
+    auto& watch = mLoads[slot].mWatch;
+    if (watch.Health(aNow) != UpstreamHealth::Unreachable) {
+      lost.push_back(slot);
+    }
+    watch.OutOfReach(aNow);
   }
   return lost;
 }
--- a/src/tarragonsill/coordination/tarragonsill_upstream_reach.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_reach.cpp
@@ -124,6 +124,7 @@
       return aCheck.mAnswer == ReachAnswer::Accepted;
     });
   std::vector<std::uint32_t> lost;
+  bool isAnyNew = false;
   for (auto const& check : mRound) {
     if (check.mAnswer == ReachAnswer::Accepted) {
       mPauses[check.mSlot] = { aNow + kAcceptedPause, milliseconds{ 0 }, aNow };
@@ -132,13 +133,14 @@
                        (check.mAnswer == ReachAnswer::None && ownLinkWorks);
     auto const& watch = aLoads[check.mSlot].mWatch;
     bool const answeredSince = watch.LastAnswer() >= mRoundStarted;
-    bool const isKnown = watch.Health(aNow) == UpstreamHealth::Unreachable;
-    if (isOut && !answeredSince && !isKnown && !check.mIsWitness) {
-      lost.push_back(check.mSlot);
+    if (!isOut || answeredSince || check.mIsWitness) {
+      continue;
     }
+    lost.push_back(check.mSlot);
+    isAnyNew = isAnyNew || watch.Health(aNow) != UpstreamHealth::Unreachable;
   }
   mRound.clear();
-  if (!lost.empty()) {
+  if (isAnyNew) {
     mSpreadUntil = aNow + kSpreadFor;
   }
   return lost;
--- a/src/tarragonsill/coordination/tarragonsill_upstream_reach.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_reach.hpp
@@ -61,7 +61,7 @@
   std::vector<std::uint32_t> Begin(TimePoint aNow,
                                    std::vector<UpstreamLoad> const& aLoads);
   /// Takes an answer. The last one of a round returns the upstreams that are
-  /// out of reach and were not before.
+  /// out of reach, also those that were before.
   std::vector<std::uint32_t> Take(TimePoint aNow,
                                   std::uint32_t aSlot,
                                   ReachAnswer aAnswer,
--- a/src/tarragonsill/coordination/tarragonsill_upstream_watch.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_watch.cpp
@@ -34,6 +34,7 @@
                             bool aIsFirstCopyOfFlow)
 {
   mFirstCopyAt = mCopies == 0 ? aNow : mFirstCopyAt;
+  mLastCopyAt = aNow;
   ++mCopies;
   mRepeatingFlows += aIsFirstCopyOfFlow ? 1 : 0;
   // Data that was sent before the last answer was overdue only from then on.
@@ -81,8 +82,9 @@
       mRepeatingFlows >= kSilentFlows && silence >= kSilentAfter;
     bool const alone =
       mCopies >= kSilentAloneCopies && silence >= kSilentAloneAfter;
-    return isLong && isChecked && (several || alone) ? UpstreamHealth::Silent
-                                                     : UpstreamHealth::Doubtful;
+    bool const isRecent = aNow < mLastCopyAt + kRepeatsCountFor;
+    bool const isSilent = isRecent && isLong && isChecked && (several || alone);
+    return isSilent ? UpstreamHealth::Silent : UpstreamHealth::Doubtful;
   }
   bool const overdue =
     mOpeningSince != TimePoint{} && aNow >= mOpeningSince + kHandshakeMost;
--- a/src/tarragonsill/coordination/tarragonsill_upstream_watch.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_watch.hpp
@@ -46,6 +46,13 @@
   static constexpr milliseconds kSilentThoughInReach{ 1500 };
   static constexpr std::uint32_t kSilentFlows = 2;
   static constexpr std::uint32_t kSilentAloneCopies = 3;
+  /// A caller repeats itself after 1.6 s at the latest (platform). What was
+  /// repeated longer ago has ended, or passes other VMs.
+  static constexpr milliseconds kRepeatsCountFor{ 2000 };
+  /// Flows are given up on a failed check of at most this age; less than the
+  /// time for which the platform holds a disruption of an upstream against it
+  /// (4 s). Later packets have it checked again.
+  static constexpr milliseconds kFailedCheckCountsFor{ 3000 };
   /// A doubtful upstream gets one new flow in this time, to find out. Until it
   /// answers, each such flow waits for a copy of its opening packet.
   static constexpr milliseconds kProbation{ 2000 };
@@ -59,7 +66,11 @@
   /// A caller's packet shows that the upstream answered.
   void Answered(TimePoint aNow);
   /// A connection to it failed, or was accepted.
-  void OutOfReach() { mIsOutOfReach = true; }
+  void OutOfReach(TimePoint aNow)
+  {
+    mIsOutOfReach = true;
+    mOutOfReachAt = aNow;
+  }
   void InReach(TimePoint aNow)
   {
     mIsOutOfReach = false;
@@ -69,6 +80,11 @@
   void Forgive(TimePoint aNow);
 
   UpstreamHealth Health(TimePoint aNow) const;
+  /// Whether a check failed lately enough to give up flows on it.
+  bool IsProvenOutOfReach(TimePoint aNow) const
+  {
+    return mIsOutOfReach && aNow < mOutOfReachAt + kFailedCheckCountsFor;
+  }
   /// Whether a doubtful upstream is to be tried once more.
   bool IsProbeDue(TimePoint aNow) const;
   void ProbeSent(TimePoint aNow) { mLastProbe = aNow; }
@@ -84,6 +100,8 @@
   /// When the oldest data that was repeated since then was sent first.
   TimePoint mRepeatingSince{};
   TimePoint mFirstCopyAt{};
+  TimePoint mLastCopyAt{};
+  TimePoint mOutOfReachAt{};
   TimePoint mInReachAt{};
   std::uint32_t mRepeatingFlows = 0;
   std::uint32_t mCopies = 0;
--- /dev/null
+++ b/tests/coordination/test_cookie_old_evidence.cpp
@@ -0,0 +1,84 @@
+#include "support/cookie_fixture.hpp"
+
+using namespace tarragonsill;
+using namespace tarragonsill::Test;
+
+/// The pattern *evacuated zone*: its upstreams get no new flows, so for seconds
+/// nothing that passes this VM renews what it once found out about them.
+TEST_GROUP_BASE(CookieOldEvidence, CookieFixture){
+  /// Runs the checks that are due; one upstream refuses its connection.
+  void RefuseAt(std::uint32_t aSlot){ mSteering.Sweep(mNow);
+for (auto const slot : mSteering.NextReachChecks(mNow)) {
+  (void)mSteering.NoteReach(
+    mNow, slot, slot == aSlot ? ReachAnswer::Refused : ReachAnswer::Accepted);
+}
+}
+
+UpstreamHealth
+HealthOf(std::uint32_t aSlot) const
+{
+  return mSteering.Loads()[aSlot].mWatch.Health(mNow);
+}
+}
+;
+
+TEST(CookieOldEvidence, a_flow_that_comes_back_outlives_an_old_failed_check)
+{
+  auto [flow, opened] = ServeAt("a2");
+  (void)mSteering.Steer(mNow, flow.Data(opened.mCookie));
+  mNow += milliseconds{ 250 };
+  (void)mSteering.Steer(mNow, flow.Data(opened.mCookie, true));
+  RefuseAt(opened.mSlot);
+  CHECK(HealthOf(opened.mSlot) == UpstreamHealth::Unreachable);
+  mStore.Evacuate(mNow, "a", true);
+  Refresh();
+  // Found on the large site: another flow of that upstream, which had answered
+  // again meanwhile, was reset with its first packet here, 9 s later.
+  mNow += seconds{ 9 };
+  SampleFlow back(CallerAt(51000));
+  CHECK(mSteering.Steer(mNow, back.Data(opened.mCookie)).mAction ==
+        SteeringAction::Forward);
+  mSteering.Sweep(mNow);
+  LONGS_EQUAL(0, mSteering.TakeResets().size());
+}
+
+TEST(CookieOldEvidence, a_check_that_fails_once_more_gives_the_flow_up)
+{
+  auto [flow, opened] = ServeAt("a2");
+  (void)mSteering.Steer(mNow, flow.Data(opened.mCookie));
+  mNow += milliseconds{ 250 };
+  (void)mSteering.Steer(mNow, flow.Data(opened.mCookie, true));
+  RefuseAt(opened.mSlot);
+  mNow += seconds{ 9 };
+  SampleFlow back(CallerAt(51000));
+  (void)mSteering.Steer(mNow, back.Data(opened.mCookie));
+  RefuseAt(opened.mSlot);
+  mSteering.Sweep(mNow);
+  // Both flows that are known there.
+  LONGS_EQUAL(2, mSteering.TakeResets().size());
+}
+
+TEST(CookieOldEvidence, repetitions_of_long_ago_are_no_sign_of_silence)
+{
+  auto [other, elsewhere] = ServeAt("a1");
+  auto [first, opened] = ServeAt("a2");
+  auto [second, alsoOpened] = ServeAt("a2");
+  auto const send = [&](bool aIsCopy) {
+    (void)mSteering.Steer(mNow, first.Data(opened.mCookie, aIsCopy));
+    (void)mSteering.Steer(mNow, second.Data(opened.mCookie, aIsCopy));
+  };
+  send(false);
+  mNow += milliseconds{ 250 };
+  send(true);
+  // Their later packets and the signs of answers pass other VMs.
+  mNow += seconds{ 9 };
+  (void)mSteering.Steer(mNow, other.Data(elsewhere.mCookie));
+  (void)mSteering.Steer(mNow, other.Acknowledge(elsewhere.mCookie));
+  SampleFlow back(CallerAt(51000));
+  CHECK(mSteering.Steer(mNow, back.Data(opened.mCookie)).mAction ==
+        SteeringAction::Forward);
+  mSteering.Sweep(mNow);
+  LONGS_EQUAL(0, mSteering.TakeResets().size());
+  // New flows still go elsewhere until something is heard of it.
+  CHECK(HealthOf(opened.mSlot) == UpstreamHealth::Doubtful);
+}
--- a/tests/coordination/test_upstream_reach.cpp
+++ b/tests/coordination/test_upstream_reach.cpp
@@ -48,7 +48,7 @@
       lost = mReach.Take(kStart, slot, answer, mLoads);
     }
     for (auto const slot : lost) {
-      mLoads[slot].mWatch.OutOfReach();
+      mLoads[slot].mWatch.OutOfReach(kStart);
     }
     return lost;
   }
