Let packets that come before the first view wait for it

Cause: after the final fault VMs are ready 0.1 s after their start, yet routers use them from the first moment, as fewer than half of a zone is in rotation. All packets of that time were dropped, and an opening packet comes again after 0.2 or 0.4 s only, too late for most callers. Besides, a VM that knew configuration and upstreams, but no evacuations yet, already steered.

Change: EarlyPackets, a module without network (pattern: restart crowd), keeps packets for 150 ms, less than the time after which callers send copies, and half a megabyte at most; what waits longer is refused with a line as before. Nothing is steered by a view that is not complete.

Where each request opens a flow, the crowd comes a little denser and its upstreams shed a few more; that is looked at next.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -78,7 +78,7 @@
 SteeringVerdict
 CookieSteering::Decide(TimePoint aNow, FlowPacket const& aPacket)
 {
-  if (mView->mVersion == 0) {
+  if (!mView->mIsComplete) {
     return Refuse(SteeringAction::Drop, SteeringCause::NoConfiguration);
   }
   if (aPacket.mOpens && aPacket.mAcknowledges) {
--- a/src/tarragonsill/coordination/tarragonsill_directory_view.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_view.cpp
@@ -45,6 +45,7 @@
     return view;
   }
   view->mVersion = mConfiguration->mVersion;
+  view->mIsComplete = IsComplete();
   view->mIdleTimeout = mConfiguration->mIdleTimeout;
   AddRoutes(*view);
   AddUpstreams(aNow, *view);
--- a/src/tarragonsill/state/tarragonsill_routing_view.hpp
+++ b/src/tarragonsill/state/tarragonsill_routing_view.hpp
@@ -64,6 +64,8 @@
 struct RoutingView
 {
   std::uint64_t mVersion = 0; ///< Of the configuration.
+  /// Every kind of object was listed once, so that nothing is missing.
+  bool mIsComplete = false;
   milliseconds mIdleTimeout{ 15000 };
   milliseconds mLongestFlow{ 60000 };
   std::map<Endpoint, RouteEntry> mRoutes;
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -2,6 +2,7 @@
 #define TARRAGONSILL_COOKIE_WORKER_HPP_INCLUDED
 
 #include "tarragonsill/coordination/tarragonsill_cookie_steering.hpp"
+#include "tarragonsill/coordination/tarragonsill_early_packets.hpp"
 #include "tarragonsill/protocol/tarragonsill_byte_order.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
 #include "tarragonsill/transport/tarragonsill_boot_time.hpp"
@@ -90,11 +91,11 @@
       }
       last = boot;
       TakeView();
-      mHeads = 0;
+      HandleEarly(now);
       for (auto const& datagram : batch) {
-        Handle(now, datagram);
+        Receive(now, datagram.mBytes);
       }
-      mCounters.Add(Counter::DropSendFailed, mSocket.Flush());
+      Flush();
       CheckReach(now);
       if (now >= mNextSweep) {
         mNextSweep = now + kSweepPeriod;
@@ -189,10 +190,43 @@
     return fields;
   }
 
-  void Handle(TimePoint aNow, Datagram const& aDatagram)
+  /// Sends what is queued.
+  void Flush()
+  {
+    mCounters.Add(Counter::DropSendFailed, mSocket.Flush());
+    mHeads = 0;
+  }
+
+  /// Handles packets that waited for the first view; old ones are refused.
+  void HandleEarly(TimePoint aNow)
+  {
+    if (mEarly.IsEmpty()) {
+      return;
+    }
+    auto packets =
+      mSteering.View().mIsComplete ? mEarly.TakeAll() : mEarly.TakeOld(aNow);
+    for (auto& packet : packets) {
+      if (mHeads == mHeadBytes.size()) {
+        Flush();
+      }
+      Handle(aNow, packet);
+    }
+    // What is queued points into the packets.
+    Flush();
+  }
+
+  void Receive(TimePoint aNow, std::span<std::byte> aBytes)
   {
     mCounters.Add(Counter::PacketsReceived);
-    auto const packet = Format::Read(aDatagram.mBytes);
+    if (!mSteering.View().mIsComplete && mEarly.Keep(aNow, aBytes)) {
+      return;
+    }
+    Handle(aNow, aBytes);
+  }
+
+  void Handle(TimePoint aNow, std::span<std::byte> aBytes)
+  {
+    auto const packet = Format::Read(aBytes);
     if (!packet) {
       mCounters.Add(Counter::DropTruncated);
       return;
@@ -204,7 +238,7 @@
     auto& head = mHeadBytes[mHeads++];
     switch (verdict.mAction) {
       case SteeringAction::Forward:
-        Forward(verdict, aDatagram, head);
+        Forward(verdict, aBytes, head);
         break;
       case SteeringAction::Reset:
         Format::WriteReset(
@@ -218,7 +252,7 @@
   }
 
   void Forward(SteeringVerdict const& aVerdict,
-               Datagram const& aDatagram,
+               std::span<std::byte> aPacket,
                std::span<std::byte> aHead)
   {
     constexpr unsigned kWordBits = 32;
@@ -229,8 +263,8 @@
     StoreU32(identity,
              sizeof(std::uint32_t),
              static_cast<std::uint32_t>(record.mIdentity));
-    Format::WriteCookie(aDatagram.mBytes, aVerdict.mCookie);
-    mSocket.Queue(record.mAddress, identity, aDatagram.mBytes);
+    Format::WriteCookie(aPacket, aVerdict.mCookie);
+    mSocket.Queue(record.mAddress, identity, aPacket);
     mCounters.Add(Counter::PacketsToUpstream);
   }
 
@@ -242,6 +276,7 @@
   NodeLog& mLog;
   CookieSteering mSteering;
   ReachProber mProber;
+  EarlyPackets mEarly;
   RoutingViewPointer mPosted;
   RoutingViewPointer mUsed;
   /// Heads of the datagrams that are queued.
