Spread a crowd over all zones before any answer tells of queues

The zone's own upstreams came first until 64 answers had told how long answers usually take, and after a restart there are none.

Change: an upstream whose slots this VM alone has filled, with requests in progress and flows that open, costs as much as one of another zone. An opening counts for 1.4 s, after which its caller has given it up (platform).

The test (pattern: restart crowd) gave one of four upstreams nothing before.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds kOthersAnswered{ 400 };
 /// The last packets of a closed flow come within this time.
 constexpr milliseconds kClosedTime{ 3000 };
+/// Callers give an opening up after this time (platform).
+constexpr milliseconds kOpeningTime{ 1400 };
 /// After a standstill it takes this long to read what waited meanwhile.
 constexpr milliseconds kReadWaiting{ 20 };
 /// Notes that wait to be taken; more are dropped.
@@ -147,6 +149,7 @@
   Forget(key);
   auto& flow = Track(aNow, aPacket, pick->mSlot);
   flow.mIsOpening = true;
+  CountOpening(flow, true);
   flow.mWasOfferedTwice = isCopy && pick->mSlot != *avoid;
   auto& watch = mLoads[pick->mSlot].mWatch;
   auto const cause = flow.mWasOfferedTwice ? SteeringCause::SecondChoice
@@ -216,6 +219,9 @@
 {
   mReach.Review(aNow, *mView, mLoads);
   mFlows.EraseIf([&](Detail::TrackedFlow& aFlow) {
+    if (aNow > aFlow.mSeen + kOpeningTime) {
+      CountOpening(aFlow, false);
+    }
     auto const patience =
       aFlow.mIsClosed ? Duration(kClosedTime) : Duration(mView->mIdleTimeout);
     bool const isIdle = aNow > aFlow.mSeen + patience;
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -99,9 +99,10 @@
   TimePoint mSeen{};
   TimePoint mDataSent{}; ///< When the newest data was forwarded first.
   std::uint8_t mCopies = 0;
-  bool mIsOpening = false;   ///< No packet after the opening one yet.
-  bool mHasSentData = false; ///< Data of it passed this VM.
-  bool mInProgress = false;  ///< Data was sent and nothing came back.
+  bool mIsOpening = false;       ///< No packet after the opening one yet.
+  bool mCountsAsOpening = false; ///< Among its upstream's openings.
+  bool mHasSentData = false;     ///< Data of it passed this VM.
+  bool mInProgress = false;      ///< Data was sent and nothing came back.
   bool mWasOfferedTwice = false;
   bool mIsClosed = false; ///< The caller is done; it weighs nothing.
 };
@@ -165,6 +166,8 @@
   Detail::TrackedFlow& Track(TimePoint aNow,
                              FlowPacket const& aPacket,
                              std::uint32_t aSlot);
+  /// Counts a flow among its upstream's openings, or no more.
+  void CountOpening(Detail::TrackedFlow& aFlow, bool aIsOpening);
   /// Takes a flow off its upstream's load.
   void Release(Detail::TrackedFlow& aFlow);
   void Forget(std::uint64_t aKey);
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -117,6 +117,7 @@
     --load.mInProgress;
   }
   aFlow.mIsOpening = false;
+  CountOpening(aFlow, false);
   if (aPacket.mDataBytes > 0 || aPacket.mCloses) {
     LearnData(aNow, aPacket, aFlow);
   }
@@ -174,9 +175,21 @@
   return flow;
 }
 
+void
+CookieSteering::CountOpening(Detail::TrackedFlow& aFlow, bool aIsOpening)
+{
+  if (aFlow.mCountsAsOpening == aIsOpening) {
+    return;
+  }
+  aFlow.mCountsAsOpening = aIsOpening;
+  auto& openings = mLoads[aFlow.mSlot].mOpening;
+  openings += aIsOpening ? 1 : -1;
+}
+
 void
 CookieSteering::Release(Detail::TrackedFlow& aFlow)
 {
+  CountOpening(aFlow, false);
   if (aFlow.mIsClosed) {
     return;
   }
--- a/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
@@ -128,7 +128,12 @@
   // The flow to come counts, too, or a slow upstream without any looked free.
   auto const work = aLoad.mFlows + 1 + kInProgressWeight * aLoad.mInProgress;
   double cost = work * aLoad.mPace.Slowness(aNow) / slots;
-  if (aUpstream.mZone != aView.mOwnZone && !aIsZoneSaturated) {
+  // Where this VM alone has filled every slot the next request waits, while
+  // another zone is a millisecond away.
+  bool const isFull =
+    aLoad.mInProgress + aLoad.mOpening >= aUpstream.mRecord.mSlots;
+  bool const isElsewhere = aUpstream.mZone != aView.mOwnZone;
+  if ((isElsewhere || isFull) && !aIsZoneSaturated) {
     cost += kOtherZoneCost;
   }
   if (aUpstream.mUse == UpstreamUse::Missing) {
--- a/src/tarragonsill/coordination/tarragonsill_upstream_choice.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_choice.hpp
@@ -21,6 +21,8 @@
 {
   std::uint32_t mFlows = 0;      ///< Flows that pass this VM.
   std::uint32_t mInProgress = 0; ///< Requests without an answer yet.
+  /// Flows that open; each brings a request a moment later.
+  std::uint32_t mOpening = 0;
   UpstreamWatch mWatch;
   AnswerPace mPace;
   /// When this VM gave it new flows while it was cold; the last second.
--- a/tests/coordination/test_cookie_steering.cpp
+++ b/tests/coordination/test_cookie_steering.cpp
@@ -205,3 +205,35 @@
     }
   });
 }
+
+/// The pattern *restart crowd*: after everything was killed the callers of a
+/// whole zone reach the one VM that is back first, before any answer tells it
+/// how busy its upstreams are.
+TEST(CookieSteering, a_crowd_before_any_answer_is_spread_over_all_zones)
+{
+  constexpr int kCrowd = 40;
+  std::map<std::string, int> given;
+  for (std::uint16_t port = 40000; port < 40000 + kCrowd; ++port) {
+    SampleFlow flow(CallerAt(port));
+    ++given[NameAt(mSteering.Steer(mNow, flow.Opening()))];
+  }
+  // Four upstreams with four slots each; the three of the own zone come first
+  // while they have a free slot.
+  for (auto const& [name, flows] : given) {
+    CHECK(flows >= 8);
+    CHECK(flows <= 12);
+  }
+  LONGS_EQUAL(4, given.size());
+}
+
+TEST(CookieSteering, flows_stay_in_the_zone_while_it_has_free_slots)
+{
+  std::vector<SampleFlow> flows;
+  std::map<std::string, int> given;
+  for (std::uint16_t port = 40000; port < 40040; ++port) {
+    flows.emplace_back(CallerAt(port));
+    // Served at once, and open from then on.
+    ++given[NameAt(Serve(flows.back()))];
+  }
+  LONGS_EQUAL(0, given["b1"]);
+}
