Let lists after the first one come from a replica that has its revision

Cause: a VM that starts without a peer that knows lists three kinds of objects, each by a call that may not lag, ten times the price of one that may, and within the store's read rate.

Change: only the configuration is listed by a call that may not lag; it tells the store's revision. The others may come from any replica that has reached it, page by page no older than the first page; one that lags is listed again as before. A list after a lost history stays one that may not lag. The stand-in of the store has a replica that lags.

--- a/lab/platform/tarragonsill_lab_object_store.cpp
+++ b/lab/platform/tarragonsill_lab_object_store.cpp
@@ -40,6 +40,12 @@
 {
   using Objects = std::map<std::string, nlohmann::json>;
 
+  struct State
+  {
+    std::map<std::string, Objects> mObjects; ///< By kind.
+    std::uint64_t mRevision = 1;
+  };
+
   void Get(httplib::Request const& aRequest, httplib::Response& aResponse)
   {
     ++mCalls;
@@ -60,7 +66,9 @@
   nlohmann::json List(httplib::Request const& aRequest,
                       std::string const& aKind)
   {
-    auto const& objects = mObjects[aKind];
+    bool const mayLag = aRequest.has_param("serializable");
+    auto& replica = mayLag && mReplicaLags ? mOldReplica : mState;
+    auto const& objects = replica.mObjects[aKind];
     auto items = nlohmann::json::array();
     auto next = objects.upper_bound(aRequest.get_param_value("after"));
     for (; next != objects.end() && items.size() < kItemsPerPage; ++next) {
@@ -68,7 +76,7 @@
     }
     return { { "items", items },
              { "more", next != objects.end() },
-             { "currentRev", mRevision } };
+             { "currentRev", replica.mRevision } };
   }
 
   nlohmann::json Watch(httplib::Request const& aRequest,
@@ -92,7 +100,7 @@
       aResponse.status = mIsDown ? kUnavailable : kGone;
       return nullptr;
     }
-    return { { "events", events }, { "currentRev", mRevision } };
+    return { { "events", events }, { "currentRev", mState.mRevision } };
   }
 
   void Change(std::string const& aKind,
@@ -101,20 +109,20 @@
               bool aIsRemoval)
   {
     std::lock_guard const lock(mMutex);
-    ++mRevision;
+    auto const revision = ++mState.mRevision;
     nlohmann::json const object = {
-      { "meta", { { "name", aName }, { "revision", mRevision } } },
+      { "meta", { { "name", aName }, { "revision", revision } } },
       { "spec", aSpec },
       { "status", nullptr }
     };
     if (aIsRemoval) {
-      mObjects[aKind].erase(aName);
+      mState.mObjects[aKind].erase(aName);
     } else {
-      mObjects[aKind][aName] = object;
+      mState.mObjects[aKind][aName] = object;
     }
     mEvents.push_back(
       { aKind,
-        mRevision,
+        revision,
         { { "object", object }, { "tombstone", aIsRemoval } } });
     mChanged.notify_all();
   }
@@ -124,9 +132,10 @@
   std::atomic<std::uint64_t> mCalls{ 0 };
   std::mutex mMutex;
   std::condition_variable mChanged;
-  std::map<std::string, Objects> mObjects;
+  State mState;
+  State mOldReplica;
+  bool mReplicaLags = false;
   std::vector<Event> mEvents;
-  std::uint64_t mRevision = 1;
   std::uint64_t mForgottenUpTo = 0;
   bool mIsDown = false;
   bool mStop = false;
@@ -198,11 +207,32 @@
 ObjectStore::ForgetHistory()
 {
   std::lock_guard const lock(mImpl->mMutex);
-  mImpl->mForgottenUpTo = mImpl->mRevision;
+  mImpl->mForgottenUpTo = mImpl->mState.mRevision;
   mImpl->mEvents.clear();
   mImpl->mChanged.notify_all();
 }
 
+void
+ObjectStore::KeepOldReplica()
+{
+  std::lock_guard const lock(mImpl->mMutex);
+  mImpl->mOldReplica = mImpl->mState;
+}
+
+void
+ObjectStore::SetReplicaLags(bool aLags)
+{
+  std::lock_guard const lock(mImpl->mMutex);
+  mImpl->mReplicaLags = aLags;
+}
+
+std::uint64_t
+ObjectStore::Revision() const
+{
+  std::lock_guard const lock(mImpl->mMutex);
+  return mImpl->mState.mRevision;
+}
+
 std::uint64_t
 ObjectStore::CallCount() const
 {
--- a/lab/platform/tarragonsill_lab_object_store.hpp
+++ b/lab/platform/tarragonsill_lab_object_store.hpp
@@ -27,7 +27,12 @@
   void SetDown(bool aIsDown);
   /// Forgets what happened so far: watches from before are told so.
   void ForgetHistory();
+  /// Keeps the present state as that of a replica that hears nothing more.
+  void KeepOldReplica();
+  /// Whether lists that may lag come from that replica.
+  void SetReplicaLags(bool aLags);
   std::uint64_t CallCount() const;
+  std::uint64_t Revision() const;
 
 private:
   struct Impl;
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -5,6 +5,7 @@
 #include "tarragonsill/transport/tarragonsill_knowledge_server.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tarragonsill {
 
@@ -55,6 +56,9 @@
   void TakeOwn(StoreNews const& aNews)
   {
     Take(aNews, aNews.mIsWholeList ? "list" : "watch");
+    if (aNews.mIsWholeList && aNews.mKind == kFirstListed) {
+      ListTheOthers(aNews.mRevision);
+    }
     Outbox outbox;
     mPeers.PassOn(aNews, outbox);
     Send(outbox);
@@ -162,7 +166,7 @@
   void Note(StoreWatchStarted const& aStarted)
   {
     mWatches[static_cast<std::size_t>(aStarted.mKind)] = aStarted.mWatch;
-    SendDuty(aStarted.mKind);
+    SendDuty(aStarted.mKind, 0);
   }
 
   void Tick()
@@ -176,6 +180,9 @@
     mArguments.mState->mMayLeave = mPeers.MayLeave();
     UpdateDuty(now);
     RetryWatches(now);
+    if (!IsFirstListDue()) {
+      ListTheOthers(0);
+    }
     UpdateReach(now);
     Outbox outbox;
     mPeers.Tick(now, outbox);
@@ -222,20 +229,45 @@
     }
   }
 
+  /// The first list may not lag. The others may come from any replica that has
+  /// reached its revision, which is cheaper for the store.
+  static constexpr auto kFirstListed = ObjectKind::Configuration;
+
+  bool IsFirstListDue() const
+  {
+    return mDirectory.CompleteTo(kFirstListed) == 0;
+  }
+
+  /// Lets the watches go on that waited for the first list.
+  void ListTheOthers(std::uint64_t aFloor)
+  {
+    for (auto const kind : kObjectKinds) {
+      auto& waits = mWaitsForFirstList[static_cast<std::size_t>(kind)];
+      if (std::exchange(waits, false)) {
+        SendDuty(kind, aFloor);
+      }
+    }
+  }
+
   void SendDuties()
   {
     for (auto const kind : kObjectKinds) {
-      SendDuty(kind);
+      SendDuty(kind, 0);
     }
   }
 
-  void SendDuty(ObjectKind aKind)
+  void SendDuty(ObjectKind aKind, std::uint64_t aFloor)
   {
-    auto const& watch = mWatches[static_cast<std::size_t>(aKind)];
-    if (watch) {
+    auto const index = static_cast<std::size_t>(aKind);
+    auto const complete = mDirectory.CompleteTo(aKind);
+    bool const isOnDuty = mDuty != WatchDuty::Rely;
+    auto& waits = mWaitsForFirstList[index];
+    waits =
+      isOnDuty && aKind != kFirstListed && complete == 0 && IsFirstListDue();
+    if (mWatches[index] && !waits) {
       auto const wait = mPeers.Times().mWait;
-      mSelf->send(watch,
-                  SetWatchDuty{ mDuty, mDirectory.CompleteTo(aKind), wait });
+      mSelf->send(mWatches[index],
+                  SetWatchDuty{ mDuty, complete, wait, aFloor });
     }
   }
 
@@ -310,6 +342,7 @@
   std::array<bool, kObjectKinds.size()> mAnswers{ true, true, true };
   std::array<TimePoint, kObjectKinds.size()> mAnsweredAt{};
   std::array<caf::actor, kObjectKinds.size()> mWatches;
+  std::array<bool, kObjectKinds.size()> mWaitsForFirstList{};
 };
 
 } // namespace
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -142,6 +142,7 @@
       aWatch->SetWait(aSet.mWait);
       if (loop->mIsOnDuty) {
         aWatch->ResumeFrom(aSet.mCompleteTo);
+        aWatch->SetFloor(aSet.mFloor);
         start();
       }
     },
--- a/src/tarragonsill/transport/tarragonsill_node_messages.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_messages.hpp
@@ -39,6 +39,8 @@
   std::uint64_t mCompleteTo = 0;
   /// How long the store may hold back its answer while nothing changes.
   milliseconds mWait{ 0 };
+  /// A revision that the store had a moment ago; 0 if there is none.
+  std::uint64_t mFloor = 0;
 };
 
 /// A watch whose last call failed is to be tried again.
--- a/src/tarragonsill/transport/tarragonsill_store_watch.hpp
+++ b/src/tarragonsill/transport/tarragonsill_store_watch.hpp
@@ -54,6 +54,13 @@
     }
   }
 
+  /// A revision that the store had a moment ago. The next list may come from a
+  /// replica that has reached it, which costs less than one that may not lag.
+  void SetFloor(std::uint64_t aRevision)
+  {
+    mFloor = std::max(mFloor, aRevision);
+  }
+
   /// Makes one call and waits for its answer.
   WatchStep Step()
   {
@@ -63,9 +70,9 @@
     mCounters.Add(Counter::StoreCalls);
     bool const isWatch = mQuery.mWatchFrom > 0;
     mQuery.mWait = isWatch ? mWait : milliseconds{ 0 };
-    // A list has to show at least what was known when the history was lost; a
-    // watch that lags is noticed by its peers.
-    mQuery.mMayBeStale = isWatch;
+    // A list has to show what the store has by now; a watch that lags is
+    // noticed by its peers.
+    mQuery.mMayBeStale = isWatch || mFloor > 0;
     auto const answer =
       mConnection.Get(Format::Path(mQuery),
                       isWatch ? mQuery.mWait + kAnswerTimeout : kListTimeout);
@@ -113,6 +120,13 @@
 
   WatchStep TakeListPage(ObjectPage aPage)
   {
+    // A page that is older than the first one would hide changes from the
+    // watch.
+    if (aPage.mRevision < std::max(mFloor, mListRevision)) {
+      mFloor = 0;
+      Restart();
+      return { true, {}, {}, milliseconds{ 0 } };
+    }
     auto const last =
       aPage.mChanges.empty() ? std::string() : aPage.mChanges.back().mName;
     if (mListed.empty()) {
@@ -127,6 +141,7 @@
     }
     StoreNews news{ mQuery.mKind, std::move(mListed), true, mListRevision };
     auto const revision = mListRevision;
+    mFloor = 0;
     Restart();
     mQuery.mWatchFrom = revision;
     return { true, {}, std::move(news), milliseconds{ 0 } };
@@ -137,11 +152,13 @@
     mQuery.mWatchFrom = 0;
     mQuery.mAfter.clear();
     mListed.clear();
+    mListRevision = 0;
   }
 
   WatchStep Failed(std::string aWhy)
   {
     mCounters.Add(Counter::StoreFailures);
+    mFloor = 0;
     return { false, std::move(aWhy), {}, {} };
   }
 
@@ -150,6 +167,7 @@
   ObjectQuery mQuery;
   std::vector<ObjectChange> mListed;
   std::uint64_t mListRevision = 0;
+  std::uint64_t mFloor = 0; ///< For the next list only.
   milliseconds mWait = WatchTimes{}.mWait;
   std::atomic<bool> mCancelled{ false };
 };
