--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -190,7 +190,8 @@
   aChanges.push_back({ "upstream",
                        aChange.mName,
                        (record->mDraining ? "draining" : "serving") + cold,
-                       aChange.mRevision });
+                       aChange.mRevision,
+                       !record->mDraining && cold.empty() });
 }
 
 void
--- a/src/tarragonsill/coordination/tarragonsill_directory.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.hpp
@@ -35,6 +35,7 @@
   std::string mSubject; ///< Its name.
   std::string mOutcome; ///< The state now.
   std::uint64_t mRevision = 0;
+  bool mIsOrdinary = false; ///< An upstream that serves as most of them do.
 };
 
 class Directory
