Bear whatever a foreign writer puts into an entry, and check that properties fail

Looked for with documents whose values were replaced and whose bytes were damaged (RapidCheck, four properties: upstream entries, configurations, datagrams, settings). Nothing ended the process. Two decoders took what cannot be meant: a number of slots beyond 32 bits became 0 slots, and times up to 10^300 ms were cast and added to time points, which overflows. Beside that, one older property (UpstreamReach) was checked without looking at the result.

The older property counts now.

--- a/src/tarragonsill/coordination/tarragonsill_watch_relay.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_relay.hpp
@@ -54,9 +54,9 @@
   static constexpr std::size_t kFirstStandIns = 2;
   static constexpr std::size_t kMostStandIns = 6;
   static constexpr milliseconds kMoreStandInsAfter{ 500 };
-  /// A VM that starts asks its peers first. Seeds answer within milliseconds, so
-  /// one tick (50 ms) is enough;
-  /// one that knows everything hands it over in some more.
+  /// A VM that starts asks its peers first. Seeds answer within milliseconds,
+  /// so one tick (50 ms) is enough; one that knows everything hands it over in
+  /// some more.
   static constexpr milliseconds kSeedTime{ 40 };
   static constexpr milliseconds kHandOverTime{ 400 };
   /// When the whole deployment starts for the first time, VMs find each other
--- a/src/tarragonsill/platform/internal/tarragonsill_platform_records.cpp
+++ b/src/tarragonsill/platform/internal/tarragonsill_platform_records.cpp
@@ -1,11 +1,33 @@
 #include "tarragonsill/platform/internal/tarragonsill_platform_records.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace tarragonsill::Platform {
 
 namespace {
 
+/// Longer times are mistakes of their writer, and would overflow a time point.
+constexpr milliseconds kLongestTime{ 24 * 3600 * 1000 };
+
+milliseconds
+FromMilliseconds(double aMilliseconds)
+{
+  auto const bounded =
+    std::clamp(aMilliseconds, 0.0, static_cast<double>(kLongestTime.count()));
+  return milliseconds{ static_cast<milliseconds::rep>(bounded) };
+}
+
+milliseconds
+FromSeconds(double aSeconds)
+{
+  constexpr double kMillisecondsPerSecond = 1e3;
+  return FromMilliseconds(aSeconds * kMillisecondsPerSecond);
+}
+
+/// More requests at once than any upstream runs.
+constexpr std::uint64_t kMostSlots = 1'000'000;
+
 Reason
 Malformed(std::string aText)
 {
@@ -83,20 +105,12 @@
   bool const idempotent = kind == "safe" || kind == "download";
   route.mKind =
     idempotent ? RequestKind::Idempotent : RequestKind::NotIdempotent;
-  if (auto const target = Unsigned(aRoute, "latencyTargetMs")) {
-    route.mLatencyTarget =
-      milliseconds{ static_cast<milliseconds::rep>(*target) };
+  if (auto const target = Number(aRoute, "latencyTargetMs")) {
+    route.mLatencyTarget = FromMilliseconds(*target);
   }
   return route;
 }
 
-milliseconds
-FromSeconds(double aSeconds)
-{
-  return std::chrono::duration_cast<milliseconds>(
-    std::chrono::duration<double>(aSeconds));
-}
-
 } // namespace
 
 nlohmann::json const&
@@ -166,7 +180,8 @@
   if (!state || (*state != "ready" && *state != "draining")) {
     return Malformed("state: ready or draining is expected");
   }
-  if (!slots || *slots == 0 || !cold || !(*cold >= 0.0)) {
+  if (!slots || *slots == 0 || *slots > kMostSlots || !cold ||
+      !(*cold >= 0.0)) {
     return Malformed("slots and coldLeftMs: numbers are expected");
   }
   record.mIdentity = *identity;
@@ -175,7 +190,7 @@
   record.mZone = *zone;
   record.mSlots = static_cast<std::uint32_t>(*slots);
   record.mDraining = *state == "draining";
-  record.mColdLeft = milliseconds{ static_cast<milliseconds::rep>(*cold) };
+  record.mColdLeft = FromMilliseconds(*cold);
   auto const& started = Member(aSpec, "born");
   if (started.is_number_integer()) {
     record.mStartMark = started.get<std::int64_t>();
@@ -205,13 +220,13 @@
     ServiceRule rule;
     rule.mName = Text(item, "name").value_or("");
     rule.mColdTime = FromSeconds(Number(item, "coldS").value_or(0.0));
-    rule.mColdFlowsPerSecond = Number(item, "coldRateS").value_or(0.0);
+    rule.mColdFlowsPerSecond =
+      std::max(0.0, Number(item, "coldRateS").value_or(0.0));
     configuration.mServices.push_back(std::move(rule));
   }
   auto const& limits = Member(aSpec, "limits");
-  if (auto const idle = Unsigned(limits, "idleTimeoutMs")) {
-    configuration.mIdleTimeout =
-      milliseconds{ static_cast<milliseconds::rep>(*idle) };
+  if (auto const idle = Number(limits, "idleTimeoutMs")) {
+    configuration.mIdleTimeout = FromMilliseconds(*idle);
   }
   return configuration;
 }
--- a/tests/coordination/test_upstream_reach.cpp
+++ b/tests/coordination/test_upstream_reach.cpp
@@ -159,7 +159,7 @@
 
 TEST(UpstreamReach, whatever_takes_a_connection_is_never_out_of_reach)
 {
-  rc::check([this](std::vector<std::uint8_t> const& aAnswers) {
+  CheckProperty("in reach", [this](std::vector<std::uint8_t> const& aAnswers) {
     UpstreamReach reach;
     for (std::uint32_t slot = 0; slot < kUpstreams; ++slot) {
       reach.Doubt(slot);
--- /dev/null
+++ b/tests/platform/test_malformed_input.cpp
@@ -0,0 +1,262 @@
+#include "tarragonsill_test.hpp"
+
+#include "support/routing_fixture.hpp"
+
+#include "tarragonsill/coordination/tarragonsill_cookie_steering.hpp"
+#include "tarragonsill/platform/tarragonsill_platform_objects.hpp"
+#include "tarragonsill/platform/tarragonsill_platform_packet.hpp"
+#include "tarragonsill/platform/tarragonsill_platform_settings.hpp"
+#include "tarragonsill/protocol/tarragonsill_peer_message.hpp"
+
+#include <nlohmann/json.hpp>
+
+using namespace tarragonsill;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr TimePoint kStart{ seconds{ 100 } };
+/// Times beyond a day are mistakes of whoever wrote them.
+constexpr milliseconds kDay{ 24 * 3600 * 1000 };
+
+Json
+Upstream()
+{
+  return { { "service", "web" },     { "address", "10.1.64.9:8080" },
+           { "zone", "a" },          { "version", "v1" },
+           { "slots", 4 },           { "state", "ready" },
+           { "coldLeftMs", 0 },      { "seq", 9 },
+           { "born", 1796000000000 } };
+}
+
+Json
+Configuration()
+{
+  return {
+    { "version", 7 },
+    { "routes",
+      { { { "name", "main" },
+          { "host", "198.18.0.1" },
+          { "pathPrefix", "/443/" },
+          { "type", "safe" },
+          { "latencyTargetMs", 250 },
+          { "split", { { { "service", "web" }, { "weight", 3 } } } } } } },
+    { "services",
+      { { { "name", "web" }, { "coldS", 2.0 }, { "coldRateS", 2.0 } } } },
+    { "limits", { { "idleTimeoutMs", 15000 } } }
+  };
+}
+
+std::string
+ListBody(std::string const& aName, Json const& aSpec)
+{
+  Json const object = { { "meta", { { "name", aName }, { "revision", 31 } } },
+                        { "spec", aSpec },
+                        { "status", nullptr } };
+  return Json{
+    { "items", { object } }, { "more", false }, { "currentRev", 40 }
+  }.dump();
+}
+
+/// What foreign writers put in the place of a value.
+Json
+StrangeValue()
+{
+  auto const values = Json::array({ nullptr,
+                                    true,
+                                    -1,
+                                    0,
+                                    1e300,
+                                    -1e300,
+                                    4294967296,
+                                    18446744073709551615U,
+                                    0.5,
+                                    "",
+                                    "x",
+                                    "0",
+                                    "999.1.1.1:70000",
+                                    "/99999/",
+                                    Json::array(),
+                                    Json::object(),
+                                    Json::array({ Json::array({ 1 }) }) });
+  return values[*rc::gen::inRange<std::size_t>(0, values.size())];
+}
+
+/// Replaces or removes one value somewhere in a document.
+Json
+Mutated(Json aDocument)
+{
+  auto const flat = aDocument.flatten();
+  auto place = flat.begin();
+  std::advance(place, *rc::gen::inRange<std::size_t>(0, flat.size()));
+  Json::json_pointer pointer(place.key());
+  // Sometimes a whole branch instead of a leaf.
+  while (!pointer.parent_pointer().empty() && *rc::gen::inRange(0, 4) == 0) {
+    pointer = pointer.parent_pointer();
+  }
+  aDocument[pointer] = StrangeValue();
+  return aDocument;
+}
+
+/// Changes, drops or adds some bytes.
+std::string
+Damaged(std::string aText)
+{
+  auto const damages = *rc::gen::inRange(0, 4);
+  for (int damage = 0; damage < damages && !aText.empty(); ++damage) {
+    auto const at = *rc::gen::inRange<std::size_t>(0, aText.size());
+    switch (*rc::gen::inRange(0, 3)) {
+      case 0:
+        aText[at] = static_cast<char>(*rc::gen::arbitrary<std::uint8_t>());
+        break;
+      case 1:
+        aText.erase(at, *rc::gen::inRange<std::size_t>(1, 40));
+        break;
+      default:
+        aText.insert(at, 1, static_cast<char>(*rc::gen::inRange(0, 256)));
+        break;
+    }
+  }
+  return aText;
+}
+
+std::span<std::byte const>
+BytesOf(std::string const& aText)
+{
+  return std::as_bytes(std::span(aText));
+}
+
+void
+CheckTime(milliseconds aTime)
+{
+  RC_ASSERT(aTime >= milliseconds{ 0 });
+  RC_ASSERT(aTime <= kDay);
+}
+
+} // namespace
+
+/// One malformed message must not end a process, nor make it err about others.
+TEST_GROUP(MalformedInput)
+{
+  /// A VM that knows two sound upstreams, one configuration and a route.
+  Test::SampleStore mStore;
+
+  void setup() override
+  {
+    mStore.ListAll(kStart);
+    mStore.Configure(kStart, Test::SampleConfiguration());
+    mStore.Register(kStart, Test::SampleUpstream("a1", "a"));
+    mStore.Register(kStart, Test::SampleUpstream("a2", "a"));
+  }
+
+  void Take(ObjectKind aKind, std::string const& aBody)
+  {
+    ObjectQuery query;
+    query.mKind = aKind;
+    auto page = Platform::ObjectFormat::Decode(query, aBody);
+    if (!page) {
+      return;
+    }
+    StoreNews const news{ aKind, page.Value().mChanges, false, 40, 30 };
+    (void)mStore.Knowledge().Apply(kStart, news);
+  }
+
+  /// Steers new flows by what is known now.
+  void Steer()
+  {
+    CookieSteering steering(1);
+    steering.Use(mStore.View(kStart));
+    for (std::uint16_t port = 40000; port < 40010; ++port) {
+      Test::SampleFlow const flow({ Test::kCaller.mAddress, port });
+      auto const verdict = steering.Steer(kStart, flow.Opening());
+      RC_ASSERT(verdict.mAction == SteeringAction::Forward);
+    }
+    steering.Sweep(kStart + seconds{ 1 });
+  }
+};
+
+TEST(MalformedInput, upstream_entries_leave_the_others_in_use)
+{
+  CheckProperty("an upstream entry harms no other one", [this] {
+    auto const spec = Mutated(Mutated(Upstream()));
+    Take(ObjectKind::Upstreams, Damaged(ListBody("i-00a1", spec)));
+    for (auto const& upstream : mStore.View(kStart)->mUpstreams) {
+      RC_ASSERT(upstream.mRecord.mSlots > 0U);
+      CheckTime(upstream.mRecord.mColdLeft);
+      RC_ASSERT(upstream.mColdUntil <= kStart + kDay);
+    }
+    Steer();
+  });
+}
+
+TEST(MalformedInput, configurations_are_decoded_or_refused)
+{
+  CheckProperty("a configuration is decoded or refused", [] {
+    ObjectQuery query;
+    auto const body = ListBody("main", Mutated(Configuration()));
+    auto page = Platform::ObjectFormat::Decode(query, Damaged(body));
+    if (!page) {
+      return;
+    }
+    for (auto const& change : page.Value().mChanges) {
+      auto const* taken = std::get_if<RoutingConfiguration>(&change.mContent);
+      if (taken == nullptr) {
+        continue;
+      }
+      CheckTime(taken->mIdleTimeout);
+      for (auto const& route : taken->mRoutes) {
+        CheckTime(route.mLatencyTarget);
+      }
+      for (auto const& service : taken->mServices) {
+        CheckTime(service.mColdTime);
+        RC_ASSERT(service.mColdFlowsPerSecond >= 0.0);
+      }
+    }
+  });
+}
+
+TEST(MalformedInput, datagrams_are_read_or_refused)
+{
+  CheckProperty("a datagram is read or refused", [] {
+    auto const bytes =
+      *rc::gen::container<std::string>(rc::gen::inRange<char>(-128, 127));
+    (void)Platform::PacketFormat::Read(BytesOf(bytes));
+    (void)ReadPeerMessage(BytesOf(bytes));
+    wire::PeerMessage message;
+    message.mutable_sender()->set_name("vm-1");
+    message.mutable_sender()->set_zone("a");
+    message.add_updates()->set_name("vm-2");
+    (void)ReadPeerMessage(BytesOf(Damaged(message.SerializeAsString())));
+  });
+}
+
+TEST(MalformedInput, settings_files_are_read_or_refused)
+{
+  std::string const text = R"(nodeName = "vm-1"
+zone = "a"
+ip = "10.1.0.10"
+internalPortRange = [7720,7735]
+seeds = ["10.1.0.10:8166"]
+heartbeatIntervalMs = 1200
+[zones]
+a = "r"
+[listen]
+packetAddr = "10.1.0.10:8172"
+ready = "10.1.0.10:8167"
+control = "10.1.0.10:8166"
+[bounds]
+drainMs = 3000
+configPropagationMs = 3000
+[platform]
+address = "10.200.1.7:8169"
+)";
+  CheckProperty("a settings file is read or refused", [&] {
+    FileFaults faults("node.toml");
+    auto const settings = Platform::ReadNodeSettings(Damaged(text), faults);
+    if (settings) {
+      CheckTime(settings->mBounds.mDrain);
+      CheckTime(settings->mBounds.mConfiguration);
+      CheckTime(settings->mHeartbeat);
+    }
+  });
+}
