Capture no structured binding in the test of old evidence

Cause: the linter's compiler refuses a structured binding in a lambda. The test sends the same packets from a loop now; its checks are the same.

--- a/tests/coordination/test_cookie_old_evidence.cpp
+++ b/tests/coordination/test_cookie_old_evidence.cpp
@@ -63,13 +63,11 @@
   auto [other, elsewhere] = ServeAt("a1");
   auto [first, opened] = ServeAt("a2");
   auto [second, alsoOpened] = ServeAt("a2");
-  auto const send = [&](bool aIsCopy) {
-    (void)mSteering.Steer(mNow, first.Data(opened.mCookie, aIsCopy));
-    (void)mSteering.Steer(mNow, second.Data(opened.mCookie, aIsCopy));
-  };
-  send(false);
-  mNow += milliseconds{ 250 };
-  send(true);
+  for (bool const isCopy : { false, true }) {
+    (void)mSteering.Steer(mNow, first.Data(opened.mCookie, isCopy));
+    (void)mSteering.Steer(mNow, second.Data(opened.mCookie, isCopy));
+    mNow += milliseconds{ 250 };
+  }
   // Their later packets and the signs of answers pass other VMs.
   mNow += seconds{ 9 };
   (void)mSteering.Steer(mNow, other.Data(elsewhere.mCookie));
