--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -88,6 +88,8 @@
       if (boot > last + kStandstill) {
         mSteering.Forgive(now);
         mProber.Clear();
+        // The clock that dates them stood still, too.
+        HandleAll(now, mEarly.TakeAll());
       }
       last = boot;
       TakeView();
@@ -203,9 +205,14 @@
     if (mEarly.IsEmpty()) {
       return;
     }
-    auto packets =
-      mSteering.View().mIsComplete ? mEarly.TakeAll() : mEarly.TakeOld(aNow);
-    for (auto& packet : packets) {
+    HandleAll(aNow,
+              mSteering.View().mIsComplete ? mEarly.TakeAll()
+                                           : mEarly.TakeOld(aNow));
+  }
+
+  void HandleAll(TimePoint aNow, std::vector<EarlyPackets::Bytes> aPackets)
+  {
+    for (auto& packet : aPackets) {
       if (mHeads == mHeadBytes.size()) {
         Flush();
       }
