Use the revision of a start's first list for no list of later

Cause: reading the change: a VM whose peers handed everything over between its first list and its other ones keeps that list's revision.

Change: a watch that resumes forgets the revision. The test failed first (one object instead of two).

--- a/src/tarragonsill/transport/tarragonsill_store_watch.hpp
+++ b/src/tarragonsill/transport/tarragonsill_store_watch.hpp
@@ -69,6 +69,8 @@
     }
     mCounters.Add(Counter::StoreCalls);
     bool const isWatch = mQuery.mWatchFrom > 0;
+    // What is resumed was not listed, and a list of later needs a new floor.
+    mFloor = isWatch ? 0 : mFloor;
     mQuery.mWait = isWatch ? mWait : milliseconds{ 0 };
     // A list has to show what the store has by now; a watch that lags is
     // noticed by its peers.
--- a/tests/transport/test_store_watch.cpp
+++ b/tests/transport/test_store_watch.cpp
@@ -84,6 +84,22 @@
   LONGS_EQUAL(mStore->Revision(), step.mNews->mRevision);
 }
 
+TEST(StoreWatch, a_floor_of_the_start_does_not_serve_a_list_of_later)
+{
+  Evacuate(1);
+  mWatch->SetFloor(mStore->Revision());
+  mStore->KeepOldReplica();
+  mStore->SetReplicaLags(true);
+  // A peer told everything up to here, so that nothing was listed.
+  mWatch->ResumeFrom(mStore->Revision());
+  Evacuate(2);
+  mStore->ForgetHistory();
+  CHECK_FALSE(mWatch->Step().mNews.has_value());
+  auto const step = mWatch->Step();
+  CHECK(step.mNews.has_value());
+  LONGS_EQUAL(2, step.mNews->mChanges.size());
+}
+
 TEST(StoreWatch, a_list_without_a_floor_never_comes_from_a_replica)
 {
   Evacuate(1);
