--- /dev/null
+++ b/src/tarragonsill/transport/tarragonsill_belief_log.cpp
@@ -0,0 +1,54 @@
+#include "tarragonsill/transport/tarragonsill_belief_log.hpp"
+
+#include <algorithm>
+
+namespace tarragonsill {
+
+namespace {
+
+void
+WriteListLine(NodeLog& aLog,
+              StoreNews const& aNews,
+              std::vector<BeliefChange> const& aChanges,
+              std::string const& aSource)
+{
+  auto const ordinary =
+    std::count_if(aChanges.begin(), aChanges.end(), [](auto const& aChange) {
+      return aChange.mIsOrdinary;
+    });
+  aLog.Write("config",
+             "list_taken",
+             { { "kind", std::string(ToText(aNews.mKind)) },
+               { "changes", static_cast<std::int64_t>(aChanges.size()) },
+               { "serving", static_cast<std::int64_t>(ordinary) },
+               { "revision", static_cast<std::int64_t>(aNews.mRevision) },
+               { "source", aSource } });
+}
+
+} // namespace
+
+void
+WriteBeliefs(NodeLog& aLog,
+             StoreNews const& aNews,
+             std::vector<BeliefChange> const& aChanges,
+             std::string const& aSource)
+{
+  bool const isLong = aNews.mIsWholeList && aChanges.size() > kMostLinesOfAList;
+  if (isLong) {
+    WriteListLine(aLog, aNews, aChanges, aSource);
+  }
+  for (auto const& change : aChanges) {
+    if (isLong && change.mIsOrdinary) {
+      continue;
+    }
+    aLog.Write("config",
+               "belief_changed",
+               { { "kind", change.mWhat },
+                 { "name", change.mSubject },
+                 { "outcome", change.mOutcome },
+                 { "revision", static_cast<std::int64_t>(change.mRevision) },
+                 { "source", aSource } });
+  }
+}
+
+} // namespace tarragonsill
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -2,6 +2,7 @@
 
 #include "tarragonsill/coordination/tarragonsill_node_peers.hpp"
 #include "tarragonsill/coordination/tarragonsill_watch_retry.hpp"
+#include "tarragonsill/transport/tarragonsill_belief_log.hpp"
 #include "tarragonsill/transport/tarragonsill_knowledge_server.hpp"
 
 #include <algorithm>
@@ -12,9 +13,6 @@
 namespace {
 
 constexpr milliseconds kTick{ 50 };
-/// Of a longer list only what is out of the ordinary gets lines of its own; the
-/// lines of hundreds of upstreams would delay a start.
-constexpr std::size_t kMostLinesOfAList = 64;
 constexpr milliseconds kFetchTimeout{ 500 };
 
 Member
@@ -70,23 +68,7 @@
   void Take(StoreNews const& aNews, std::string const& aSource)
   {
     auto const changes = mDirectory.Apply(Clock::now(), aNews);
-    bool const isLong =
-      aNews.mIsWholeList && changes.size() > kMostLinesOfAList;
-    if (isLong) {
-      WriteListLine(aNews, changes, aSource);
-    }
-    for (auto const& change : changes) {
-      if (isLong && change.mIsOrdinary) {
-        continue;
-      }
-      Log().Write("config",
-                  "belief_changed",
-                  { { "kind", change.mWhat },
-                    { "name", change.mSubject },
-                    { "outcome", change.mOutcome },
-                    { "revision", static_cast<std::int64_t>(change.mRevision) },
-                    { "source", aSource } });
-    }
+    WriteBeliefs(Log(), aNews, changes, aSource);
     PublishIfChanged();
   }
 
@@ -208,23 +190,6 @@
   }
 
 private:
-  void WriteListLine(StoreNews const& aNews,
-                     std::vector<BeliefChange> const& aChanges,
-                     std::string const& aSource)
-  {
-    auto const ordinary =
-      std::count_if(aChanges.begin(), aChanges.end(), [](auto const& aChange) {
-        return aChange.mIsOrdinary;
-      });
-    Log().Write("config",
-                "list_taken",
-                { { "kind", std::string(ToText(aNews.mKind)) },
-                  { "changes", static_cast<std::int64_t>(aChanges.size()) },
-                  { "serving", static_cast<std::int64_t>(ordinary) },
-                  { "revision", static_cast<std::int64_t>(aNews.mRevision) },
-                  { "source", aSource } });
-  }
-
   /// Starts or stops the own watches, and notes whether the store answers.
   void UpdateDuty(TimePoint aNow)
   {
