Keep no guess as a record: say how a VM knows where a flow is

Cause: three seconds after the heal of a cut a VM of the pure choice's zone did not find a flow's record, which homes of another zone held. It guessed the pure choice, wrote the guess down, passed it on and later took it for a finding; the record that arrived afterwards was refused. Which zone's homes are asked was decided by members alone that answer at the moment, so the true holder was not asked while it was still coming back. A reset that a wrong upstream sent was taken for proof that it had the flow whenever its ledger was not complete.

Change: what a VM knows of a flow is admitted, told by a record, proved by an answer, inferred or guessed. Inferred means that every home that could have a record was asked and has none; the ledger marks it, and it gives way to a record. Guessed means that some of them did not answer: the packet goes to the pure choice, nothing is noted, and a copy asks one of the absent homes (a new kind of route, `Ask`). A lookup carries a mark once it passed over an absent home. A home also goes by answers that it saw itself before it asks.

Ruled out: dropping instead of guessing while a home is absent. Guessing stays, as a long cut after a kill would otherwise stop every flow of the lost ledger.

--- a/src/tarragonsill/coordination/internal/tarragonsill_packet_engine_constants.hpp
+++ b/src/tarragonsill/coordination/internal/tarragonsill_packet_engine_constants.hpp
@@ -21,6 +21,9 @@
 constexpr std::uint8_t kSecondHome = 1;
 /// A record that answers a lookup goes to the asking home only.
 constexpr std::uint8_t kLookupAnswer = 2;
+/// Set in the step of a lookup and of its answer once a home that may have the
+/// record was passed over, as it does not answer.
+constexpr std::uint8_t kLookupGap = 0x80;
 /// Bounds the queue of decisions that wait for the log.
 constexpr std::size_t kMaxQueuedDecisions = 8192;
 
--- a/src/tarragonsill/coordination/tarragonsill_decision.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_decision.cpp
@@ -24,8 +24,11 @@
       return "steer: recorded exception for flow";
     case DecisionKind::FlowFound:
       return "steer: found established flow in the home chain";
+    case DecisionKind::FlowInferred:
+      return "steer: no home has a record, so the flow is at its pure choice";
     case DecisionKind::FlowGuessed:
-      return "steer: assumed the pure choice for an established flow";
+      return "steer: sent one packet to the pure choice, as nobody knows the "
+             "flow";
     case DecisionKind::FlowUnknown:
       return "steer: dropped packet of an unknown flow";
   }
--- a/src/tarragonsill/coordination/tarragonsill_decision.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_decision.hpp
@@ -19,6 +19,7 @@
   NoCapacity,
   ExceptionRecorded,
   FlowFound,
+  FlowInferred,
   FlowGuessed,
   FlowUnknown,
 };
--- a/src/tarragonsill/coordination/tarragonsill_membership_updates.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_membership_updates.cpp
@@ -107,6 +107,10 @@
       aPeer.mMember.mHealth != MemberHealth::Suspect) {
     aPeer.mSuspectSince = aNow;
   }
+  if (aHealth == MemberHealth::Failed &&
+      aPeer.mMember.mHealth != MemberHealth::Failed) {
+    aPeer.mMember.mFailedAt = aNow;
+  }
   aPeer.mMember.mHealth = aHealth;
   ++mGeneration;
   bool const urgent = aHealth != MemberHealth::Alive ||
--- a/src/tarragonsill/coordination/tarragonsill_packet_engine.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_packet_engine.cpp
@@ -42,6 +42,9 @@
   if (aRoute.mKind == RouteKind::Copy) {
     return HandleCopy(aNow, aRoute, aPacket);
   }
+  if (aRoute.mKind == RouteKind::Ask) {
+    return HandleAsk(aRoute, aPacket);
+  }
   auto flow = MakeFlow(aPacket);
   if (!flow) {
     return Drop(Counter::DropUnknownService);
@@ -214,6 +217,12 @@
     }
     return AdmitFrom(aNow, aFlow, route);
   }
+  if (!aFlow.mPacket.EndsFlow()) {
+    if (auto const upstream = mAnswers.Find(aNow, aFlow.mHash)) {
+      mCounters.Add(Counter::CacheHits);
+      return Deliver(aFlow, *upstream);
+    }
+  }
   return PassLookup(aNow, aFlow, route);
 }
 
--- a/src/tarragonsill/coordination/tarragonsill_packet_engine.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_packet_engine.hpp
@@ -142,13 +142,22 @@
                                std::size_t aUpstream,
                                bool aRepeated);
   PacketAction HandleRecord(TimePoint aNow, Flow& aFlow, Route aRoute);
-  /// Handles what a lookup that this home began has found; port 0 if nothing.
-  PacketAction HandleLookupAnswer(TimePoint aNow,
-                                  Flow& aFlow,
-                                  Endpoint aUpstream);
   PacketAction HandleCopy(TimePoint aNow,
                           Route const& aRoute,
                           PacketView& aPacket);
+  /// Handles a packet of an established flow that no home in sight knows. With
+  /// a gap, some that may know it were not asked.
+  PacketAction HandleUnknown(TimePoint aNow, Flow& aFlow, bool aHasGap);
+  /// Sends a packet to the pure choice without noting that anywhere, and asks
+  /// an absent home where the flow is.
+  PacketAction DeliverGuess(Flow& aFlow, std::optional<EntryIndex> aAbsent);
+  PacketAction HandleAsk(Route const& aRoute, PacketView& aPacket);
+  /// What this home knows of a flow without having guessed it.
+  std::optional<Endpoint> KnownUpstream(Flow const& aFlow);
+  /// One of the homes that may hold records of the flow but do not answer; in
+  /// turn, as any of them may.
+  std::optional<EntryIndex> AbsentHome(TimePoint aNow, Flow const& aFlow);
+  Route AskRoute(Flow const& aFlow) const;
   PacketAction HandleTouch(TimePoint aNow, Flow& aFlow, Route const& aRoute);
   PacketAction DeliverException(TimePoint aNow,
                                 Flow& aFlow,
@@ -184,6 +193,7 @@
   std::unordered_map<Endpoint, FlowLedger, EndpointHash> mLedgers;
   std::unordered_map<Endpoint, std::uint64_t, EndpointHash> mTerms;
   AnswerCache mAnswers;
+  std::size_t mAbsentAsked = 0; ///< Lets absent homes take turns.
   std::vector<ExceptionTransfer> mTransfers;
   std::vector<DecisionRecord> mDecisions;
 };
--- a/src/tarragonsill/coordination/tarragonsill_packet_engine_records.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_packet_engine_records.cpp
@@ -35,39 +35,32 @@
 PacketEngine::PassLookup(TimePoint aNow, Flow& aFlow, Route aRoute)
 {
   auto const& base = BaseOf(aFlow);
-  auto const position = PositionInChain(base);
-  auto const next = position ? *position + 1 : std::size_t{ aRoute.mStep } + 1;
+  bool const hasGap =
+    (aRoute.mStep & kLookupGap) != 0 || AbsentHome(aNow, aFlow).has_value();
+  auto const mark = hasGap ? kLookupGap : std::uint8_t{ 0 };
+  auto const reached = std::size_t{ aRoute.mStep } & ~std::size_t{ kLookupGap };
+  auto const next = PositionInChain(base).value_or(reached) + 1;
   if (next < base.mChain.size()) {
     aRoute.mKind = RouteKind::Lookup;
-    aRoute.mStep = static_cast<std::uint8_t>(next);
+    aRoute.mStep = static_cast<std::uint8_t>(next | mark);
     return ToEntry(base.mChain[next], aRoute);
   }
-  // Nobody holds an exception: the flow followed the pure choice, unless the
-  // owner of that choice knows every flow of its upstream.
   bool const atHome = aRoute.mHome == SelfData();
-  if (!atHome) {
-    aRoute.mKind = RouteKind::Record;
-    aRoute.mStep = kLookupAnswer;
-    aRoute.mUpstream = {};
-    return { .mKind = ActionKind::ToPeer,
-             .mPeer = aRoute.mHome,
-             .mRoute = aRoute };
-  }
-  return HandleLookupAnswer(aNow, aFlow, {});
+  if (atHome) {
+    return HandleUnknown(aNow, aFlow, hasGap);
+  }
+  aRoute.mKind = RouteKind::Record;
+  aRoute.mStep = kLookupAnswer | mark;
+  aRoute.mUpstream = {};
+  return { .mKind = ActionKind::ToPeer,
+           .mPeer = aRoute.mHome,
+           .mRoute = aRoute };
 }
 
 PacketAction
 PacketEngine::ResumeLookup(TimePoint aNow, Flow& aFlow, Route const& aRoute)
 {
-  auto const& base = BaseOf(aFlow);
-  auto* const exception = mExceptions[aFlow.mService].Find(aFlow.mHash);
-  auto* const ledger = LedgerOf(base.mAddress);
-  std::optional<Endpoint> known;
-  if (exception != nullptr) {
-    known = exception->Upstream();
-  } else if (ledger != nullptr && ledger->Contains(aFlow.mHash)) {
-    known = base.mAddress;
-  }
+  auto const known = KnownUpstream(aFlow);
   if (!known) {
     return PassLookup(aNow, aFlow, aRoute);
   }
@@ -85,38 +78,116 @@
 }
 
 PacketAction
-PacketEngine::HandleLookupAnswer(TimePoint aNow,
-                                 Flow& aFlow,
-                                 Endpoint aUpstream)
+PacketEngine::HandleUnknown(TimePoint aNow, Flow& aFlow, bool aHasGap)
 {
   auto const& base = BaseOf(aFlow);
-  bool const found = aUpstream.mPort != 0;
-  if (found) {
-    StoreRecord(aNow, aFlow, aUpstream);
-    return Deliver(aFlow, aUpstream);
-  }
   auto* const ledger = LedgerOf(base.mAddress);
+  auto const absent = AbsentHome(aNow, aFlow);
   bool const complete = ledger != nullptr && ledger->Complete();
   if (complete || !base.mZoneIn) {
+    if (absent) {
+      mCounters.Add(Counter::AbsentHomesAsked);
+      return ToEntry(*absent, AskRoute(aFlow));
+    }
     Note(DecisionKind::FlowUnknown, aFlow, {});
     return Drop(Counter::DropUnknownFlow);
   }
+  bool const isInferred = !aHasGap && !absent && ledger != nullptr &&
+                          ledger->Infer(aNow, aFlow.mHash);
+  if (isInferred) {
+    mCounters.Add(Counter::FlowsInferred);
+    Note(DecisionKind::FlowInferred, aFlow, base.mAddress);
+    return Deliver(aFlow, base.mAddress);
+  }
+  return DeliverGuess(aFlow, absent);
+}
+
+PacketAction
+PacketEngine::DeliverGuess(Flow& aFlow, std::optional<EntryIndex> aAbsent)
+{
+  auto const address = BaseOf(aFlow).mAddress;
   mCounters.Add(Counter::FlowsGuessed);
-  Note(DecisionKind::FlowGuessed, aFlow, base.mAddress);
-  if (base.mHomeInZone) {
-    // A guess from outside the zone must not outlive a cut.
-    StoreRecord(aNow, aFlow, base.mAddress);
+  Note(DecisionKind::FlowGuessed, aFlow, address);
+  auto action = Deliver(aFlow, address);
+  if (aAbsent && action.mKind == ActionKind::ToFabric) {
+    mCounters.Add(Counter::AbsentHomesAsked);
+    action.mCopyTo = mSnapshot->mEntries[*aAbsent].mData;
+    action.mCopyRoute = AskRoute(aFlow);
+  }
+  return action;
+}
+
+std::optional<Endpoint>
+PacketEngine::KnownUpstream(Flow const& aFlow)
+{
+  auto* const exception = mExceptions[aFlow.mService].Find(aFlow.mHash);
+  if (exception != nullptr) {
+    return exception->Upstream();
+  }
+  auto const base = BaseOf(aFlow).mAddress;
+  auto* const ledger = LedgerOf(base);
+  bool const isThere = ledger != nullptr && ledger->Vouches(aFlow.mHash);
+  return isThere ? std::optional(base) : std::nullopt;
+}
+
+std::optional<EntryIndex>
+PacketEngine::AbsentHome(TimePoint aNow, Flow const& aFlow)
+{
+  auto const idle = mSnapshot->mServices[aFlow.mService].mService.mIdleTimeout;
+  auto const& homes = BaseOf(aFlow).mAbsent;
+  for (std::size_t tried = 0; tried < homes.size(); ++tried) {
+    auto const entry = homes[mAbsentAsked++ % homes.size()];
+    // Whatever it recorded before that time has expired.
+    if (aNow - mSnapshot->mEntries[entry].mFailedAt > idle) {
+      continue;
+    }
+    return entry;
   }
-  return Deliver(aFlow, base.mAddress);
+  return std::nullopt;
+}
+
+Route
+PacketEngine::AskRoute(Flow const& aFlow) const
+{
+  Route route;
+  route.mKind = RouteKind::Ask;
+  route.mUpstream = aFlow.mKey.mService;
+  route.mHome = SelfData();
+  return route;
+}
+
+PacketAction
+PacketEngine::HandleAsk(Route const& aRoute, PacketView& aPacket)
+{
+  // A copy was made after the destination had been rewritten.
+  aPacket.RewriteDestination(aRoute.mUpstream);
+  auto const flow = MakeFlow(aPacket);
+  auto const known = flow ? KnownUpstream(*flow) : std::nullopt;
+  if (!known) {
+    return { .mKind = ActionKind::Consumed };
+  }
+  Note(DecisionKind::FlowFound, *flow, *known);
+  Route answer = aRoute;
+  answer.mKind = RouteKind::Record;
+  answer.mStep = kLookupAnswer;
+  answer.mUpstream = *known;
+  return { .mKind = ActionKind::ToPeer,
+           .mPeer = aRoute.mHome,
+           .mRoute = answer };
 }
 
 PacketAction
 PacketEngine::HandleRecord(TimePoint aNow, Flow& aFlow, Route aRoute)
 {
-  if (aRoute.mStep == kLookupAnswer) {
-    return HandleLookupAnswer(aNow, aFlow, aRoute.mUpstream);
+  bool const hasGap = (aRoute.mStep & kLookupGap) != 0;
+  bool const isAnswer = (aRoute.mStep & ~kLookupGap) == kLookupAnswer;
+  if (isAnswer && aRoute.mUpstream.mPort == 0) {
+    return HandleUnknown(aNow, aFlow, hasGap);
   }
   StoreRecord(aNow, aFlow, aRoute.mUpstream);
+  if (isAnswer) {
+    return Deliver(aFlow, aRoute.mUpstream);
+  }
   auto const& chain = BaseOf(aFlow).mChain;
   if (aRoute.mStep == 0 && chain.size() > 1 && !mSnapshot->IsSelf(chain[1])) {
     if (IsNeighbour(chain[1])) {
@@ -163,8 +234,12 @@
 void
 PacketEngine::StoreRecord(TimePoint aNow, Flow const& aFlow, Endpoint aUpstream)
 {
-  if (aUpstream == BaseOf(aFlow).mAddress) {
-    auto* const ledger = LedgerOf(aUpstream);
+  auto const base = BaseOf(aFlow).mAddress;
+  auto* const ledger = LedgerOf(base);
+  if (ledger != nullptr && aUpstream != base) {
+    ledger->Withdraw(aFlow.mHash);
+  }
+  if (aUpstream == base) {
     if (ledger != nullptr &&
         (ledger->Contains(aFlow.mHash) || ledger->Claim(aNow, aFlow.mHash))) {
       mCounters.Add(Counter::FlowsClaimed);
--- a/src/tarragonsill/protocol/tarragonsill_geneve.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_geneve.cpp
@@ -36,7 +36,7 @@
 {
   auto const kind = std::to_integer<unsigned>(aKind);
   return kind >= static_cast<unsigned>(RouteKind::ToHome) &&
-         kind <= static_cast<unsigned>(RouteKind::Copy);
+         kind <= static_cast<unsigned>(RouteKind::Ask);
 }
 
 Result<GeneveHeader, PacketFault>
--- a/src/tarragonsill/protocol/tarragonsill_geneve.hpp
+++ b/src/tarragonsill/protocol/tarragonsill_geneve.hpp
@@ -23,6 +23,8 @@
   Touch = 5,  ///< Note a packet of a known flow at its owner and deliver.
   Answer = 6, ///< Note an answer at its owner and deliver it to the caller.
   Copy = 7,   ///< Record an exception from a delivered packet; go no further.
+  Ask = 8,    ///< Tell the home where the flow is if that is known here; else
+              ///< go no further. The upstream's field names the service.
 };
 
 /// The contents of the route option.
--- a/src/tarragonsill/state/tarragonsill_flow_ledger.cpp
+++ b/src/tarragonsill/state/tarragonsill_flow_ledger.cpp
@@ -74,10 +74,17 @@
   bool const reset = (aFlags & TcpFlags::kRst) != 0;
   auto* const entry = mFlows.Find(aFlow);
   if (entry == nullptr) {
-    bool const known = Claim(aNow, aFlow);
-    return reset && !known ? AnswerVerdict::HoldBack : AnswerVerdict::Pass;
+    if (reset) {
+      // An upstream that never had the flow answers the same way.
+      return AnswerVerdict::HoldBack;
+    }
+    (void)Claim(aNow, aFlow);
+    return AnswerVerdict::Pass;
   }
   entry->mSeen = CoarseTime(aNow);
+  if (!reset) {
+    entry->mMarks &= ~Inferred;
+  }
   bool const established = (entry->mMarks & Established) != 0;
   if (!established && reset) {
     mFlows.Erase(aFlow);
@@ -116,6 +123,34 @@
   return true;
 }
 
+bool
+FlowLedger::Infer(TimePoint aNow, std::uint64_t aFlow)
+{
+  if (!Claim(aNow, aFlow)) {
+    return false;
+  }
+  mFlows.FindOrInsert(aFlow).mMarks |= Inferred;
+  return true;
+}
+
+void
+FlowLedger::Withdraw(std::uint64_t aFlow)
+{
+  auto const* const entry = mFlows.Find(aFlow);
+  if (entry == nullptr || (entry->mMarks & Inferred) == 0) {
+    return;
+  }
+  mFlows.Erase(aFlow);
+  ++mUnknown;
+}
+
+bool
+FlowLedger::Vouches(std::uint64_t aFlow)
+{
+  auto const* const entry = mFlows.Find(aFlow);
+  return entry != nullptr && (entry->mMarks & Inferred) == 0;
+}
+
 void
 FlowLedger::Sweep(TimePoint aNow, Duration aIdleTimeout)
 {
--- a/src/tarragonsill/state/tarragonsill_flow_ledger.hpp
+++ b/src/tarragonsill/state/tarragonsill_flow_ledger.hpp
@@ -56,7 +56,8 @@
   /// Notes a packet of a flow from its caller; false if the flow is not known.
   bool NoteCaller(TimePoint aNow, std::uint64_t aFlow, std::uint8_t aFlags);
   /// Notes an answer; a reset before the flow was established counts as a
-  /// refusal by the upstream.
+  /// refusal by the upstream. Any other answer proves that the upstream has the
+  /// flow; a reset of a flow that is not known here proves nothing.
   AnswerVerdict NoteAnswer(TimePoint aNow,
                            std::uint64_t aFlow,
                            std::uint8_t aFlags);
@@ -64,12 +65,19 @@
   /// Begins a new term, after an earlier owner that had admitted `aTotal`
   /// flows; 0 if the ledger itself was the last to count.
   void Adopt(TimePoint aNow, std::uint32_t aTotal);
-  /// Treats a flow as one that an earlier owner admitted; false if there are
-  /// no such flows left to account for.
+  /// Treats a flow as one that an earlier owner admitted, as a record or an
+  /// answer says so; false if there are no such flows left to account for.
   bool Claim(TimePoint aNow, std::uint64_t aFlow);
+  /// The same, as no home that could have a record of the flow has one.
+  bool Infer(TimePoint aNow, std::uint64_t aFlow);
+  /// Gives an inferred flow up, as a record says that it is elsewhere.
+  void Withdraw(std::uint64_t aFlow);
   /// Says whether every open flow of the upstream is known here.
   bool Complete() const { return mUnknown == 0; }
   bool Contains(std::uint64_t aFlow) { return mFlows.Find(aFlow) != nullptr; }
+  /// Whether the flow is known from its admission, a record or an answer; what
+  /// was only inferred gives way to any record.
+  bool Vouches(std::uint64_t aFlow);
 
   /// Drops flows that ended or fell idle.
   void Sweep(TimePoint aNow, Duration aIdleTimeout);
@@ -89,6 +97,7 @@
     CallerEnded = 2,
     UpstreamEnded = 4,
     SinceCold = 8,
+    Inferred = 16,
   };
   using Entry = Detail::LedgerEntry;
 
--- a/src/tarragonsill/state/tarragonsill_member.hpp
+++ b/src/tarragonsill/state/tarragonsill_member.hpp
@@ -2,6 +2,7 @@
 #define TARRAGONSILL_MEMBER_HPP_INCLUDED
 
 #include "tarragonsill/state/tarragonsill_address.hpp"
+#include "tarragonsill/state/tarragonsill_time.hpp"
 
 #include <cstdint>
 #include <string>
@@ -43,6 +44,8 @@
   std::uint64_t mIncarnation = 0;
   MemberStage mStage = MemberStage::Joining;
   MemberHealth mHealth = MemberHealth::Alive;
+  /// When it was last found `Failed`, by this VM's clock.
+  TimePoint mFailedAt{};
 
   std::uint64_t NameHash() const { return HashText(mName); }
   bool IsServing() const
--- a/src/tarragonsill/state/tarragonsill_steering_snapshot.cpp
+++ b/src/tarragonsill/state/tarragonsill_steering_snapshot.cpp
@@ -74,6 +74,29 @@
     return ranked;
   }
 
+  /// The entry VM that would rank first in a zone if it had not failed; none if
+  /// the first one answers.
+  std::optional<EntryIndex> FirstIfFailed(std::uint64_t aKey,
+                                          std::string const& aZone) const
+  {
+    std::optional<std::pair<std::uint64_t, EntryIndex>> first;
+    for (std::size_t index = 0; index < mSnapshot->mEntries.size(); ++index) {
+      auto const& entry = mSnapshot->mEntries[index];
+      bool const isHome = entry.mStage == MemberStage::Serving &&
+                          entry.mHealth != MemberHealth::Gone;
+      if (entry.mZone != aZone || !isHome) {
+        continue;
+      }
+      std::pair const scored(PlacementScore(aKey, mHashes[index]),
+                             static_cast<EntryIndex>(index));
+      first = first ? std::max(*first, scored) : scored;
+    }
+    bool const hasFailed =
+      first &&
+      mSnapshot->mEntries[first->second].mHealth == MemberHealth::Failed;
+    return hasFailed ? std::optional(first->second) : std::nullopt;
+  }
+
   /// The zones in service other than the given one, in the key's own order.
   std::vector<std::string> OtherZones(std::uint64_t aKey,
                                       std::string const& aZone) const
@@ -100,13 +123,20 @@
     view.mAddress = aShare.mAddress;
     view.mZoneIn = ZoneIn(aShare.mZone);
     auto const key = PlacementKey(aShare.mAddress);
+    auto const addAbsent = [&](std::string const& aZone) {
+      if (auto const absent = FirstIfFailed(key, aZone)) {
+        view.mAbsent.push_back(*absent);
+      }
+    };
     if (view.mZoneIn) {
       view.mChain = RankZone(key, aShare.mZone, kHomesInZone);
       view.mHomeInZone = !view.mChain.empty();
+      addAbsent(aShare.mZone);
     }
     for (auto const& zone : OtherZones(key, aShare.mZone)) {
       auto const ranked = RankZone(key, zone, 1);
       view.mChain.insert(view.mChain.end(), ranked.begin(), ranked.end());
+      addAbsent(zone);
     }
     auto const found = mSnapshot->mUpstreamByAddress.find(aShare.mAddress);
     if (found != mSnapshot->mUpstreamByAddress.end()) {
