Say "not run" of a call only if no earlier try of it may have run

A repeat of an answered idempotent call met a VM that was cut off from the call's home and was told "not run"; an idempotent call whose first upstream gave no answer and whose second had no free slot was told so, too. The later try's outcome took the place of the earlier one's.

Change: `ToldOutcome` turns "not run" into "unknown" where an earlier try may have run; one function counts and logs what a caller is told, refusals too.

--- a/src/tarragonsill/coordination/tarragonsill_call_ledger.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_call_ledger.hpp
@@ -19,6 +19,16 @@
   Unknown, ///< It may have run.
 };
 
+/// What may be told of a call whose last try ended like this. A try that was
+/// not run says nothing of earlier ones that may have been.
+constexpr CallOutcome
+ToldOutcome(CallOutcome aOfLastTry, bool aEarlierMayHaveRun)
+{
+  return aOfLastTry == CallOutcome::NotRun && aEarlierMayHaveRun
+           ? CallOutcome::Unknown
+           : aOfLastTry;
+}
+
 struct CallResult
 {
   CallOutcome mOutcome = CallOutcome::Unknown;
--- a/src/tarragonsill/transport/internal/tarragonsill_call_replies.hpp
+++ b/src/tarragonsill/transport/internal/tarragonsill_call_replies.hpp
@@ -37,6 +37,27 @@
   return reply;
 }
 
+/// The outcome that a reply names.
+inline CallOutcome
+OutcomeOf(wire::CallReply const& aReply)
+{
+  return aReply.outcome() == wire::ANSWERED  ? CallOutcome::Answered
+         : aReply.outcome() == wire::NOT_RUN ? CallOutcome::NotRun
+                                             : CallOutcome::Unknown;
+}
+
+/// Says "not run" only where that holds for every try of the call.
+inline void
+TellHonestly(bool aEarlierMayHaveRun, wire::CallReply& aReply)
+{
+  auto const outcome = OutcomeOf(aReply);
+  if (ToldOutcome(outcome, aEarlierMayHaveRun) == outcome) {
+    return;
+  }
+  aReply.set_outcome(wire::UNKNOWN);
+  aReply.set_reason(aReply.reason() + "; an earlier try may have run");
+}
+
 /// The reply for a recorded outcome.
 inline wire::CallReply
 ToReply(wire::CallRequest const& aRequest, CallResult const& aResult)
--- a/src/tarragonsill/transport/tarragonsill_call_service.cpp
+++ b/src/tarragonsill/transport/tarragonsill_call_service.cpp
@@ -22,9 +22,7 @@
 ToResult(wire::CallReply const& aReply)
 {
   CallResult result;
-  result.mOutcome = aReply.outcome() == wire::ANSWERED  ? CallOutcome::Answered
-                    : aReply.outcome() == wire::NOT_RUN ? CallOutcome::NotRun
-                                                        : CallOutcome::Unknown;
+  result.mOutcome = OutcomeOf(aReply);
   result.mBody = aReply.body();
   result.mReason = aReply.reason();
   result.mUpstream = aReply.upstream();
@@ -151,6 +149,7 @@
   }
   auto request = aRequest;
   request.set_hops(aRequest.hops() + 1);
+  bool mayHaveRun = false;
   auto const candidates = CallCandidates(*view.mSnapshot,
                                          *service,
                                          aRequest.call_id(),
@@ -179,7 +178,9 @@
     if (!mayRepeat) {
       return reply;
     }
+    mayHaveRun = mayHaveRun || reply.outcome() == wire::UNKNOWN;
   }
+  TellHonestly(mayHaveRun, reply);
   if (reply.outcome() == wire::NOT_RUN) {
     mState->mCounters.Add(Counter::CallsShed);
   }
--- a/src/tarragonsill/transport/tarragonsill_call_service.hpp
+++ b/src/tarragonsill/transport/tarragonsill_call_service.hpp
@@ -46,6 +46,9 @@
 
   std::optional<wire::CallReply> CheckRequest(wire::CallRequest const& aRequest,
                                               TimePoint aDeadline);
+  /// Counts and logs what a caller is told.
+  void NoteOutcome(wire::CallRequest const& aRequest,
+                   wire::CallReply const& aReply);
   std::optional<wire::CallReply> ClearWithOtherZones(
     wire::CallRequest const& aRequest,
     CallView const& aView,
--- a/src/tarragonsill/transport/tarragonsill_call_submission.cpp
+++ b/src/tarragonsill/transport/tarragonsill_call_submission.cpp
@@ -94,7 +94,8 @@
     mRetries.Deposit(kRetryShare);
   }
   if (auto refused = CheckRequest(aRequest, aDeadline)) {
-    counters.Add(Counter::CallsNotRun);
+    TellHonestly(aRequest.attempt() > 1, *refused);
+    NoteOutcome(aRequest, *refused);
     return *refused;
   }
   auto const view = mState->mView.Value();
@@ -112,6 +113,7 @@
       return *settled;
     }
   }
+  bool mayHaveRun = false;
   auto deadline = FirstDeadline(request, aDeadline);
   for (auto const home :
        CallHomes(*view.mSnapshot, service, request.call_id())) {
@@ -122,6 +124,7 @@
         : Forward(RemoteStep::Home, entry, request, deadline);
     if (answer) {
       reply = *answer;
+      mayHaveRun = mayHaveRun || reply.outcome() == wire::UNKNOWN;
     }
     bool const elsewhere = !answer || answer->not_home();
     bool const again =
@@ -131,19 +134,26 @@
     }
     deadline = aDeadline;
   }
-  if (repeated && reply.not_home()) {
-    // An earlier attempt may have run where no record can be read now.
-    reply.set_outcome(wire::UNKNOWN);
-  }
-  counters.Add(reply.outcome() == wire::ANSWERED  ? Counter::CallsAnswered
-               : reply.outcome() == wire::NOT_RUN ? Counter::CallsNotRun
-                                                  : Counter::CallsUnknown);
-  LogInfo("call: " + std::string(OutcomeText(reply.outcome())) +
-          " id=" + request.call_id() + " service=" + request.service() +
-          " upstream=" + reply.upstream() + " reason=" + reply.reason());
+  bool const earlierAreRuledOut = repeated && !reply.not_home();
+  bool const wasTriedBefore = request.attempt() > 1 && !earlierAreRuledOut;
+  TellHonestly(mayHaveRun || wasTriedBefore, reply);
+  NoteOutcome(request, reply);
   return reply;
 }
 
+void
+CallService::NoteOutcome(wire::CallRequest const& aRequest,
+                         wire::CallReply const& aReply)
+{
+  auto const outcome = aReply.outcome();
+  mState->mCounters.Add(outcome == wire::ANSWERED  ? Counter::CallsAnswered
+                        : outcome == wire::NOT_RUN ? Counter::CallsNotRun
+                                                   : Counter::CallsUnknown);
+  LogInfo("call: " + std::string(OutcomeText(outcome)) +
+          " id=" + aRequest.call_id() + " service=" + aRequest.service() +
+          " upstream=" + aReply.upstream() + " reason=" + aReply.reason());
+}
+
 std::optional<wire::CallReply>
 CallService::ClearWithOtherZones(wire::CallRequest const& aRequest,
                                  CallView const& aView,
--- a/tests/coordination/test_call_ledger.cpp
+++ b/tests/coordination/test_call_ledger.cpp
@@ -221,3 +221,13 @@
   Hold(1);
   CHECK(mLedger.Admit(kStart, mUpstream, 0) == SlotAdmission::NotServing);
 }
+
+TEST(CallLedger, a_try_that_was_not_run_says_nothing_of_earlier_ones)
+{
+  // A call whose first try got no answer, or whose repeat meets a VM that is
+  // cut off from the call's home.
+  constexpr auto kNotRun = CallOutcome::NotRun;
+  CHECK(ToldOutcome(kNotRun, false) == kNotRun);
+  CHECK(ToldOutcome(kNotRun, true) == CallOutcome::Unknown);
+  CHECK(ToldOutcome(CallOutcome::Answered, true) == CallOutcome::Answered);
+}
