Let a VM own alone only once every VM that joins knows of it

Change: (1) a VM that serves asks every joining VM to acknowledge it again, and owns nothing alone before; (2) "nothing was ever open" holds only for the things of which a VM is the first in line itself; (3) a VM that becomes the first in line without ever having promised the former one anything waits for a lease and its margin.

--- a/src/tarragonsill/coordination/tarragonsill_control_plane.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_control_plane.cpp
@@ -71,6 +71,9 @@
   if (mMembership.Self().mStage == MemberStage::Joining) {
     AdvanceJoin(aNow, aOutbox);
   }
+  if (mMembership.Self().mStage == MemberStage::Serving) {
+    TellJoiners(aNow, aOutbox);
+  }
   RefreshOwnership();
   mOwnership.Tick(aNow, aOutbox);
   mSender.Tick(
@@ -86,6 +89,7 @@
   mOwnership.Forget();
   mMembership.Rejoin(mMembership.Self().mIncarnation + 1);
   mJoinAcks.clear();
+  mToldJoiners.clear();
   mJoinStarted = aNow;
   mZoneHasHistory = true;
 }
--- a/src/tarragonsill/coordination/tarragonsill_control_plane.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_control_plane.hpp
@@ -76,6 +76,8 @@
   void AdvanceJoin(TimePoint aNow, Outbox& aOutbox);
   void ContactSeeds(Outbox& aOutbox);
   void RequestAcknowledgements(Outbox& aOutbox);
+  /// Lets every VM that joins the zone acknowledge that this one serves.
+  void TellJoiners(TimePoint aNow, Outbox& aOutbox);
   void AnswerJoinRequest(Member const& aFrom,
                          wire::JoinRequest const& aRequest,
                          Outbox& aOutbox);
@@ -105,6 +107,8 @@
   std::uint64_t mOwnershipGeneration = 0;
   std::vector<ExceptionTransfer> mReceived;
   std::set<std::string> mJoinAcks;
+  /// Joining VMs that have acknowledged that this one serves.
+  std::set<std::string> mToldJoiners;
   /// How far the lists of members of others have been read.
   std::map<std::string, std::uint32_t> mJoinOffsets;
   std::size_t mNextSeed = 0;
--- a/src/tarragonsill/coordination/tarragonsill_control_plane_join.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_control_plane_join.cpp
@@ -56,11 +56,39 @@
     return;
   }
   mMembership.SetSelfStage(MemberStage::Serving);
+  RefreshOwnership();
   if (!mZoneHasHistory) {
     mOwnership.Bootstrap();
   }
 }
 
+void
+ControlPlane::TellJoiners(TimePoint aNow, Outbox& aOutbox)
+{
+  bool const isDue = aNow >= mNextJoin;
+  bool allKnow = true;
+  for (auto const& member : ZoneMembersBut(mMembership.Self().mName)) {
+    if (member.mStage != MemberStage::Joining) {
+      mToldJoiners.erase(member.mName);
+      continue;
+    }
+    if (mToldJoiners.count(member.mName) > 0) {
+      continue;
+    }
+    allKnow = false;
+    if (isDue) {
+      // Every message names its sender's stage.
+      AddMessage(aOutbox, member.mControl)
+        .mutable_join_request()
+        ->set_known_members(ZoneDigest(mMembership.Self().mName));
+    }
+  }
+  if (isDue) {
+    mNextJoin = aNow + kJoinPeriod;
+  }
+  mOwnership.SetJoinersKnow(allKnow);
+}
+
 void
 ControlPlane::ContactSeeds(Outbox& aOutbox)
 {
@@ -148,6 +176,10 @@
   if (aAck.refused()) {
     return;
   }
+  if (mMembership.Self().mStage == MemberStage::Serving) {
+    mToldJoiners.insert(aFrom.mName);
+    return;
+  }
   mJoinOffsets[aFrom.mName] = aAck.next_offset();
   if (aAck.next_offset() == 0) {
     mJoinAcks.insert(aFrom.mName);
--- a/src/tarragonsill/coordination/tarragonsill_ownership.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_ownership.cpp
@@ -88,6 +88,15 @@
     std::any_of(mJoining.begin(), mJoining.end(), [&](std::uint64_t aHash) {
       return PlacementScore(key, aHash) > score;
     });
+  // The former first one may have owned the thing alone, by no promise of
+  // anybody, until just now.
+  bool const succeeds = first == mSelf && !aSeat.mFirst.empty() &&
+                        aSeat.mFirst != mSelf &&
+                        aSeat.mPromise.mTo != aSeat.mFirst;
+  if (succeeds) {
+    aSeat.mPromise = { aSeat.mFirst,
+                       mLastTick + mOptions.mLease + mOptions.mMargin };
+  }
   bool const stays =
     first == mSelf && aSeat.mFirst == mSelf && !aSeat.mContested;
   aSeat.mFirst = first;
@@ -157,7 +166,9 @@
 Ownership::Bootstrap()
 {
   for (auto& [key, seat] : mSeats) {
-    if (!seat.mKnowledge) {
+    // A VM that ranks ahead may have started first and used the thing alone.
+    bool const mayBeUsed = seat.mFirst != mSelf || seat.mContested;
+    if (!seat.mKnowledge && !mayBeUsed) {
       seat.mKnowledge = Knowledge{};
     }
   }
@@ -239,7 +250,7 @@
 {
   bool const promised =
     aSeat.mPromise.mTo != mSelf && aNow < aSeat.mPromise.mUntil;
-  if (promised || !mAloneConfirmed) {
+  if (promised || !mAloneConfirmed || !mJoinersKnow) {
     return;
   }
   bool const begins = !aSeat.Holds();
--- a/src/tarragonsill/coordination/tarragonsill_ownership.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_ownership.hpp
@@ -65,12 +65,16 @@
   void HandleGrant(TimePoint aNow,
                    Member const& aFrom,
                    wire::LeaseGrant const& aGrant);
-  /// Says that no entry VM served the zone before, so that nothing is open
-  /// unless somebody says so.
+  /// Says that no entry VM served the zone before this one's start. Nothing is
+  /// open then at the things of which this VM is the first in line; of the
+  /// others, those ahead of it will tell.
   void Bootstrap();
   /// Says that the platform listed this VM as live after the last pause. Until
   /// then a VM that believes to be alone in its zone owns nothing.
   void ConfirmAlone() { mAloneConfirmed = true; }
+  /// Says whether every VM that joins the zone knows that this one serves. One
+  /// that does not could begin without asking what this VM has used alone.
+  void SetJoinersKnow(bool aKnow) { mJoinersKnow = aKnow; }
   /// Forgets what was known of earlier owners; the whole limit of a thing may
   /// be in use then.
   void Forget();
@@ -151,6 +155,7 @@
   TimePoint mNextAsk{};
   TimePoint mLastTick{};
   bool mAloneConfirmed = true;
+  bool mJoinersKnow = true;
 };
 
 } // namespace tarragonsill
