--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -43,6 +43,13 @@
   if (ownDirectory) {
     aOptions.mDirectory = MakeDirectory();
   }
+  std::error_code failure;
+  std::filesystem::create_directories(aOptions.mDirectory, failure);
+  if (failure) {
+    std::cerr << "--directory " << aOptions.mDirectory
+              << ": cannot be made: " << failure.message() << '\n';
+    return kTrouble;
+  }
   auto const report = Lab::CarryOut(aOptions);
   if (ownDirectory) {
     std::error_code ignored;
