--- a/lab/platform/tarragonsill_lab_object_store.cpp
+++ b/lab/platform/tarragonsill_lab_object_store.cpp
@@ -1,9 +1,8 @@
 #include "tarragonsill_lab_object_store.hpp"
 
-#include "tarragonsill/state/tarragonsill_time.hpp"
-
 #include <atomic>
 #include <condition_variable>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -19,6 +18,9 @@
 constexpr int kUnavailable = 503;
 constexpr std::size_t kServerThreads = 48;
 constexpr std::size_t kItemsPerPage = 50;
+/// Copies of the store are at most this old.
+constexpr seconds kOldestCopy{ 30 };
+constexpr char const* kEraHeader = "Store-Era";
 
 struct Event
 {
@@ -43,7 +45,12 @@
   struct State
   {
     std::map<std::string, Objects> mObjects; ///< By kind.
-    std::uint64_t mRevision = 1;
+    StorePosition mPosition{ 1, 1 };
+  };
+  struct Copy
+  {
+    TimePoint mAt{};
+    State mState;
   };
 
   void Get(httplib::Request const& aRequest, httplib::Response& aResponse)
@@ -53,30 +60,45 @@
     std::unique_lock lock(mMutex);
     if (mIsDown) {
       aResponse.status = kUnavailable;
+      NameEra(mState, aResponse);
       return;
     }
     auto const body = aRequest.has_param("watch")
                         ? Watch(aRequest, kind, lock, aResponse)
-                        : List(aRequest, kind);
+                        : List(aRequest, kind, aResponse);
     if (body.is_object()) {
       aResponse.set_content(body.dump(), "application/json");
     }
   }
 
-  nlohmann::json List(httplib::Request const& aRequest,
-                      std::string const& aKind)
+  void NameEra(State const& aState, httplib::Response& aResponse) const
+  {
+    if (mNamesEra) {
+      aResponse.set_header(kEraHeader, std::to_string(aState.mPosition.mEra));
+    }
+  }
+
+  State& ReplicaFor(httplib::Request const& aRequest)
   {
     bool const mayLag = aRequest.has_param("serializable");
-    auto& replica = mayLag && mReplicaLags ? mOldReplica : mState;
+    return mayLag && mReplicaLags ? mOldReplica : mState;
+  }
+
+  nlohmann::json List(httplib::Request const& aRequest,
+                      std::string const& aKind,
+                      httplib::Response& aResponse)
+  {
+    auto& replica = ReplicaFor(aRequest);
     auto const& objects = replica.mObjects[aKind];
     auto items = nlohmann::json::array();
     auto next = objects.upper_bound(aRequest.get_param_value("after"));
     for (; next != objects.end() && items.size() < kItemsPerPage; ++next) {
       items.push_back(next->second);
     }
+    NameEra(replica, aResponse);
     return { { "items", items },
              { "more", next != objects.end() },
-             { "currentRev", replica.mRevision } };
+             { "currentRev", replica.mPosition.mRevision } };
   }
 
   nlohmann::json Watch(httplib::Request const& aRequest,
@@ -86,21 +108,30 @@
   {
     auto const from = Parameter(aRequest, "watch");
     auto events = nlohmann::json::array();
+    auto const isGone = [&] {
+      return from < mForgottenUpTo ||
+             from > ReplicaFor(aRequest).mPosition.mRevision;
+    };
     auto const collect = [&] {
       for (auto const& event : mEvents) {
-        if (event.mKind == aKind && event.mRevision > from) {
+        bool const isSeen =
+          event.mRevision <= ReplicaFor(aRequest).mPosition.mRevision;
+        if (event.mKind == aKind && event.mRevision > from && isSeen) {
           events.push_back(event.mBody);
         }
       }
-      return !events.empty() || mIsDown || mStop || from < mForgottenUpTo;
+      return !events.empty() || mIsDown || mStop || isGone();
     };
     mChanged.wait_for(
       aLock, milliseconds{ Parameter(aRequest, "waitMs") }, collect);
-    if (mIsDown || from < mForgottenUpTo) {
+    auto const& replica = ReplicaFor(aRequest);
+    NameEra(replica, aResponse);
+    if (mIsDown || isGone()) {
       aResponse.status = mIsDown ? kUnavailable : kGone;
       return nullptr;
     }
-    return { { "events", events }, { "currentRev", mState.mRevision } };
+    return { { "events", events },
+             { "currentRev", replica.mPosition.mRevision } };
   }
 
   void Change(std::string const& aKind,
@@ -109,16 +140,25 @@
               bool aIsRemoval)
   {
     std::lock_guard const lock(mMutex);
-    auto const revision = ++mState.mRevision;
+    auto& objects = mState.mObjects[aKind];
+    auto const held = objects.find(aName);
+    bool const changesNothing =
+      aIsRemoval ? held == objects.end()
+                 : held != objects.end() && held->second["spec"] == aSpec;
+    if (changesNothing) {
+      return;
+    }
+    KeepCopy();
+    auto const revision = ++mState.mPosition.mRevision;
     nlohmann::json const object = {
       { "meta", { { "name", aName }, { "revision", revision } } },
       { "spec", aSpec },
       { "status", nullptr }
     };
     if (aIsRemoval) {
-      mState.mObjects[aKind].erase(aName);
+      objects.erase(held);
     } else {
-      mState.mObjects[aKind][aName] = object;
+      objects[aName] = object;
     }
     mEvents.push_back(
       { aKind,
@@ -127,6 +167,15 @@
     mChanged.notify_all();
   }
 
+  /// Keeps the state as it was until now.
+  void KeepCopy()
+  {
+    mCopies.push_back({ Clock::now(), mState });
+    while (mCopies.front().mAt + kOldestCopy < Clock::now()) {
+      mCopies.pop_front();
+    }
+  }
+
   httplib::Server mServer;
   std::thread mThread;
   std::atomic<std::uint64_t> mCalls{ 0 };
@@ -134,6 +183,8 @@
   std::condition_variable mChanged;
   State mState;
   State mOldReplica;
+  std::deque<Copy> mCopies; ///< Each held until its time.
+  bool mNamesEra = true;
   bool mReplicaLags = false;
   std::vector<Event> mEvents;
   std::uint64_t mForgottenUpTo = 0;
@@ -207,7 +258,7 @@
 ObjectStore::ForgetHistory()
 {
   std::lock_guard const lock(mImpl->mMutex);
-  mImpl->mForgottenUpTo = mImpl->mState.mRevision;
+  mImpl->mForgottenUpTo = mImpl->mState.mPosition.mRevision;
   mImpl->mEvents.clear();
   mImpl->mChanged.notify_all();
 }
@@ -226,11 +277,41 @@
   mImpl->mReplicaLags = aLags;
 }
 
-std::uint64_t
-ObjectStore::Revision() const
+void
+ObjectStore::ComeBackOlder(milliseconds aAge)
+{
+  std::lock_guard const lock(mImpl->mMutex);
+  auto const era = mImpl->mState.mPosition.mEra + 1;
+  auto const at = Clock::now() - aAge;
+  // The first state that held until a later time was there at that moment.
+  for (auto const& copy : mImpl->mCopies) {
+    if (copy.mAt > at) {
+      mImpl->mState = copy.mState;
+      break;
+    }
+  }
+  auto& position = mImpl->mState.mPosition;
+  position.mEra = era;
+  std::erase_if(mImpl->mEvents, [&](Event const& aEvent) {
+    return aEvent.mRevision > position.mRevision;
+  });
+  mImpl->mForgottenUpTo = std::min(mImpl->mForgottenUpTo, position.mRevision);
+  mImpl->mCopies.clear();
+  mImpl->mChanged.notify_all();
+}
+
+void
+ObjectStore::HideEra()
+{
+  std::lock_guard const lock(mImpl->mMutex);
+  mImpl->mNamesEra = false;
+}
+
+StorePosition
+ObjectStore::Position() const
 {
   std::lock_guard const lock(mImpl->mMutex);
-  return mImpl->mState.mRevision;
+  return mImpl->mState.mPosition;
 }
 
 std::uint64_t
--- a/lab/platform/tarragonsill_lab_object_store.hpp
+++ b/lab/platform/tarragonsill_lab_object_store.hpp
@@ -3,6 +3,8 @@
 
 #include "tarragonsill/state/tarragonsill_address.hpp"
 #include "tarragonsill/state/tarragonsill_reason.hpp"
+#include "tarragonsill/state/tarragonsill_store_position.hpp"
+#include "tarragonsill/state/tarragonsill_time.hpp"
 
 #include <memory>
 #include <string>
@@ -29,10 +31,15 @@
   void ForgetHistory();
   /// Keeps the present state as that of a replica that hears nothing more.
   void KeepOldReplica();
-  /// Whether lists that may lag come from that replica.
+  /// Whether answers that may lag come from that replica.
   void SetReplicaLags(bool aLags);
+  /// Comes back from a copy of this age, with the next era: what was written
+  /// since is gone, and its revisions are given out again.
+  void ComeBackOlder(milliseconds aAge);
+  /// Names no era from now on, as a store without copies.
+  void HideEra();
   std::uint64_t CallCount() const;
-  std::uint64_t Revision() const;
+  StorePosition Position() const;
 
 private:
   struct Impl;
--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -91,13 +91,18 @@
 Directory::Apply(TimePoint aNow, StoreNews const& aNews)
 {
   Changes changes;
+  if (aNews.mUpTo.mEra < mEra) {
+    return changes; // From before the store came back older.
+  }
+  (void)NoteEra(aNews.mUpTo.mEra);
+  bool const isOfCopy = IsOfCopy(aNews);
   for (auto const& change : aNews.mChanges) {
     switch (aNews.mKind) {
       case ObjectKind::Configuration:
         ApplyConfiguration(change, changes);
         break;
       case ObjectKind::Upstreams:
-        ApplyUpstream(aNow, change, changes);
+        ApplyUpstream(aNow, change, isOfCopy, changes);
         break;
       case ObjectKind::Evacuations:
         ApplyEvacuation(aNow, change, changes);
@@ -108,7 +113,7 @@
     RemoveUnlisted(aNow, aNews, changes);
   }
   if (aNews.mKind == ObjectKind::Upstreams) {
-    NoteChanged(changes, aNews.mRevision);
+    NoteChanged(changes, aNews.mUpTo);
   }
   NoteReach(aNews);
   mIsDirty = mIsDirty || !changes.empty();
@@ -122,7 +127,7 @@
     aChanges.push_back({ "configuration",
                          aChange.mName,
                          "refused: " + unusable->mWhy,
-                         aChange.mRevision });
+                         aChange.mPosition });
     return;
   }
   auto const* next = std::get_if<RoutingConfiguration>(&aChange.mContent);
@@ -142,62 +147,74 @@
     mRemovedRoutes.erase(route.mAddress);
   }
   mConfiguration = *next;
-  mConfigurationRevision = aChange.mRevision;
+  mConfigurationPosition = aChange.mPosition;
   aChanges.push_back({ "configuration",
                        "version " + std::to_string(next->mVersion),
                        "in force",
-                       aChange.mRevision });
+                       aChange.mPosition });
 }
 
 void
 Directory::ApplyUpstream(TimePoint aNow,
                          ObjectChange const& aChange,
+                         bool aIsOfCopy,
                          Changes& aChanges)
 {
-  auto const known = mSlots.find(aChange.mName);
-  if (known != mSlots.end() &&
-      aChange.mRevision <= mUpstreams[known->second].mRevision) {
+  auto const slot = mSlots.find(aChange.mName);
+  auto* const known =
+    slot == mSlots.end() ? nullptr : &mUpstreams[slot->second];
+  if (known != nullptr && aChange.mPosition <= known->mPosition) {
     // A removal may carry the revision of the object's last change.
-    if (aChange.mRemoved &&
-        aChange.mRevision == mUpstreams[known->second].mRevision) {
-      RemoveUpstream(aNow, aChange.mName, aChange.mRevision, aChanges);
+    if (aChange.mRemoved && aChange.mPosition == known->mPosition) {
+      RemoveUpstream(aNow, aChange.mName, aChange.mPosition, aChanges);
     }
     return;
   }
   auto const* record = std::get_if<UpstreamRecord>(&aChange.mContent);
   if (aChange.mRemoved || record == nullptr) {
-    RemoveUpstream(aNow, aChange.mName, aChange.mRevision, aChanges);
+    RemoveUpstream(aNow, aChange.mName, aChange.mPosition, aChanges);
     if (auto const* unusable = std::get_if<UnusableRecord>(&aChange.mContent);
         unusable != nullptr && !aChange.mRemoved) {
       aChanges.push_back({ "upstream",
                            aChange.mName,
                            "ignored: " + unusable->mWhy,
-                           aChange.mRevision });
+                           aChange.mPosition });
     }
     return;
   }
+  if (aIsOfCopy && known != nullptr) {
+    MergeCopied(aNow, *known, aChange, aChanges);
+    return;
+  }
   auto& upstream = mUpstreams[SlotFor(aNow, aChange.mName)];
   upstream.mRecord = *record;
-  upstream.mRevision = aChange.mRevision;
+  upstream.mPosition = aChange.mPosition;
   upstream.mIsRegistered = true;
-  upstream.mColdUntil = record->mColdLeft > milliseconds{ 0 }
-                          ? aNow + record->mColdLeft
-                          : TimePoint{};
+  upstream.mDoubtedUntil = EndOf(aNow, aChange.mDoubtedFor);
+  upstream.mColdUntil = EndOf(aNow, record->mColdLeft);
+  NoteUpstream(aChange, *record, aChanges);
+}
+
+void
+Directory::NoteUpstream(ObjectChange const& aChange,
+                        UpstreamRecord const& aRecord,
+                        Changes& aChanges)
+{
   auto const cold =
-    record->mColdLeft > milliseconds{ 0 }
-      ? " cold for " + std::to_string(record->mColdLeft.count()) + " ms"
+    aRecord.mColdLeft > milliseconds{ 0 }
+      ? " cold for " + std::to_string(aRecord.mColdLeft.count()) + " ms"
       : std::string();
   aChanges.push_back({ "upstream",
                        aChange.mName,
-                       (record->mDraining ? "draining" : "serving") + cold,
-                       aChange.mRevision,
-                       !record->mDraining && cold.empty() });
+                       (aRecord.mDraining ? "draining" : "serving") + cold,
+                       aChange.mPosition,
+                       !aRecord.mDraining && cold.empty() });
 }
 
 void
 Directory::RemoveUpstream(TimePoint aNow,
                           std::string const& aName,
-                          std::uint64_t aRevision,
+                          StorePosition aPosition,
                           Changes& aChanges)
 {
   auto const known = mSlots.find(aName);
@@ -205,13 +222,14 @@
     return;
   }
   auto& upstream = mUpstreams[known->second];
-  upstream.mRevision = std::max(upstream.mRevision, aRevision);
+  upstream.mPosition = std::max(upstream.mPosition, aPosition);
+  upstream.mDoubtedUntil = {};
   if (!upstream.mIsRegistered) {
     return;
   }
   upstream.mIsRegistered = false;
   upstream.mRemovedAt = aNow;
-  aChanges.push_back({ "upstream", aName, "registration removed", aRevision });
+  aChanges.push_back({ "upstream", aName, "registration removed", aPosition });
 }
 
 void
@@ -221,10 +239,15 @@
 {
   auto& zone = mZones[aChange.mName];
   bool const evacuated = !aChange.mRemoved;
-  if (aChange.mRevision < zone.mRevision || zone.mIsEvacuated == evacuated) {
+  if (aChange.mPosition < zone.mPosition) {
+    return;
+  }
+  bool const isDoubted = zone.mDoubtedUntil != TimePoint{};
+  zone.mDoubtedUntil = EndOf(aNow, aChange.mDoubtedFor);
+  if (zone.mIsEvacuated == evacuated && !isDoubted) {
     return;
   }
-  zone.mRevision = aChange.mRevision;
+  zone.mPosition = aChange.mPosition;
   zone.mIsEvacuated = evacuated;
   if (!evacuated) {
     zone.mReturnedAt = aNow;
@@ -232,7 +255,7 @@
   aChanges.push_back({ "zone",
                        aChange.mName,
                        evacuated ? "evacuated" : "taken back",
-                       aChange.mRevision });
+                       aChange.mPosition });
 }
 
 void
@@ -247,21 +270,25 @@
   if (aNews.mKind == ObjectKind::Upstreams) {
     for (auto const& [name, slot] : mSlots) {
       // A list that is older than the entry says nothing about it.
-      if (listed.count(name) > 0 ||
-          mUpstreams[slot].mRevision > aNews.mRevision) {
+      if (listed.count(name) > 0 || mUpstreams[slot].mPosition > aNews.mUpTo) {
         continue;
       }
-      RemoveUpstream(aNow, name, aNews.mRevision, aChanges);
+      RemoveUpstream(aNow, name, aNews.mUpTo, aChanges);
     }
   }
   if (aNews.mKind == ObjectKind::Evacuations) {
     for (auto& [name, zone] : mZones) {
-      if (listed.count(name) > 0 || zone.mRevision > aNews.mRevision) {
+      bool const isDoubted = zone.mDoubtedUntil != TimePoint{};
+      if (listed.count(name) > 0 || zone.mPosition > aNews.mUpTo || isDoubted) {
+        continue;
+      }
+      if (IsOfCopy(aNews) && zone.mIsEvacuated) {
+        KeepOut(aNow, aNews.mUpTo, name, zone, aChanges);
         continue;
       }
       ObjectChange removal;
       removal.mName = name;
-      removal.mRevision = aNews.mRevision;
+      removal.mPosition = aNews.mUpTo;
       removal.mRemoved = true;
       ApplyEvacuation(aNow, removal, aChanges);
     }
@@ -297,8 +324,9 @@
 Directory::UseOf(TimePoint aNow, KnownUpstream const& aUpstream) const
 {
   if (aUpstream.mIsRegistered) {
-    return aUpstream.mRecord.mDraining ? UpstreamUse::Draining
-                                       : UpstreamUse::Serving;
+    return aUpstream.mRecord.mDraining      ? UpstreamUse::Draining
+           : aNow < aUpstream.mDoubtedUntil ? UpstreamUse::Missing
+                                            : UpstreamUse::Serving;
   }
   if (aUpstream.mRecord.mDraining) {
     return UpstreamUse::Gone;
--- a/src/tarragonsill/coordination/tarragonsill_directory.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.hpp
@@ -22,10 +22,10 @@
   std::vector<ObjectChange> mChanges;
   /// The changes are the whole list: what is not in it is not there.
   bool mIsWholeList = false;
-  /// The store's revision to which they are up to date.
-  std::uint64_t mRevision = 0;
-  /// Changes only: nothing is missing after this revision.
-  std::uint64_t mAfter = 0;
+  /// The store's position to which they are up to date.
+  StorePosition mUpTo{};
+  /// Changes only: nothing is missing after this position.
+  StorePosition mAfter{};
 };
 
 /// One line for the log: what changed in the VM's belief, and why.
@@ -34,16 +34,32 @@
   std::string mWhat;    ///< For instance "upstream".
   std::string mSubject; ///< Its name.
   std::string mOutcome; ///< The state now.
-  std::uint64_t mRevision = 0;
+  StorePosition mPosition{};
   bool mIsOrdinary = false; ///< An upstream that serves as most of them do.
 };
 
+/// The store came back from an older copy of itself.
+struct EraRise
+{
+  std::uint64_t mFrom = 0;
+  std::uint64_t mTo = 0;
+  StorePosition mHeld; ///< How far upstreams were known.
+  std::size_t mUpstreams = 0;
+  std::size_t mEvacuatedZones = 0;
+};
+
 class Directory
 {
 public:
   /// A missing registration is back within about two seconds of the store's
   /// return (platform); until then it says nothing about the upstream.
   static constexpr milliseconds kReturnPatience{ 2000 };
+  /// A registration lapses after three heartbeats of silence (platform); one
+  /// that an older copy shows for longer belongs to an upstream that lives.
+  static constexpr int kHeartbeatsToLapse = 4;
+  /// What the operator wrote is written again after the store came back older;
+  /// no page says by when. Twice the longest time in which it takes effect.
+  static constexpr milliseconds kRewriteTime{ 10000 };
 
   explicit Directory(NodeSettings const& aSettings);
 
@@ -54,6 +70,14 @@
   /// Notes whether the store answers. Registrations that lapse while it does
   /// not, or right after its return, are taken for missing, not for gone.
   void NoteStore(TimePoint aNow, bool aAnswers);
+  /// Notes the store's era as an answer or a peer names it. With a new one,
+  /// nothing that was listed before is known to be complete.
+  std::optional<EraRise> NoteEra(std::uint64_t aEra);
+  /// Ends doubts whose time is over: zones return whose evacuation nobody has
+  /// said again. Returns what it changed; to be called now and then.
+  std::vector<BeliefChange> EndDoubts(TimePoint aNow);
+  /// The highest era that was heard of.
+  std::uint64_t Era() const { return mEra; }
   /// The VMs of the zone that decide, this one included.
   void SetDeciders(std::vector<std::uint64_t> aDeciders, std::uint64_t aSelf);
 
@@ -71,14 +95,13 @@
   /// How far knowledge goes without a gap. A peer whose last change lies beyond
   /// knows something that is missing here.
   KnowledgeDigest Held() const;
-  /// The revision of the store up to which no change of a kind is missing; 0
-  /// before it was listed.
-  std::uint64_t CompleteTo(ObjectKind aKind) const;
+  /// The position of the store up to which no change of a kind is missing;
+  /// unset before it was listed in the store's present era.
+  StorePosition CompleteTo(ObjectKind aKind) const;
   /// The same for all kinds.
-  std::uint64_t CompleteTo() const;
-  /// A peer that misses nothing up to a revision announced its last changes.
-  void NoteComplete(KnowledgeDigest const& aLastChanges,
-                    std::uint64_t aRevision);
+  StorePosition CompleteTo() const;
+  /// A peer that misses nothing up to a position announced its last changes.
+  void NoteComplete(KnowledgeDigest const& aLastChanges, StorePosition aUpTo);
   /// What is known beyond what a peer holds; kinds that are no newer or were
   /// never listed whole are left out.
   StoreLists NewerThan(KnowledgeDigest const& aHeld, TimePoint aNow) const;
@@ -87,43 +110,73 @@
   struct KnownUpstream
   {
     UpstreamRecord mRecord;
-    std::uint64_t mRevision = 0;
-    /// The store's revision by which its last change had happened; a removal
+    StorePosition mPosition;
+    /// The store's position by which its last change had happened; a removal
     /// may carry the revision of the change before.
-    std::uint64_t mChangedBy = 0;
+    StorePosition mChangedBy;
     TimePoint mColdUntil{};
     bool mIsRegistered = true;
     TimePoint mRemovedAt{};
+    /// An older copy of the store shows it, although it had gone: it is taken
+    /// for missing until then.
+    TimePoint mDoubtedUntil{};
   };
   struct KnownZone
   {
-    std::uint64_t mRevision = 0;
+    StorePosition mPosition;
     bool mIsEvacuated = false;
     TimePoint mReturnedAt{};
+    /// An older copy of the store does not show its evacuation: it stays out
+    /// until then, or until it is said again.
+    TimePoint mDoubtedUntil{};
   };
   using Changes = std::vector<BeliefChange>;
 
   void ApplyConfiguration(ObjectChange const& aChange, Changes& aChanges);
   void ApplyUpstream(TimePoint aNow,
                      ObjectChange const& aChange,
+                     bool aIsOfCopy,
                      Changes& aChanges);
+  static void NoteUpstream(ObjectChange const& aChange,
+                           UpstreamRecord const& aRecord,
+                           Changes& aChanges);
   void RemoveUpstream(TimePoint aNow,
                       std::string const& aName,
-                      std::uint64_t aRevision,
+                      StorePosition aPosition,
+                      Changes& aChanges);
+  /// Takes what a copy of the store from before its last era says of an
+  /// upstream that is known from later.
+  void MergeCopied(TimePoint aNow,
+                   KnownUpstream& aHeld,
+                   ObjectChange const& aCopied,
+                   Changes& aChanges);
+  /// Whether the whole list is the first one of the store's present era, so
+  /// that it shows the copy and not what was written later.
+  bool IsOfCopy(StoreNews const& aNews) const;
+  /// The end of a span of time; none for an empty one.
+  static TimePoint EndOf(TimePoint aNow, milliseconds aSpan)
+  {
+    return aSpan > milliseconds{ 0 } ? aNow + aSpan : TimePoint{};
+  }
+  /// Leaves a zone out whose evacuation a copy of the store does not show.
+  static void KeepOut(TimePoint aNow,
+                      StorePosition aUpTo,
+                      std::string const& aName,
+                      KnownZone& aZone,
                       Changes& aChanges);
   void ApplyEvacuation(TimePoint aNow,
                        ObjectChange const& aChange,
                        Changes& aChanges);
-  /// The upstreams that changed after a revision, removed ones too, or all
+  /// The upstreams that changed after a position, removed ones too, or all
   /// that are registered.
-  ObjectPage UpstreamsAfter(std::uint64_t aRevision, TimePoint aNow) const;
+  ObjectPage UpstreamsAfter(StorePosition aPosition, TimePoint aNow) const;
   ObjectPage AllUpstreams(TimePoint aNow) const;
   ObjectChange ToChange(KnownUpstream const& aUpstream, TimePoint aNow) const;
-  ObjectPage EvacuationList() const;
+  ObjectPage EvacuationList(TimePoint aNow) const;
   void NoteReach(StoreNews const& aNews);
-  void NoteChanged(Changes const& aChanges, std::uint64_t aRevision);
-  std::uint64_t LastChange(ObjectKind aKind) const;
-  std::uint64_t HeldOf(ObjectKind aKind) const;
+  void NoteChanged(Changes const& aChanges, StorePosition aUpTo);
+  StorePosition LastChange(ObjectKind aKind) const;
+  StorePosition HeldOf(ObjectKind aKind) const;
   void RemoveUnlisted(TimePoint aNow,
                       StoreNews const& aNews,
                       Changes& aChanges);
@@ -133,6 +186,8 @@
   ServiceRule const* FindRule(std::string const& aService) const;
   void AddRoutes(RoutingView& aView) const;
   void AddUpstreams(TimePoint aNow, RoutingView& aView);
+  /// The view has to be built anew by then at the latest.
+  void ChangeBy(TimePoint aAt);
 
   NodeSettings mSettings;
   std::optional<RoutingConfiguration> mConfiguration;
@@ -140,20 +195,21 @@
   std::map<Endpoint, RouteEntry> mRemovedRoutes;
   std::vector<KnownUpstream> mUpstreams; ///< By slot.
   std::map<std::string, std::uint32_t> mSlots;
-  /// Removals up to this revision may be forgotten.
-  std::uint64_t mForgottenUpTo = 0;
+  /// Removals up to here may be forgotten.
+  StorePosition mForgottenUpTo;
   std::map<std::string, KnownZone> mZones;
-  std::uint64_t mConfigurationRevision = 0;
+  StorePosition mConfigurationPosition;
+  std::uint64_t mEra = 0;
   /// How far knowledge of a kind goes.
   struct Reach
   {
-    std::uint64_t mComplete = 0;   ///< No change up to here is missing.
-    std::uint64_t mMissedUpTo = 0; ///< Some change before this one may be.
+    StorePosition mComplete;   ///< No change up to here is missing.
+    StorePosition mMissedUpTo; ///< Some change before this one may be.
   };
   /// Kinds of which a whole list was taken.
   std::map<ObjectKind, Reach> mListed;
-  /// The newest revision of any object of a kind.
-  std::map<ObjectKind, std::uint64_t> mLastChange;
+  /// The newest position of any object of a kind.
+  std::map<ObjectKind, StorePosition> mLastChange;
   std::vector<std::uint64_t> mDeciders;
   std::uint64_t mSelf = 0;
   bool mStoreAnswers = true;
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_directory_era.cpp
@@ -0,0 +1,109 @@
+#include "tarragonsill/coordination/tarragonsill_directory.hpp"
+
+#include <algorithm>
+
+/// What holds after the store came back from an older copy of itself: what was
+/// known from later, the copy, and what is written again.
+namespace tarragonsill {
+
+std::optional<EraRise>
+Directory::NoteEra(std::uint64_t aEra)
+{
+  if (aEra <= mEra) {
+    return std::nullopt;
+  }
+  if (mListed.empty()) {
+    mEra = aEra; // Nothing is known that could be lost.
+    return std::nullopt;
+  }
+  EraRise rise;
+  rise.mFrom = mEra;
+  rise.mTo = aEra;
+  rise.mHeld = HeldOf(ObjectKind::Upstreams);
+  rise.mUpstreams = static_cast<std::size_t>(
+    std::count_if(mUpstreams.begin(), mUpstreams.end(), [](auto const& aKnown) {
+      return aKnown.mIsRegistered;
+    }));
+  rise.mEvacuatedZones = static_cast<std::size_t>(
+    std::count_if(mZones.begin(), mZones.end(), [](auto const& aZone) {
+      return aZone.second.mIsEvacuated;
+    }));
+  mEra = aEra;
+  return rise;
+}
+
+bool
+Directory::IsOfCopy(StoreNews const& aNews) const
+{
+  auto const listed = mListed.find(aNews.mKind);
+  return aNews.mIsWholeList && listed != mListed.end() &&
+         listed->second.mComplete.mEra < aNews.mUpTo.mEra;
+}
+
+void
+Directory::MergeCopied(TimePoint aNow,
+                       KnownUpstream& aHeld,
+                       ObjectChange const& aCopied,
+                       Changes& aChanges)
+{
+  auto const& copied = std::get<UpstreamRecord>(aCopied.mContent);
+  auto const& held = aHeld.mRecord;
+  aHeld.mPosition = aCopied.mPosition;
+  if (copied.mStartMark < held.mStartMark) {
+    return; // The copy tells of a process that has ended since.
+  }
+  bool const isSameStart = copied.mStartMark == held.mStartMark;
+  bool const wasGone = isSameStart && !aHeld.mIsRegistered;
+  // A process that drains never serves again.
+  bool const drains = copied.mDraining || (isSameStart && held.mDraining);
+  auto const coldUntil = std::max(isSameStart ? aHeld.mColdUntil : TimePoint{},
+                                  EndOf(aNow, copied.mColdLeft));
+  aHeld.mRecord = copied;
+  aHeld.mRecord.mDraining = drains;
+  aHeld.mColdUntil = coldUntil;
+  aHeld.mIsRegistered = true;
+  aHeld.mDoubtedUntil =
+    wasGone ? aNow + kHeartbeatsToLapse * mSettings.mHeartbeat : TimePoint{};
+  NoteUpstream(aCopied, aHeld.mRecord, aChanges);
+  if (wasGone) {
+    aChanges.back().mOutcome += ", doubted as it had gone";
+    aChanges.back().mIsOrdinary = false;
+  }
+}
+
+void
+Directory::KeepOut(TimePoint aNow,
+                   StorePosition aUpTo,
+                   std::string const& aName,
+                   KnownZone& aZone,
+                   Changes& aChanges)
+{
+  aZone.mPosition = aUpTo;
+  aZone.mDoubtedUntil = aNow + kRewriteTime;
+  aChanges.push_back(
+    { "zone", aName, "kept out, the store's copy does not say so", aUpTo });
+}
+
+std::vector<BeliefChange>
+Directory::EndDoubts(TimePoint aNow)
+{
+  Changes changes;
+  for (auto& [name, zone] : mZones) {
+    bool const hasEnded =
+      zone.mDoubtedUntil != TimePoint{} && aNow >= zone.mDoubtedUntil;
+    if (!hasEnded) {
+      continue;
+    }
+    zone.mDoubtedUntil = {};
+    zone.mIsEvacuated = false;
+    zone.mReturnedAt = aNow;
+    changes.push_back({ "zone",
+                        name,
+                        "taken back, its evacuation was not said again",
+                        zone.mPosition });
+    mIsDirty = true;
+  }
+  return changes;
+}
+
+} // namespace tarragonsill
--- a/src/tarragonsill/coordination/tarragonsill_directory_reach.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_reach.cpp
@@ -5,14 +5,31 @@
 /// How far knowledge goes, and what a peer lacks of it.
 namespace tarragonsill {
 
-std::uint64_t
+namespace {
+
+milliseconds
+TimeLeft(TimePoint aEnd, TimePoint aNow)
+{
+  return std::max(milliseconds{ 0 },
+                  std::chrono::duration_cast<milliseconds>(aEnd - aNow));
+}
+
+} // namespace
+
+StorePosition
 Directory::LastChange(ObjectKind aKind) const
 {
-  if (mListed.count(aKind) == 0) {
-    return 0;
+  auto const listed = mListed.find(aKind);
+  if (listed == mListed.end()) {
+    return {};
+  }
+  auto const& complete = listed->second.mComplete;
+  auto const last = mLastChange.at(aKind);
+  if (last.mEra > complete.mEra) {
+    return complete; // Some change of the new era; its list is missing.
   }
   // A list without any object is knowledge, too, hence the 1.
-  return std::max<std::uint64_t>(1, mLastChange.at(aKind));
+  return std::max(StorePosition{ complete.mEra, 1 }, last);
 }
 
 KnowledgeDigest
@@ -23,12 +40,12 @@
            LastChange(ObjectKind::Evacuations) };
 }
 
-std::uint64_t
+StorePosition
 Directory::HeldOf(ObjectKind aKind) const
 {
   auto const listed = mListed.find(aKind);
   if (listed == mListed.end()) {
-    return 0;
+    return {};
   }
   auto const& reach = listed->second;
   bool const hasGap = reach.mComplete < reach.mMissedUpTo;
@@ -44,14 +61,16 @@
            HeldOf(ObjectKind::Evacuations) };
 }
 
-std::uint64_t
+StorePosition
 Directory::CompleteTo(ObjectKind aKind) const
 {
   auto const listed = mListed.find(aKind);
-  return listed == mListed.end() ? 0 : listed->second.mComplete;
+  bool const isKnown =
+    listed != mListed.end() && listed->second.mComplete.mEra == mEra;
+  return isKnown ? listed->second.mComplete : StorePosition{};
 }
 
-std::uint64_t
+StorePosition
 Directory::CompleteTo() const
 {
   return std::min({ CompleteTo(ObjectKind::Configuration),
@@ -61,14 +80,15 @@
 
 void
 Directory::NoteComplete(KnowledgeDigest const& aLastChanges,
-                        std::uint64_t aRevision)
+                        StorePosition aUpTo)
 {
   auto const held = Held();
   auto const note = [&](ObjectKind aKind, bool aHasLastChange) {
     auto const listed = mListed.find(aKind);
     if (listed != mListed.end() && aHasLastChange) {
       auto& complete = listed->second.mComplete;
-      complete = std::max(complete, aRevision);
+      complete =
+        complete.mEra == aUpTo.mEra ? std::max(complete, aUpTo) : complete;
     }
   };
   note(ObjectKind::Configuration,
@@ -83,18 +103,21 @@
   auto const own = Digest();
   StoreLists lists;
   if (own.mConfiguration > aHeld.mConfiguration) {
-    lists.mConfiguration.mRevision = mConfigurationRevision;
+    lists.mConfiguration.mPosition = mConfigurationPosition;
     lists.mConfiguration.mChanges.push_back(
-      { "configuration", mConfigurationRevision, false, *mConfiguration });
+      { "configuration", mConfigurationPosition, false, *mConfiguration });
   }
-  if (own.mUpstreams > aHeld.mUpstreams) {
-    bool const knowsRemovals = aHeld.mUpstreams > mForgottenUpTo;
-    lists.mUpstreamsAfter = knowsRemovals ? aHeld.mUpstreams : 0;
+  // Lists of an older era are not handed on: the store knows less than they.
+  bool const isCurrent = own.mUpstreams.mEra == mEra;
+  if (isCurrent && own.mUpstreams > aHeld.mUpstreams) {
+    bool const knowsRemovals =
+      aHeld.mUpstreams > mForgottenUpTo && aHeld.mUpstreams.mEra == mEra;
+    lists.mUpstreamsAfter = knowsRemovals ? aHeld.mUpstreams : StorePosition{};
     lists.mUpstreams = knowsRemovals ? UpstreamsAfter(aHeld.mUpstreams, aNow)
                                      : AllUpstreams(aNow);
   }
-  if (own.mEvacuations > aHeld.mEvacuations) {
-    lists.mEvacuations = EvacuationList();
+  if (own.mEvacuations.mEra == mEra && own.mEvacuations > aHeld.mEvacuations) {
+    lists.mEvacuations = EvacuationList(aNow);
   }
   return lists;
 }
@@ -103,19 +126,19 @@
 Directory::ToChange(KnownUpstream const& aUpstream, TimePoint aNow) const
 {
   auto record = aUpstream.mRecord;
-  record.mColdLeft = std::max(
-    milliseconds{ 0 },
-    std::chrono::duration_cast<milliseconds>(aUpstream.mColdUntil - aNow));
-  return {
-    record.mName, aUpstream.mRevision, !aUpstream.mIsRegistered, record
-  };
+  record.mColdLeft = TimeLeft(aUpstream.mColdUntil, aNow);
+  return { record.mName,
+           aUpstream.mPosition,
+           !aUpstream.mIsRegistered,
+           record,
+           TimeLeft(aUpstream.mDoubtedUntil, aNow) };
 }
 
 ObjectPage
 Directory::AllUpstreams(TimePoint aNow) const
 {
   ObjectPage list;
-  list.mRevision = CompleteTo(ObjectKind::Upstreams);
+  list.mPosition = CompleteTo(ObjectKind::Upstreams);
   for (auto const& upstream : mUpstreams) {
     if (upstream.mIsRegistered) {
       list.mChanges.push_back(ToChange(upstream, aNow));
@@ -125,12 +148,12 @@
 }
 
 ObjectPage
-Directory::UpstreamsAfter(std::uint64_t aRevision, TimePoint aNow) const
+Directory::UpstreamsAfter(StorePosition aPosition, TimePoint aNow) const
 {
   ObjectPage changes;
-  changes.mRevision = CompleteTo(ObjectKind::Upstreams);
+  changes.mPosition = CompleteTo(ObjectKind::Upstreams);
   for (auto const& upstream : mUpstreams) {
-    if (upstream.mChangedBy > aRevision) {
+    if (upstream.mChangedBy > aPosition) {
       changes.mChanges.push_back(ToChange(upstream, aNow));
     }
   }
@@ -138,22 +161,25 @@
 }
 
 ObjectPage
-Directory::EvacuationList() const
+Directory::EvacuationList(TimePoint aNow) const
 {
   ObjectPage list;
-  list.mRevision = CompleteTo(ObjectKind::Evacuations);
+  list.mPosition = CompleteTo(ObjectKind::Evacuations);
   for (auto const& [name, zone] : mZones) {
     if (!zone.mIsEvacuated) {
       continue;
     }
-    list.mChanges.push_back(
-      { name, zone.mRevision, false, EvacuationRecord{} });
+    list.mChanges.push_back({ name,
+                              zone.mPosition,
+                              false,
+                              EvacuationRecord{},
+                              TimeLeft(zone.mDoubtedUntil, aNow) });
   }
   return list;
 }
 
 void
-Directory::NoteChanged(Changes const& aChanges, std::uint64_t aRevision)
+Directory::NoteChanged(Changes const& aChanges, StorePosition aUpTo)
 {
   for (auto const& change : aChanges) {
     auto const known = mSlots.find(change.mSubject);
@@ -162,7 +188,7 @@
     }
     auto& upstream = mUpstreams[known->second];
     upstream.mChangedBy =
-      std::max({ upstream.mChangedBy, upstream.mRevision, aRevision });
+      std::max({ upstream.mChangedBy, upstream.mPosition, aUpTo });
   }
 }
 
@@ -171,7 +197,7 @@
 {
   auto& last = mLastChange[aNews.mKind];
   for (auto const& change : aNews.mChanges) {
-    last = std::max(last, change.mRevision);
+    last = std::max(last, change.mPosition);
   }
   bool const isFirst = mListed.count(aNews.mKind) == 0;
   if (isFirst && !aNews.mIsWholeList) {
@@ -180,7 +206,7 @@
   mIsDirty = mIsDirty || isFirst;
   auto& reach = mListed[aNews.mKind];
   if (aNews.mIsWholeList || aNews.mAfter <= reach.mComplete) {
-    reach.mComplete = std::max(reach.mComplete, aNews.mRevision);
+    reach.mComplete = std::max(reach.mComplete, aNews.mUpTo);
     return;
   }
   reach.mMissedUpTo = std::max(reach.mMissedUpTo, aNews.mAfter);
--- a/src/tarragonsill/coordination/tarragonsill_directory_view.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_view.cpp
@@ -77,6 +77,12 @@
   }
 }
 
+void
+Directory::ChangeBy(TimePoint aAt)
+{
+  mNextChange = mNextChange == TimePoint{} ? aAt : std::min(mNextChange, aAt);
+}
+
 void
 Directory::AddUpstreams(TimePoint aNow, RoutingView& aView)
 {
@@ -111,9 +117,8 @@
       place->second = otherIsOlder ? place->second : slot;
     }
     if (upstream.mUse == UpstreamUse::Missing) {
-      auto const end = aNow + kReturnPatience;
-      mNextChange =
-        mNextChange == TimePoint{} ? end : std::min(mNextChange, end);
+      bool const isDoubted = aNow < known.mDoubtedUntil;
+      ChangeBy(isDoubted ? known.mDoubtedUntil : aNow + kReturnPatience);
     }
     auto const service =
       std::find_if(aView.mServices.begin(),
--- a/src/tarragonsill/coordination/tarragonsill_knowledge_sync.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_knowledge_sync.cpp
@@ -21,8 +21,8 @@
 {
   return std::any_of(mPeers.begin(), mPeers.end(), [](auto const& aPeer) {
     auto const& digest = aPeer.second;
-    return digest.mConfiguration > 0 && digest.mUpstreams > 0 &&
-           digest.mEvacuations > 0;
+    return digest.mConfiguration > 0 && digest.mUpstreams.IsSet() &&
+           digest.mEvacuations.IsSet();
   });
 }
 
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -88,7 +88,8 @@
 NodePeers::Duty(TimePoint aNow)
 {
   WatchRelay::Situation situation;
-  situation.mKnowsLists = mHeld.mUpstreams > 0 && mHeld.mEvacuations > 0;
+  situation.mKnowsLists =
+    mHeld.mUpstreams.IsSet() && mHeld.mEvacuations.IsSet();
   situation.mPeerKnows = mSync.SomePeerKnows();
   situation.mIsFirstStart = mIsFirstStart;
   mDuty = mRelay.Duty(aNow, ZoneMembers(), mMembership.Self().mName, situation);
@@ -101,22 +102,25 @@
   auto& passedOn = mPassedOn[aNews.mKind];
   if (aNews.mIsWholeList) {
     // Too much for datagrams; those who lack any of it notice and ask.
-    passedOn = std::max(passedOn, aNews.mRevision);
+    passedOn = std::max(passedOn, aNews.mUpTo);
     return;
   }
   if (aNews.mChanges.empty()) {
     return;
   }
-  auto const after = std::min(passedOn, aNews.mAfter);
+  // Of an older era nothing that was passed on still counts.
+  auto const after = passedOn.mEra == aNews.mAfter.mEra
+                       ? std::min(passedOn, aNews.mAfter)
+                       : aNews.mAfter;
   auto const& self = mMembership.Self().mName;
   auto const audience = WatchRelay::Audience(ZoneMembers(), self, mDuty);
   for (auto const& update :
-       ToUpdates(aNews.mKind, aNews.mChanges, { after, aNews.mRevision })) {
+       ToUpdates(aNews.mKind, aNews.mChanges, { after, aNews.mUpTo })) {
     for (auto const& member : audience) {
       *AddMessage(aOutbox, member.mControl).mutable_knowledge() = update;
     }
   }
-  passedOn = std::max(passedOn, aNews.mRevision);
+  passedOn = std::max(passedOn, aNews.mUpTo);
 }
 
 bool
@@ -155,16 +159,19 @@
   if (from == nullptr) {
     return;
   }
-  mSync.Hear(sender,
-             { aMessage.configuration_version(),
-               aMessage.upstreams_revision(),
-               aMessage.evacuations_revision() });
+  mSync.Hear(
+    sender,
+    { aMessage.configuration_version(),
+      { aMessage.upstreams_era(), aMessage.upstreams_revision() },
+      { aMessage.evacuations_era(), aMessage.evacuations_revision() } });
   bool const isOwnZone = from->mZone == mMembership.Self().mZone;
   if (!isOwnZone) {
     mOtherZonesHeardAt = aNow;
   }
-  // Watchers of other zones pass nothing on to this VM.
-  if (aMessage.has_watch() && isOwnZone) {
+  // Watchers of other zones pass nothing on to this VM, and what those of an
+  // older era pass on says nothing of the store as it is.
+  bool const isCurrent = aMessage.store_era() >= mEra;
+  if (aMessage.has_watch() && isOwnZone && isCurrent) {
     mRelay.Hear(aNow, sender, milliseconds{ aMessage.watch().age_ms() });
   }
   if (aMessage.has_join_request()) {
@@ -203,15 +210,20 @@
 {
   for (auto& outgoing : aOutbox) {
     mMembership.Decorate(outgoing.mMessage);
-    outgoing.mMessage.set_upstreams_revision(mDigest.mUpstreams);
-    outgoing.mMessage.set_evacuations_revision(mDigest.mEvacuations);
+    auto& message = outgoing.mMessage;
+    message.set_upstreams_revision(mDigest.mUpstreams.mRevision);
+    message.set_upstreams_era(mDigest.mUpstreams.mEra);
+    message.set_evacuations_revision(mDigest.mEvacuations.mRevision);
+    message.set_evacuations_era(mDigest.mEvacuations.mEra);
+    message.set_store_era(mEra);
     if (mWatchedAt) {
       auto const age =
         std::chrono::duration_cast<milliseconds>(aNow - *mWatchedAt);
-      auto& report = *outgoing.mMessage.mutable_watch();
+      auto& report = *message.mutable_watch();
       report.set_age_ms(static_cast<std::uint32_t>(
         std::max<milliseconds::rep>(0, age.count())));
-      report.set_complete_to_revision(mCompleteTo);
+      report.set_complete_to_revision(mCompleteTo.mRevision);
+      report.set_complete_to_era(mCompleteTo.mEra);
     }
   }
 }
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -59,8 +59,13 @@
   /// Says when the store last answered all of this VM's watches; nothing if it
   /// does not watch.
   void SetWatched(std::optional<TimePoint> aAt) { mWatchedAt = aAt; }
-  /// Says up to which revision of the store nothing is missing.
-  void SetCompleteTo(std::uint64_t aRevision) { mCompleteTo = aRevision; }
+  /// Says up to which position of the store nothing is missing.
+  void SetCompleteTo(StorePosition aUpTo) { mCompleteTo = aUpTo; }
+  /// The store's era as far as it is known here; watches of peers that know an
+  /// older one only are not relied on.
+  void SetEra(std::uint64_t aEra) { mEra = aEra; }
+  /// Tells those that rely on this VM's watches at once how far they go.
+  void ReportNow() { mNextReport = {}; }
   /// Passes on what this VM's own watches brought to those that rely on it.
   void PassOn(StoreNews const& aNews, Outbox& aOutbox);
   /// Whether routers would still find enough VMs in the zone without this one:
@@ -88,12 +93,13 @@
   WatchDuty mDuty = WatchDuty::Rely;
   bool mIsFirstStart = false;
   std::optional<TimePoint> mWatchedAt;
-  std::uint64_t mCompleteTo = 0;
+  StorePosition mCompleteTo;
+  std::uint64_t mEra = 0;
   TimePoint mNextReport{};
   KnowledgeDigest mDigest;
   KnowledgeDigest mHeld;
-  /// The revision up to which changes were passed on.
-  std::map<ObjectKind, std::uint64_t> mPassedOn;
+  /// The position up to which changes were passed on.
+  std::map<ObjectKind, StorePosition> mPassedOn;
   TimePoint mStarted{};
   TimePoint mOtherZonesHeardAt{};
   TimePoint mNextAsk{};
--- a/src/tarragonsill/platform/tarragonsill_platform_objects.cpp
+++ b/src/tarragonsill/platform/tarragonsill_platform_objects.cpp
@@ -3,6 +3,7 @@
 #include "tarragonsill/platform/internal/tarragonsill_platform_records.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace tarragonsill::Platform {
 
@@ -46,12 +47,14 @@
 }
 
 ObjectChange
-DecodeObject(ObjectKind aKind, nlohmann::json const& aObject)
+DecodeObject(ObjectKind aKind,
+             std::uint64_t aEra,
+             nlohmann::json const& aObject)
 {
   ObjectChange change;
   auto const meta = Member(aObject, "meta");
   change.mName = Text(meta, "name").value_or("");
-  change.mRevision = Unsigned(meta, "revision").value_or(0);
+  change.mPosition = { aEra, Unsigned(meta, "revision").value_or(0) };
   auto const& spec = Member(aObject, "spec");
   auto const take = [&](auto aResult) {
     if (aResult) {
@@ -88,8 +91,8 @@
   if (!aQuery.mAfter.empty()) {
     add("after", aQuery.mAfter);
   }
-  if (aQuery.mWatchFrom > 0) {
-    add("watch", std::to_string(aQuery.mWatchFrom));
+  if (aQuery.mWatchFrom.IsSet()) {
+    add("watch", std::to_string(aQuery.mWatchFrom.mRevision));
     add("waitMs", std::to_string(aQuery.mWait.count()));
   }
   if (aQuery.mMayBeStale) {
@@ -98,26 +101,38 @@
   return path;
 }
 
+std::optional<std::uint64_t>
+ObjectFormat::ReadEra(std::string const& aText)
+{
+  std::uint64_t era = 0;
+  auto const* const end = aText.data() + aText.size();
+  auto const [stop, error] = std::from_chars(aText.data(), end, era);
+  bool const isNumber = error == std::errc{} && stop == end;
+  return isNumber ? std::optional(era) : std::nullopt;
+}
+
 Result<ObjectPage>
-ObjectFormat::Decode(ObjectQuery const& aQuery, std::string const& aBody)
+ObjectFormat::Decode(ObjectQuery const& aQuery,
+                     std::uint64_t aEra,
+                     std::string const& aBody)
 {
   auto const body = ParseBody(aBody);
   auto const revision = Unsigned(body, "currentRev");
-  bool const isWatch = aQuery.mWatchFrom > 0;
+  bool const isWatch = aQuery.mWatchFrom.IsSet();
   auto const& items = Member(body, isWatch ? "events" : "items");
   if (!revision || !items.is_array()) {
     return Reason{ ReasonCode::Malformed,
                    "the store's answer has no list or no revision" };
   }
   ObjectPage page;
-  page.mRevision = *revision;
+  page.mPosition = { aEra, *revision };
   page.mMore = Flag(body, "more");
   for (auto const& item : items) {
     if (!isWatch) {
-      page.mChanges.push_back(DecodeObject(aQuery.mKind, item));
+      page.mChanges.push_back(DecodeObject(aQuery.mKind, aEra, item));
       continue;
     }
-    auto change = DecodeObject(aQuery.mKind, Member(item, "object"));
+    auto change = DecodeObject(aQuery.mKind, aEra, Member(item, "object"));
     change.mRemoved = Flag(item, "tombstone");
     page.mChanges.push_back(std::move(change));
   }
--- a/src/tarragonsill/platform/tarragonsill_platform_objects.hpp
+++ b/src/tarragonsill/platform/tarragonsill_platform_objects.hpp
@@ -10,9 +10,13 @@
 {
   /// The path and query of a call.
   static std::string Path(ObjectQuery const& aQuery);
-  /// Decodes an answer. An object that cannot be used becomes an
+  /// In all answers of the store; rises when it comes back from an older copy.
+  static constexpr char const* kEraHeader = "store-era";
+  static std::optional<std::uint64_t> ReadEra(std::string const& aText);
+  /// Decodes an answer of an era. An object that cannot be used becomes an
   /// `UnusableRecord`; the reason `Malformed` is for the answer as a whole.
   static Result<ObjectPage> Decode(ObjectQuery const& aQuery,
+                                   std::uint64_t aEra,
                                    std::string const& aBody);
 };
 
--- a/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
@@ -101,7 +101,7 @@
 AddRemoval(ObjectChange const& aChange, wire::KnownRemoval& aRemoval)
 {
   aRemoval.set_name(aChange.mName);
-  aRemoval.set_revision(aChange.mRevision);
+  aRemoval.set_revision(aChange.mPosition.mRevision);
 }
 
 void
@@ -122,13 +122,13 @@
   if (isUpstream) {
     auto& known = *aUpdate.add_upstreams();
     known.set_name(aChange.mName);
-    known.set_revision(aChange.mRevision);
+    known.set_revision(aChange.mPosition.mRevision);
     Write(*record, known);
     return;
   }
   auto& known = *aUpdate.add_evacuations();
   known.set_zone(aChange.mName);
-  known.set_revision(aChange.mRevision);
+  known.set_revision(aChange.mPosition.mRevision);
 }
 
 } // namespace
@@ -136,7 +136,7 @@
 std::vector<wire::KnowledgeUpdate>
 ToUpdates(ObjectKind aKind,
           std::vector<ObjectChange> const& aChanges,
-          RevisionSpan aSpan)
+          PositionSpan aSpan)
 {
   std::vector<wire::KnowledgeUpdate> updates;
   if (aKind == ObjectKind::Configuration) {
@@ -146,32 +146,45 @@
   auto reached = aSpan.mAfter;
   for (auto const& change : aChanges) {
     if (count++ % kObjectsPerUpdate == 0) {
-      updates.emplace_back().set_after_revision(reached);
+      updates.emplace_back().set_after_revision(reached.mRevision);
+      updates.back().set_store_era(reached.mEra);
     }
     AddChange(aKind, change, updates.back());
     // A removal may carry the revision of the object's last change.
-    reached = std::max(reached, change.mRevision);
-    updates.back().set_up_to_revision(reached);
+    reached = std::max(reached, change.mPosition);
+    updates.back().set_up_to_revision(reached.mRevision);
   }
   if (!updates.empty()) {
-    updates.back().set_up_to_revision(std::max(reached, aSpan.mUpTo));
+    updates.back().set_up_to_revision(std::max(reached, aSpan.mUpTo).mRevision);
   }
   return updates;
 }
 
+PositionSpan
+SpanOf(wire::KnowledgeUpdate const& aUpdate)
+{
+  auto const era = aUpdate.store_era();
+  return { { era, aUpdate.after_revision() },
+           { era, aUpdate.up_to_revision() } };
+}
+
 std::vector<ObjectChange>
 ChangesOf(ObjectKind aKind, wire::KnowledgeUpdate const& aUpdate)
 {
+  auto const at = [&](std::uint64_t aRevision) {
+    return StorePosition{ aUpdate.store_era(), aRevision };
+  };
   std::vector<ObjectChange> changes;
   bool const isUpstreams = aKind == ObjectKind::Upstreams;
   if (isUpstreams) {
     for (auto const& known : aUpdate.upstreams()) {
-      changes.push_back({ known.name(), known.revision(), false, Read(known) });
+      changes.push_back(
+        { known.name(), at(known.revision()), false, Read(known) });
     }
   } else if (aKind == ObjectKind::Evacuations) {
     for (auto const& known : aUpdate.evacuations()) {
       changes.push_back(
-        { known.zone(), known.revision(), false, EvacuationRecord{} });
+        { known.zone(), at(known.revision()), false, EvacuationRecord{} });
     }
   } else {
     return changes;
@@ -180,7 +193,7 @@
     isUpstreams ? aUpdate.removed_upstreams() : aUpdate.removed_evacuations();
   for (auto const& removal : removals) {
     changes.push_back(
-      { removal.name(), removal.revision(), true, UnusableRecord{} });
+      { removal.name(), at(removal.revision()), true, UnusableRecord{} });
   }
   return changes;
 }
@@ -190,8 +203,10 @@
 {
   wire::KnowledgeRequest request;
   request.set_configuration_version(aHeld.mConfiguration);
-  request.set_upstreams_revision(aHeld.mUpstreams);
-  request.set_evacuations_revision(aHeld.mEvacuations);
+  request.set_upstreams_revision(aHeld.mUpstreams.mRevision);
+  request.set_upstreams_era(aHeld.mUpstreams.mEra);
+  request.set_evacuations_revision(aHeld.mEvacuations.mRevision);
+  request.set_evacuations_era(aHeld.mEvacuations.mEra);
   return request;
 }
 
@@ -199,10 +214,54 @@
 FromMessage(wire::KnowledgeRequest const& aRequest)
 {
   return { aRequest.configuration_version(),
-           aRequest.upstreams_revision(),
-           aRequest.evacuations_revision() };
+           { aRequest.upstreams_era(), aRequest.upstreams_revision() },
+           { aRequest.evacuations_era(), aRequest.evacuations_revision() } };
+}
+
+namespace {
+
+void
+Write(ObjectPage const& aUpstreams, wire::KnowledgeReply& aReply)
+{
+  aReply.set_upstreams_revision(aUpstreams.mPosition.mRevision);
+  aReply.set_upstreams_era(aUpstreams.mPosition.mEra);
+  for (auto const& change : aUpstreams.mChanges) {
+    auto const* record = std::get_if<UpstreamRecord>(&change.mContent);
+    if (change.mRemoved || record == nullptr) {
+      AddRemoval(change, *aReply.add_removed_upstreams());
+      continue;
+    }
+    auto& known = *aReply.add_upstreams();
+    known.set_name(change.mName);
+    known.set_revision(change.mPosition.mRevision);
+    known.set_doubted_ms(
+      static_cast<std::uint32_t>(change.mDoubtedFor.count()));
+    Write(*record, known);
+  }
 }
 
+void
+ReadUpstreams(wire::KnowledgeReply const& aReply, StoreLists& aLists)
+{
+  auto const era = aReply.upstreams_era();
+  aLists.mUpstreams.mPosition = { era, aReply.upstreams_revision() };
+  aLists.mUpstreamsAfter = { era, aReply.upstreams_after() };
+  auto& changes = aLists.mUpstreams.mChanges;
+  for (auto const& known : aReply.upstreams()) {
+    changes.push_back({ known.name(),
+                        { era, known.revision() },
+                        false,
+                        Read(known),
+                        milliseconds{ known.doubted_ms() } });
+  }
+  for (auto const& removal : aReply.removed_upstreams()) {
+    changes.push_back(
+      { removal.name(), { era, removal.revision() }, true, UnusableRecord{} });
+  }
+}
+
+} // namespace
+
 wire::KnowledgeReply
 ToMessage(StoreLists const& aLists)
 {
@@ -211,27 +270,20 @@
     if (auto const* known =
           std::get_if<RoutingConfiguration>(&change.mContent)) {
       Write(*known, *reply.mutable_configuration());
-      reply.mutable_configuration()->set_revision(change.mRevision);
+      reply.mutable_configuration()->set_revision(change.mPosition.mRevision);
+      reply.set_configuration_era(change.mPosition.mEra);
     }
   }
-  reply.set_upstreams_revision(aLists.mUpstreams.mRevision);
-  reply.set_upstreams_after(aLists.mUpstreamsAfter);
-  for (auto const& change : aLists.mUpstreams.mChanges) {
-    auto const* record = std::get_if<UpstreamRecord>(&change.mContent);
-    if (change.mRemoved || record == nullptr) {
-      AddRemoval(change, *reply.add_removed_upstreams());
-      continue;
-    }
-    auto& known = *reply.add_upstreams();
-    known.set_name(change.mName);
-    known.set_revision(change.mRevision);
-    Write(*record, known);
-  }
-  reply.set_evacuations_revision(aLists.mEvacuations.mRevision);
+  Write(aLists.mUpstreams, reply);
+  reply.set_upstreams_after(aLists.mUpstreamsAfter.mRevision);
+  reply.set_evacuations_revision(aLists.mEvacuations.mPosition.mRevision);
+  reply.set_evacuations_era(aLists.mEvacuations.mPosition.mEra);
   for (auto const& change : aLists.mEvacuations.mChanges) {
     auto& known = *reply.add_evacuations();
     known.set_zone(change.mName);
-    known.set_revision(change.mRevision);
+    known.set_revision(change.mPosition.mRevision);
+    known.set_doubted_ms(
+      static_cast<std::uint32_t>(change.mDoubtedFor.count()));
   }
   return reply;
 }
@@ -242,24 +294,21 @@
   StoreLists lists;
   if (aReply.has_configuration()) {
     auto const& known = aReply.configuration();
-    lists.mConfiguration.mRevision = known.revision();
+    lists.mConfiguration.mPosition = { aReply.configuration_era(),
+                                       known.revision() };
     lists.mConfiguration.mChanges.push_back(
-      { "configuration", known.revision(), false, Read(known) });
-  }
-  lists.mUpstreams.mRevision = aReply.upstreams_revision();
-  lists.mUpstreamsAfter = aReply.upstreams_after();
-  for (auto const& known : aReply.upstreams()) {
-    lists.mUpstreams.mChanges.push_back(
-      { known.name(), known.revision(), false, Read(known) });
-  }
-  for (auto const& removal : aReply.removed_upstreams()) {
-    lists.mUpstreams.mChanges.push_back(
-      { removal.name(), removal.revision(), true, UnusableRecord{} });
+      { "configuration", lists.mConfiguration.mPosition, false, Read(known) });
   }
-  lists.mEvacuations.mRevision = aReply.evacuations_revision();
+  ReadUpstreams(aReply, lists);
+  auto const era = aReply.evacuations_era();
+  lists.mEvacuations.mPosition = { era, aReply.evacuations_revision() };
   for (auto const& known : aReply.evacuations()) {
     lists.mEvacuations.mChanges.push_back(
-      { known.zone(), known.revision(), false, EvacuationRecord{} });
+      { known.zone(),
+        { era, known.revision() },
+        false,
+        EvacuationRecord{},
+        milliseconds{ known.doubted_ms() } });
   }
   return lists;
 }
--- a/src/tarragonsill/protocol/tarragonsill_knowledge_message.hpp
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.hpp
@@ -8,12 +8,12 @@
 /// Converts what a VM knows of the store to messages between VMs and back.
 namespace tarragonsill {
 
-/// How far a VM's knowledge goes; each number only rises.
+/// How far a VM's knowledge goes; each part only rises.
 struct KnowledgeDigest
 {
   std::uint64_t mConfiguration = 0; ///< Version.
-  std::uint64_t mUpstreams = 0;     ///< Revision of the last change.
-  std::uint64_t mEvacuations = 0;   ///< Revision of the last change.
+  StorePosition mUpstreams{};       ///< Of the last change.
+  StorePosition mEvacuations{};     ///< Of the last change.
 
   bool IsBehind(KnowledgeDigest const& aOther) const
   {
@@ -28,8 +28,8 @@
   /// A configuration, if one is known, in a list of one.
   ObjectPage mConfiguration;
   ObjectPage mUpstreams;
-  /// The upstreams are only what changed after this revision; 0: all of them.
-  std::uint64_t mUpstreamsAfter = 0;
+  /// The upstreams are only what changed after this; unset: all of them.
+  StorePosition mUpstreamsAfter;
   ObjectPage mEvacuations;
 };
 
@@ -40,19 +40,22 @@
 /// Reads lists; a reply that names no revision gives an empty list for it.
 StoreLists FromMessage(wire::KnowledgeReply const& aReply);
 
-/// The revisions of a store between which changes are known without a gap.
-struct RevisionSpan
+/// The positions of one era between which changes are known without a gap.
+struct PositionSpan
 {
-  std::uint64_t mAfter = 0; ///< Not itself within the span.
-  std::uint64_t mUpTo = 0;
+  StorePosition mAfter{}; ///< Not itself within the span.
+  StorePosition mUpTo{};
 };
 
+/// The span of an update that another VM passed on.
+PositionSpan SpanOf(wire::KnowledgeUpdate const& aUpdate);
+
 /// Splits changes of upstreams and evacuations into messages that fit one
 /// datagram each. Configurations are left out, being too large.
 std::vector<wire::KnowledgeUpdate> ToUpdates(
   ObjectKind aKind,
   std::vector<ObjectChange> const& aChanges,
-  RevisionSpan aSpan);
+  PositionSpan aSpan);
 /// The changes of one kind in an update.
 std::vector<ObjectChange> ChangesOf(ObjectKind aKind,
                                     wire::KnowledgeUpdate const& aUpdate);
--- a/src/tarragonsill/protocol/tarragonsill_stored_object.hpp
+++ b/src/tarragonsill/protocol/tarragonsill_stored_object.hpp
@@ -3,11 +3,13 @@
 
 #include "tarragonsill/state/tarragonsill_reason.hpp"
 #include "tarragonsill/state/tarragonsill_routing.hpp"
+#include "tarragonsill/state/tarragonsill_store_position.hpp"
 #include "tarragonsill/state/tarragonsill_time.hpp"
 
 #include <array>
 #include <concepts>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -44,13 +46,16 @@
 struct ObjectChange
 {
   std::string mName;
-  std::uint64_t mRevision = 0;
+  StorePosition mPosition; ///< Of its last change.
   bool mRemoved = false;
   std::variant<UnusableRecord,
                RoutingConfiguration,
                UpstreamRecord,
                EvacuationRecord>
     mContent;
+  /// Handed on by a VM that doubts it for this long, as the store came back
+  /// from a copy in which it stands otherwise.
+  milliseconds mDoubtedFor{ 0 };
 };
 
 /// A part of the answer to a list or a watch.
@@ -59,30 +64,39 @@
   std::vector<ObjectChange> mChanges;
   /// The list goes on after the last object of this page.
   bool mMore = false;
-  /// The store's revision to which the answer is up to date.
-  std::uint64_t mRevision = 0;
+  /// The store's position to which the answer is up to date.
+  StorePosition mPosition;
 };
 
 /// A call to list a kind of objects or to wait for changes.
 struct ObjectQuery
 {
   ObjectKind mKind = ObjectKind::Configuration;
-  std::string mAfter;           ///< List: goes on after this name.
-  std::uint64_t mWatchFrom = 0; ///< Watch: the revision held; 0 lists.
-  milliseconds mWait{ 0 };      ///< Watch: the longest wait.
-  bool mMayBeStale = false;     ///< A cheap answer that may lag.
+  std::string mAfter;       ///< List: goes on after this name.
+  StorePosition mWatchFrom; ///< Watch: the position held; unset lists.
+  milliseconds mWait{ 0 };  ///< Watch: the longest wait.
+  bool mMayBeStale = false; ///< A cheap answer that may lag.
 };
 
 /// The format that an object store speaks over HTTP.
 template<typename T>
 concept ObjectStoreFormat = requires(ObjectQuery const& aQuery,
-                                     std::string const& aBody)
+                                     std::uint64_t aEra,
+                                     std::string const& aText)
 {
+  /// The header, in small letters, that names the era of an answer.
+  {
+    T::kEraHeader
+    } -> std::convertible_to<char const*>;
+  /// Nothing for a text that names no era.
+  {
+    T::ReadEra(aText)
+    } -> std::same_as<std::optional<std::uint64_t>>;
   {
     T::Path(aQuery)
     } -> std::same_as<std::string>;
   {
-    T::Decode(aQuery, aBody)
+    T::Decode(aQuery, aEra, aText)
     } -> std::same_as<Result<ObjectPage>>;
 };
 
--- a/src/tarragonsill/transport/tarragonsill_belief_log.cpp
+++ b/src/tarragonsill/transport/tarragonsill_belief_log.cpp
@@ -21,7 +21,8 @@
              { { "kind", std::string(ToText(aNews.mKind)) },
                { "changes", static_cast<std::int64_t>(aChanges.size()) },
                { "serving", static_cast<std::int64_t>(ordinary) },
-               { "revision", static_cast<std::int64_t>(aNews.mRevision) },
+               { "revision", static_cast<std::int64_t>(aNews.mUpTo.mRevision) },
+               { "era", static_cast<std::int64_t>(aNews.mUpTo.mEra) },
                { "source", aSource } });
 }
 
@@ -41,13 +42,15 @@
     if (isLong && change.mIsOrdinary) {
       continue;
     }
-    aLog.Write("config",
-               "belief_changed",
-               { { "kind", change.mWhat },
-                 { "name", change.mSubject },
-                 { "outcome", change.mOutcome },
-                 { "revision", static_cast<std::int64_t>(change.mRevision) },
-                 { "source", aSource } });
+    aLog.Write(
+      "config",
+      "belief_changed",
+      { { "kind", change.mWhat },
+        { "name", change.mSubject },
+        { "outcome", change.mOutcome },
+        { "revision", static_cast<std::int64_t>(change.mPosition.mRevision) },
+        { "era", static_cast<std::int64_t>(change.mPosition.mEra) },
+        { "source", aSource } });
   }
 }
 
--- a/src/tarragonsill/transport/tarragonsill_http_connection.cpp
+++ b/src/tarragonsill/transport/tarragonsill_http_connection.cpp
@@ -1,5 +1,8 @@
 #include "tarragonsill/transport/tarragonsill_http_connection.hpp"
 
+#include <algorithm>
+#include <cctype>
+
 #include <httplib.h>
 #include <netinet/tcp.h>
 
@@ -29,6 +32,21 @@
   set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMilliseconds);
 }
 
+std::map<std::string, std::string>
+SmallLetters(httplib::Headers const& aHeaders)
+{
+  std::map<std::string, std::string> headers;
+  for (auto const& [name, value] : aHeaders) {
+    std::string small = name;
+    std::transform(
+      small.begin(), small.end(), small.begin(), [](unsigned char aLetter) {
+        return static_cast<char>(std::tolower(aLetter));
+      });
+    headers[small] = value;
+  }
+  return headers;
+}
+
 Reason
 ReasonOf(httplib::Error aError)
 {
@@ -61,7 +79,9 @@
       mClient.stop();
       return ReasonOf(result.error());
     }
-    return HttpAnswer{ result->status, result->body };
+    return HttpAnswer{ result->status,
+                       result->body,
+                       SmallLetters(result->headers) };
   }
 
   httplib::Client mClient;
--- a/src/tarragonsill/transport/tarragonsill_http_connection.hpp
+++ b/src/tarragonsill/transport/tarragonsill_http_connection.hpp
@@ -17,6 +17,8 @@
 {
   int mStatus = 0;
   std::string mBody;
+  /// By name in small letters; of headers that repeat, the last one.
+  std::map<std::string, std::string> mHeaders;
 };
 
 class HttpConnection
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -58,7 +58,7 @@
   {
     Take(aNews, aNews.mIsWholeList ? "list" : "watch");
     if (aNews.mIsWholeList && aNews.mKind == kFirstListed) {
-      ListTheOthers(aNews.mRevision);
+      ListTheOthers(aNews.mUpTo);
     }
     Outbox outbox;
     mPeers.PassOn(aNews, outbox);
@@ -67,6 +67,7 @@
 
   void Take(StoreNews const& aNews, std::string const& aSource)
   {
+    NoteEra(aNews.mUpTo.mEra, aSource);
     auto const changes = mDirectory.Apply(Clock::now(), aNews);
     WriteBeliefs(Log(), aNews, changes, aSource);
     PublishIfChanged();
@@ -83,17 +84,17 @@
     }
     auto const source = "peer " + aFetched.mPeer;
     auto const take =
-      [&](ObjectKind aKind, ObjectPage const& aPage, std::uint64_t aAfter) {
-        if (aPage.mRevision > 0) {
-          bool const isWhole = aAfter == 0;
-          Take({ aKind, aPage.mChanges, isWhole, aPage.mRevision, aAfter },
+      [&](ObjectKind aKind, ObjectPage const& aPage, StorePosition aAfter) {
+        if (aPage.mPosition.IsSet()) {
+          bool const isWhole = !aAfter.IsSet();
+          Take({ aKind, aPage.mChanges, isWhole, aPage.mPosition, aAfter },
                source);
         }
       };
     auto const& lists = *aFetched.mLists;
-    take(ObjectKind::Configuration, lists.mConfiguration, 0);
+    take(ObjectKind::Configuration, lists.mConfiguration, {});
     take(ObjectKind::Upstreams, lists.mUpstreams, lists.mUpstreamsAfter);
-    take(ObjectKind::Evacuations, lists.mEvacuations, 0);
+    take(ObjectKind::Evacuations, lists.mEvacuations, {});
   }
 
   void Take(DatagramReceived const& aReceived)
@@ -102,11 +103,14 @@
     auto const& message = *aReceived.mMessage;
     mPeers.Handle(Clock::now(), message, outbox);
     Send(outbox);
+    NoteEra(message.store_era(), "peer " + message.sender().name());
     if (message.has_watch()) {
-      mDirectory.NoteComplete({ message.configuration_version(),
-                                message.upstreams_revision(),
-                                message.evacuations_revision() },
-                              message.watch().complete_to_revision());
+      mDirectory.NoteComplete(
+        { message.configuration_version(),
+          { message.upstreams_era(), message.upstreams_revision() },
+          { message.evacuations_era(), message.evacuations_revision() } },
+        { message.watch().complete_to_era(),
+          message.watch().complete_to_revision() });
     }
     if (!message.has_knowledge()) {
       return;
@@ -117,11 +121,8 @@
       if (changes.empty()) {
         continue;
       }
-      Take({ kind,
-             std::move(changes),
-             false,
-             update.up_to_revision(),
-             update.after_revision() },
+      auto const span = SpanOf(update);
+      Take({ kind, std::move(changes), false, span.mUpTo, span.mAfter },
            "relay " + message.sender().name());
     }
   }
@@ -144,6 +145,7 @@
   {
     auto const kind = static_cast<std::size_t>(aAnswer.mKind);
     auto const now = Clock::now();
+    NoteEra(aAnswer.mEra, "store");
     mAnswers[kind] = aAnswer.mAnswered;
     if (aAnswer.mAnswered) {
       mAnsweredAt[kind] = now;
@@ -160,7 +162,7 @@
   void Note(StoreWatchStarted const& aStarted)
   {
     mWatches[static_cast<std::size_t>(aStarted.mKind)] = aStarted.mWatch;
-    SendDuty(aStarted.mKind, 0);
+    SendDuty(aStarted.mKind, {});
   }
 
   void Tick()
@@ -175,8 +177,9 @@
     UpdateDuty(now);
     RetryWatches(now);
     if (!IsFirstListDue()) {
-      ListTheOthers(0);
+      ListTheOthers({});
     }
+    WriteBeliefs(Log(), {}, mDirectory.EndDoubts(now), "time");
     UpdateReach(now);
     Outbox outbox;
     mPeers.Tick(now, outbox);
@@ -190,6 +193,31 @@
   }
 
 private:
+  /// Notes the store's era as an answer or a peer names it. Once it has risen,
+  /// the own watches begin anew and those that rely on them are told at once.
+  void NoteEra(std::uint64_t aEra, std::string const& aSource)
+  {
+    auto const rise = mDirectory.NoteEra(aEra);
+    mPeers.SetEra(mDirectory.Era());
+    mArguments.mState->mStoreEra = mDirectory.Era();
+    if (!rise) {
+      return;
+    }
+    Log().Write(
+      "config",
+      "store_came_back_older",
+      { { "old_era", static_cast<std::int64_t>(rise->mFrom) },
+        { "era", static_cast<std::int64_t>(rise->mTo) },
+        { "held_to", ToText(rise->mHeld) },
+        { "upstreams", static_cast<std::int64_t>(rise->mUpstreams) },
+        { "evacuated", static_cast<std::int64_t>(rise->mEvacuatedZones) },
+        { "source", aSource } });
+    mAnsweredAt.fill({});
+    mPeers.ReportNow();
+    SendDuties();
+    ShareReach();
+  }
+
   /// Starts or stops the own watches, and notes whether the store answers.
   void UpdateDuty(TimePoint aNow)
   {
@@ -229,11 +257,11 @@
 
   bool IsFirstListDue() const
   {
-    return mDirectory.CompleteTo(kFirstListed) == 0;
+    return !mDirectory.CompleteTo(kFirstListed).IsSet();
   }
 
   /// Lets the watches go on that waited for the first list.
-  void ListTheOthers(std::uint64_t aFloor)
+  void ListTheOthers(StorePosition aFloor)
   {
     for (auto const kind : kObjectKinds) {
       auto& waits = mWaitsForFirstList[static_cast<std::size_t>(kind)];
@@ -246,22 +274,23 @@
   void SendDuties()
   {
     for (auto const kind : kObjectKinds) {
-      SendDuty(kind, 0);
+      SendDuty(kind, {});
     }
   }
 
-  void SendDuty(ObjectKind aKind, std::uint64_t aFloor)
+  void SendDuty(ObjectKind aKind, StorePosition aFloor)
   {
     auto const index = static_cast<std::size_t>(aKind);
     auto const complete = mDirectory.CompleteTo(aKind);
     bool const isOnDuty = mDuty != WatchDuty::Rely;
     auto& waits = mWaitsForFirstList[index];
-    waits =
-      isOnDuty && aKind != kFirstListed && complete == 0 && IsFirstListDue();
+    waits = isOnDuty && aKind != kFirstListed && !complete.IsSet() &&
+            IsFirstListDue();
     if (mWatches[index] && !waits) {
       auto const wait = mPeers.Times().mWait;
-      mSelf->send(mWatches[index],
-                  SetWatchDuty{ mDuty, complete, wait, aFloor });
+      mSelf->send(
+        mWatches[index],
+        SetWatchDuty{ mDuty, complete, wait, aFloor, mDirectory.Era() });
     }
   }
 
--- a/src/tarragonsill/transport/tarragonsill_node_actor.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.hpp
@@ -29,6 +29,8 @@
   std::atomic<bool> mCanServe{ true };
   /// Enough of the zone's other VMs serve.
   std::atomic<bool> mMayLeave{ true };
+  /// The highest era of the store that was heard of.
+  std::atomic<std::uint64_t> mStoreEra{ 0 };
   /// The process is about to end.
   std::atomic<bool> mIsLeaving{ false };
 };
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -62,6 +62,16 @@
   return std::nullopt;
 }
 
+/// One value that may go up and down, in the text exposition format.
+std::string
+GaugeLine(std::string const& aName,
+          std::string const& aEntry,
+          std::uint64_t aValue)
+{
+  return "# TYPE " + aName + " gauge\n" + aName + "{entry=\"" + aEntry +
+         "\"} " + std::to_string(aValue) + "\n";
+}
+
 /// Logs the first failure of a row and its end.
 class DependencyLog
 {
@@ -125,7 +135,8 @@
       }
       auto step = aWatch->Step();
       dependency->Note(step);
-      aSelf->send(aDirectory, StoreAnswered{ aKind, step.mAnswered });
+      aSelf->send(aDirectory,
+                  StoreAnswered{ aKind, step.mAnswered, step.mEra });
       if (step.mNews) {
         aSelf->send(aDirectory,
                     StoreNewsReceived{ std::make_shared<StoreNews const>(
@@ -140,6 +151,7 @@
     [=](SetWatchDuty const& aSet) {
       loop->mIsOnDuty = aSet.mDuty != WatchDuty::Rely;
       aWatch->SetWait(aSet.mWait);
+      aWatch->NoteEra(aSet.mEra);
       if (loop->mIsOnDuty) {
         aWatch->ResumeFrom(aSet.mCompleteTo);
         aWatch->SetFloor(aSet.mFloor);
@@ -266,6 +278,7 @@
     Page page;
     page.mBody =
       state->mCounters.ToExposition(name) +
+      GaugeLine("tarragonsill_store_era", name, state->mStoreEra) +
       latencies.mHandshake.ToExposition("tarragonsill_handshake_seconds",
                                         name) +
       latencies.mAnswer.ToExposition("tarragonsill_answer_seconds", name);
--- a/src/tarragonsill/transport/tarragonsill_node_messages.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_messages.hpp
@@ -22,6 +22,7 @@
 {
   ObjectKind mKind = ObjectKind::Configuration;
   bool mAnswered = false;
+  std::uint64_t mEra = 0; ///< The highest that any answer has named.
 };
 
 /// The actor that follows a kind of objects; it waits for its duty.
@@ -36,11 +37,13 @@
 {
   WatchDuty mDuty = WatchDuty::Rely;
   /// Up to here no change of the kind is missing.
-  std::uint64_t mCompleteTo = 0;
+  StorePosition mCompleteTo;
   /// How long the store may hold back its answer while nothing changes.
   milliseconds mWait{ 0 };
-  /// A revision that the store had a moment ago; 0 if there is none.
-  std::uint64_t mFloor = 0;
+  /// A position that the store had a moment ago; unset if there is none.
+  StorePosition mFloor;
+  /// The store's era as far as it is known.
+  std::uint64_t mEra = 0;
 };
 
 /// A watch whose last call failed is to be tried again.
--- a/tests/coordination/test_directory.cpp
+++ b/tests/coordination/test_directory.cpp
@@ -9,11 +9,18 @@
 
 constexpr TimePoint kStart{ seconds{ 100 } };
 
+/// A position of a store that names no era.
+StorePosition
+At(std::uint64_t aRevision)
+{
+  return { 0, aRevision };
+}
+
 StoreNews
 Event(ObjectKind aKind, ObjectChange aChange)
 {
-  auto const revision = aChange.mRevision;
-  return { aKind, { std::move(aChange) }, false, revision };
+  auto const position = aChange.mPosition;
+  return { aKind, { std::move(aChange) }, false, position, {} };
 }
 
 } // namespace
@@ -57,9 +64,10 @@
   (void)mStore.Knowledge().Apply(
     kStart,
     { ObjectKind::Upstreams,
-      { { "a1", 5, false, SampleUpstream("a1", "a") } },
+      { { "a1", { 0, 5 }, false, SampleUpstream("a1", "a") } },
       true,
-      6 });
+      { 0, 6 },
+      {} });
   CHECK(UseOf(kStart, "a1") == UpstreamUse::Draining);
   CHECK(UseOf(kStart, "a2") == UpstreamUse::Serving);
 }
@@ -105,13 +113,13 @@
   auto const changes = mStore.Knowledge().Apply(
     kStart,
     Event(ObjectKind::Upstreams,
-          { "a1", 100, false, UnusableRecord{ "state: missing" } }));
+          { "a1", { 0, 100 }, false, UnusableRecord{ "state: missing" } }));
   CHECK(!changes.empty());
   CHECK(UseOf(kStart + seconds{ 3 }, "a1") == UpstreamUse::Gone);
   (void)mStore.Knowledge().Apply(
     kStart,
     Event(ObjectKind::Upstreams,
-          { "x", 101, false, UnusableRecord{ "address: missing" } }));
+          { "x", { 0, 101 }, false, UnusableRecord{ "address: missing" } }));
   auto const view = mStore.View(kStart);
   CHECK(SlotOf(*view, "x") >= view->mUpstreams.size());
 }
@@ -122,7 +130,7 @@
   auto const changes = mStore.Knowledge().Apply(
     kStart,
     Event(ObjectKind::Configuration,
-          { "main", 90, false, UnusableRecord{ "no routes" } }));
+          { "main", { 0, 90 }, false, UnusableRecord{ "no routes" } }));
   LONGS_EQUAL(1, changes.size());
   LONGS_EQUAL(3, mStore.View(kStart)->mVersion);
 }
@@ -145,17 +153,20 @@
                     { ObjectKind::Configuration,
                       lists.mConfiguration.mChanges,
                       true,
-                      lists.mConfiguration.mRevision });
+                      lists.mConfiguration.mPosition,
+                      {} });
   (void)fresh.Apply(now,
                     { ObjectKind::Upstreams,
                       lists.mUpstreams.mChanges,
                       true,
-                      lists.mUpstreams.mRevision });
+                      lists.mUpstreams.mPosition,
+                      {} });
   (void)fresh.Apply(now,
                     { ObjectKind::Evacuations,
                       lists.mEvacuations.mChanges,
                       true,
-                      lists.mEvacuations.mRevision });
+                      lists.mEvacuations.mPosition,
+                      {} });
   CHECK(fresh.IsComplete());
   CHECK_FALSE(fresh.Held().IsBehind(mStore.Knowledge().Digest()));
   auto const view = fresh.BuildView(now);
@@ -175,8 +186,8 @@
   mStore.Configure(kStart, SampleConfiguration(5));
   auto const news = mStore.Knowledge().NewerThan(FromMessage(request), kStart);
   LONGS_EQUAL(1, news.mConfiguration.mChanges.size());
-  LONGS_EQUAL(0, news.mUpstreams.mRevision);
-  LONGS_EQUAL(0, news.mEvacuations.mRevision);
+  CHECK_FALSE(news.mUpstreams.mPosition.IsSet());
+  CHECK_FALSE(news.mEvacuations.mPosition.IsSet());
 }
 
 TEST(Directory, a_peer_that_lags_is_told_only_what_changed_and_what_left)
@@ -194,8 +205,8 @@
     (void)peer.Apply(kStart,
                      { ObjectKind::Upstreams,
                        lists.mUpstreams.mChanges,
-                       lists.mUpstreamsAfter == 0,
-                       lists.mUpstreams.mRevision,
+                       !lists.mUpstreamsAfter.IsSet(),
+                       lists.mUpstreams.mPosition,
                        lists.mUpstreamsAfter });
     return lists.mUpstreams.mChanges.size();
   };
@@ -241,23 +252,24 @@
   // A peer passes on what came after a change that got lost.
   StoreNews const later{
     ObjectKind::Upstreams,
-    { { "a3", held + 2, false, SampleUpstream("a3", "a") } },
+    { { "a3", At(held + 2), false, SampleUpstream("a3", "a") } },
     false,
-    held + 2,
-    held + 1
+    At(held + 2),
+    At(held + 1)
   };
   (void)own.Apply(kStart, later);
-  KnowledgeDigest const peer{ own.ConfigurationVersion(), held + 2, 1 };
+  KnowledgeDigest const peer{ own.ConfigurationVersion(), At(held + 2), At(1) };
   CHECK(own.Held().IsBehind(peer));
-  LONGS_EQUAL(held, own.Held().mUpstreams);
+  CHECK(At(held) == own.Held().mUpstreams);
   // The peer's whole list fills the gap.
   StoreNews const list{
     ObjectKind::Upstreams,
-    { { "a1", held + 1, false, draining },
-      { "a2", held, false, SampleUpstream("a2", "a") },
-      { "a3", held + 2, false, SampleUpstream("a3", "a") } },
+    { { "a1", At(held + 1), false, draining },
+      { "a2", At(held), false, SampleUpstream("a2", "a") },
+      { "a3", At(held + 2), false, SampleUpstream("a3", "a") } },
     true,
-    held + 2
+    At(held + 2),
+    {}
   };
   (void)own.Apply(kStart, list);
   CHECK_FALSE(own.Held().IsBehind(peer));
@@ -271,15 +283,16 @@
   mStore.Register(kStart, SampleUpstream("a1", "a"));
   auto const held = mStore.Revision();
   auto& own = mStore.Knowledge();
-  (void)own.Apply(kStart,
-                  { ObjectKind::Upstreams,
-                    { { "a2", held + 2, false, SampleUpstream("a2", "a") } },
-                    false,
-                    held + 4,
-                    held });
-  LONGS_EQUAL(held + 4, own.Held().mUpstreams);
+  (void)own.Apply(
+    kStart,
+    { ObjectKind::Upstreams,
+      { { "a2", At(held + 2), false, SampleUpstream("a2", "a") } },
+      false,
+      At(held + 4),
+      At(held) });
+  CHECK(At(held + 4) == own.Held().mUpstreams);
   // The last change may be older than that; peers hear of the change only.
-  LONGS_EQUAL(held + 2, own.Digest().mUpstreams);
+  CHECK(At(held + 2) == own.Digest().mUpstreams);
 }
 
 TEST(Directory, slots_are_used_again_only_after_every_flow_must_have_ended)
@@ -308,8 +321,9 @@
       if (kind == 0) {
         (void)directory.Apply(
           kStart,
-          Event(ObjectKind::Configuration,
-                { "main", revision, false, SampleConfiguration(revision) }));
+          Event(
+            ObjectKind::Configuration,
+            { "main", At(revision), false, SampleConfiguration(revision) }));
         version = std::max(version, revision);
         RC_ASSERT(directory.ConfigurationVersion() == version);
         continue;
@@ -319,10 +333,10 @@
       (void)directory.Apply(
         kStart,
         Event(ObjectKind::Upstreams,
-              { record.mName, revision, number % 5 == 0, record }));
+              { record.mName, At(revision), number % 5 == 0, record }));
       auto& last = revisions[record.mName];
       last = std::max(last, revision);
-      RC_ASSERT(directory.Digest().mUpstreams == 0U);
+      RC_ASSERT(!directory.Digest().mUpstreams.IsSet());
     }
   });
 }
@@ -347,16 +361,18 @@
   auto const revision = mStore.Revision();
   auto draining = SampleUpstream("a1", "a");
   draining.mDraining = true;
-  auto const updates = ToUpdates(ObjectKind::Upstreams,
-                                 { { "a1", revision + 1, false, draining } },
-                                 { revision, revision + 1 });
+  auto const updates =
+    ToUpdates(ObjectKind::Upstreams,
+              { { "a1", At(revision + 1), false, draining } },
+              { At(revision), At(revision + 1) });
   LONGS_EQUAL(1, updates.size());
+  auto const span = SpanOf(updates.front());
   (void)mStore.Knowledge().Apply(
     kStart,
     { ObjectKind::Upstreams,
       ChangesOf(ObjectKind::Upstreams, updates.front()),
       false,
-      updates.front().up_to_revision(),
-      updates.front().after_revision() });
+      span.mUpTo,
+      span.mAfter });
   CHECK(UseOf(kStart, "a1") == UpstreamUse::Draining);
 }
--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -136,7 +136,8 @@
 
 TEST(NodePeers, a_vm_that_knows_nothing_asks_a_peer_that_does)
 {
-  mGroup.At(0).SetDigest({ 4, 20, 1 }, { 4, 20, 1 });
+  mGroup.At(0).SetDigest({ 4, { 0, 20 }, { 0, 1 } },
+                         { 4, { 0, 20 }, { 0, 1 } });
   mGroup.Run(seconds{ 3 });
   auto const peer = mGroup.At(3).NextQuestion(mGroup.Now(), false);
   CHECK(peer.has_value());
@@ -154,16 +155,16 @@
     auto const now = kStart + milliseconds{ 50 } * step;
     // Changes come all the time, and reach this VM 150 ms after its peer.
     revision += 1;
-    sync.Hear("vm-2", { 1, revision, 1 });
-    KnowledgeDigest const held{ 1, revision - 3, 1 };
+    sync.Hear("vm-2", { 1, { 0, revision }, { 0, 1 } });
+    KnowledgeDigest const held{ 1, { 0, revision - 3 }, { 0, 1 } };
     questions += sync.NextQuestion(now, held, true) ? 1 : 0;
   }
   LONGS_EQUAL(0, questions);
   // One that stands still does ask, and a peer that comes after it.
-  KnowledgeDigest const old{ 1, revision, 1 };
+  KnowledgeDigest const old{ 1, { 0, revision }, { 0, 1 } };
   auto const later = kStart + seconds{ 10 };
   for (char const* name : { "vm-0", "vm-2", "vm-3" }) {
-    sync.Hear(name, { 1, revision + 9, 1 });
+    sync.Hear(name, { 1, { 0, revision + 9 }, { 0, 1 } });
   }
   CHECK_FALSE(sync.NextQuestion(later, old, true).has_value());
   auto const asked =
@@ -174,7 +175,8 @@
 
 TEST(NodePeers, a_vm_that_restarts_inside_a_cut_is_found_by_its_neighbours)
 {
-  mGroup.At(2).SetDigest({ 4, 20, 1 }, { 4, 20, 1 });
+  mGroup.At(2).SetDigest({ 4, { 0, 20 }, { 0, 1 } },
+                         { 4, { 0, 20 }, { 0, 1 } });
   mGroup.Run(seconds{ 5 });
   mGroup.Kill(3);
   // Zone a without its seed vm-0 is cut off: vm-2 and vm-3 are left to
@@ -285,7 +287,8 @@
   mGroup.Run(WatchRelay::kSeedTime + milliseconds{ 50 });
   LONGS_EQUAL(9, onDuty());
   for (auto const index : zone) {
-    mGroup.At(index).SetDigest({ 1, 9, 1 }, { 1, 9, 1 });
+    mGroup.At(index).SetDigest({ 1, { 0, 9 }, { 0, 1 } },
+                               { 1, { 0, 9 }, { 0, 1 } });
   }
   for (int step = 0; step < 60; ++step) {
     mGroup.Run(milliseconds{ 100 });
@@ -311,13 +314,17 @@
   mGroup.Run(seconds{ 5 });
   std::vector<ObjectChange> changes;
   for (std::uint64_t revision = 11; revision <= 35; ++revision) {
-    changes.push_back(
-      { "i-" + std::to_string(revision), revision, true, UnusableRecord{} });
+    changes.push_back({ "i-" + std::to_string(revision),
+                        { 2, revision },
+                        true,
+                        UnusableRecord{} });
   }
-  auto const updates = ToUpdates(ObjectKind::Upstreams, changes, { 10, 40 });
+  auto const updates =
+    ToUpdates(ObjectKind::Upstreams, changes, { { 2, 10 }, { 2, 40 } });
   CHECK(updates.size() > 1);
   std::uint64_t reached = 10;
   for (auto const& update : updates) {
+    LONGS_EQUAL(2, update.store_era());
     LONGS_EQUAL(reached, update.after_revision());
     reached = update.up_to_revision();
   }
@@ -328,9 +335,11 @@
 {
   mGroup.Run(seconds{ 5 });
   std::set<std::uint32_t> told;
-  StoreNews const news{
-    ObjectKind::Upstreams, { { "i-1", 9, true, UnusableRecord{} } }, false, 9, 5
-  };
+  StoreNews const news{ ObjectKind::Upstreams,
+                        { { "i-1", { 0, 9 }, true, UnusableRecord{} } },
+                        false,
+                        { 0, 9 },
+                        { 0, 5 } };
   for (std::size_t const index : { 0U, 2U, 3U }) {
     Outbox outbox;
     mGroup.At(index).PassOn(news, outbox);
--- a/tests/platform/test_malformed_input.cpp
+++ b/tests/platform/test_malformed_input.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr std::uint64_t kEra = 3;
+
 constexpr TimePoint kStart{ seconds{ 100 } };
 /// Times beyond a day are mistakes of whoever wrote them.
 constexpr milliseconds kDay{ 24 * 3600 * 1000 };
@@ -153,11 +155,13 @@
   {
     ObjectQuery query;
     query.mKind = aKind;
-    auto page = Platform::ObjectFormat::Decode(query, aBody);
+    auto page = Platform::ObjectFormat::Decode(query, kEra, aBody);
     if (!page) {
       return;
     }
-    StoreNews const news{ aKind, page.Value().mChanges, false, 40, 30 };
+    StoreNews const news{
+      aKind, page.Value().mChanges, false, { kEra, 40 }, { kEra, 30 }
+    };
     (void)mStore.Knowledge().Apply(kStart, news);
   }
 
@@ -194,7 +198,7 @@
   CheckProperty("a configuration is decoded or refused", [] {
     ObjectQuery query;
     auto const body = ListBody("main", Mutated(Configuration()));
-    auto page = Platform::ObjectFormat::Decode(query, Damaged(body));
+    auto page = Platform::ObjectFormat::Decode(query, kEra, Damaged(body));
     if (!page) {
       return;
     }
--- a/tests/platform/test_platform_objects.cpp
+++ b/tests/platform/test_platform_objects.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr std::uint64_t kEra = 3;
+
 ObjectQuery
 ListOf(ObjectKind aKind)
 {
@@ -21,7 +23,7 @@
 WatchOf(ObjectKind aKind)
 {
   auto query = ListOf(aKind);
-  query.mWatchFrom = 12;
+  query.mWatchFrom = { kEra, 12 };
   query.mWait = milliseconds{ 1500 };
   return query;
 }
@@ -56,8 +58,8 @@
 ObjectChange
 Decode(std::string const& aName, nlohmann::json const& aSpec)
 {
-  auto page = ObjectFormat::Decode(ListOf(ObjectKind::Upstreams),
-                                   ListBody({ Object(aName, aSpec) }));
+  auto page = ObjectFormat::Decode(
+    ListOf(ObjectKind::Upstreams), kEra, ListBody({ Object(aName, aSpec) }));
   CHECK(page.HasValue());
   LONGS_EQUAL(1, page->mChanges.size());
   return page->mChanges.front();
@@ -90,7 +92,7 @@
   auto const change = Decode("i-00ff", UpstreamSpec());
   auto const* record = std::get_if<UpstreamRecord>(&change.mContent);
   CHECK(record != nullptr);
-  LONGS_EQUAL(31, change.mRevision);
+  CHECK((change.mPosition == StorePosition{ kEra, 31 }));
   LONGS_EQUAL(0xFF, record->mIdentity);
   CHECK(record->mAddress == Endpoint({ { 0x0A014009 }, 8080 }));
   LONGS_EQUAL(4, record->mSlots);
@@ -123,7 +125,8 @@
   auto body =
     ListBody({ Object("i-00aa", "FOREIGN"), Object("i-00bb", UpstreamSpec()) });
   body.replace(body.find("FOREIGN"), 2, "\xFF\x01");
-  auto const page = ObjectFormat::Decode(ListOf(ObjectKind::Upstreams), body);
+  auto const page =
+    ObjectFormat::Decode(ListOf(ObjectKind::Upstreams), kEra, body);
   CHECK(page.HasValue());
   LONGS_EQUAL(2, page->mChanges.size());
   CHECK(IsUnusable(page->mChanges.front()));
@@ -140,9 +143,9 @@
     { "currentRev", 44 }
   };
   auto const page =
-    ObjectFormat::Decode(WatchOf(ObjectKind::Upstreams), body.dump());
+    ObjectFormat::Decode(WatchOf(ObjectKind::Upstreams), kEra, body.dump());
   CHECK(page.HasValue());
-  LONGS_EQUAL(44, page->mRevision);
+  CHECK((page->mPosition == StorePosition{ kEra, 44 }));
   CHECK_FALSE(page->mChanges.front().mRemoved);
   CHECK(page->mChanges.back().mRemoved);
 }
@@ -169,6 +172,7 @@
     { "limits", { { "idleTimeoutMs", 12000 } } }
   };
   auto const page = ObjectFormat::Decode(ListOf(ObjectKind::Configuration),
+                                         kEra,
                                          ListBody({ Object("main", spec) }));
   auto const* read =
     std::get_if<RoutingConfiguration>(&page->mChanges.front().mContent);
@@ -194,9 +198,17 @@
       body[static_cast<std::size_t>(place)] = byte;
     }
     for (auto const kind : kObjectKinds) {
-      auto const page = ObjectFormat::Decode(ListOf(kind), body);
+      auto const page = ObjectFormat::Decode(ListOf(kind), kEra, body);
       RC_ASSERT(page.HasValue() || !page.LastReason().mText.empty());
-      (void)ObjectFormat::Decode(WatchOf(kind), body);
+      (void)ObjectFormat::Decode(WatchOf(kind), kEra, body);
     }
   });
 }
+
+TEST(PlatformObjects, only_a_whole_number_names_an_era)
+{
+  CHECK(ObjectFormat::ReadEra("7") == 7U);
+  for (char const* text : { "", "7 ", "-1", "x", "99999999999999999999999" }) {
+    CHECK_FALSE(ObjectFormat::ReadEra(text).has_value());
+  }
+}
--- a/tests/support/routing_fixture.cpp
+++ b/tests/support/routing_fixture.cpp
@@ -62,8 +62,9 @@
 void
 SampleStore::Tell(TimePoint aNow, ObjectKind aKind, ObjectChange aChange)
 {
-  aChange.mRevision = ++mRevision;
-  StoreNews news{ aKind, { std::move(aChange) }, false, mRevision };
+  ++mPosition.mRevision;
+  aChange.mPosition = mPosition;
+  StoreNews news{ aKind, { std::move(aChange) }, false, mPosition, {} };
   (void)mDirectory.Apply(aNow, news);
 }
 
@@ -71,26 +72,26 @@
 SampleStore::Configure(TimePoint aNow,
                        RoutingConfiguration const& aConfiguration)
 {
-  Tell(aNow, ObjectKind::Configuration, { "main", 0, false, aConfiguration });
+  Tell(aNow, ObjectKind::Configuration, { "main", {}, false, aConfiguration });
 }
 
 void
 SampleStore::Register(TimePoint aNow, UpstreamRecord const& aRecord)
 {
-  Tell(aNow, ObjectKind::Upstreams, { aRecord.mName, 0, false, aRecord });
+  Tell(aNow, ObjectKind::Upstreams, { aRecord.mName, {}, false, aRecord });
 }
 
 void
 SampleStore::Remove(TimePoint aNow, std::string const& aUpstream)
 {
-  Tell(aNow, ObjectKind::Upstreams, { aUpstream, 0, true, UnusableRecord{} });
+  Tell(aNow, ObjectKind::Upstreams, { aUpstream, {}, true, UnusableRecord{} });
 }
 
 void
 SampleStore::Evacuate(TimePoint aNow, std::string const& aZone, bool aIsOut)
 {
   Tell(
-    aNow, ObjectKind::Evacuations, { aZone, 0, !aIsOut, EvacuationRecord{} });
+    aNow, ObjectKind::Evacuations, { aZone, {}, !aIsOut, EvacuationRecord{} });
 }
 
 void
@@ -98,7 +99,7 @@
 {
   for (auto const kind : kObjectKinds) {
     // A list from before every object: it says nothing about any of them.
-    (void)mDirectory.Apply(aNow, { kind, {}, true, 1 });
+    (void)mDirectory.Apply(aNow, { kind, {}, true, { mPosition.mEra, 1 }, {} });
   }
 }
 
--- a/tests/support/routing_fixture.hpp
+++ b/tests/support/routing_fixture.hpp
@@ -40,13 +40,13 @@
 
   Directory& Knowledge() { return mDirectory; }
   RoutingViewPointer View(TimePoint aNow) { return mDirectory.BuildView(aNow); }
-  std::uint64_t Revision() const { return mRevision; }
+  std::uint64_t Revision() const { return mPosition.mRevision; }
 
 private:
   void Tell(TimePoint aNow, ObjectKind aKind, ObjectChange aChange);
 
   Directory mDirectory;
-  std::uint64_t mRevision = 10;
+  StorePosition mPosition{ 0, 10 };
 };
 
 /// The slot of an upstream; fails with an unused number.
--- a/tools/check-layering.sh
+++ b/tools/check-layering.sh
@@ -29,7 +29,7 @@
 names='coldLeftMs|coldRateS|packetAddr|pathPrefix|currentRev|waitMs|serializable'
 names="$names|heartbeatIntervalMs|internalPortRange|idleTimeoutMs|drainMs"
 names="$names|configPropagationMs|evacuationDelayMs|warmupBurstFactor|coldSlack"
-names="$names|deletePending|tombstone|finalizers|proxyMode|healthPath"
+names="$names|[sS]tore-[eE]ra|deletePending|tombstone|finalizers|proxyMode|healthPath"
 if grep -nE "\\b($names)\\b" -r . --exclude-dir=platform; then
   echo "layering: the platform's names belong into platform/" >&2
   status=1
