Let the soak bring the store back older, with a mutant that must be caught

A rollback: every entry changes ten times, an upstream is drained, the store is away for 0.4 s and comes back from a copy of 1 to 9 s ago, in half of the cases with replicas of the former era for two more seconds; upstreams and the operator write again within 2 s, in any order, some twice; entries of crashed upstreams lapse after 3.6 s; another upstream drains 2 s after the return.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -144,16 +144,29 @@
     ->add_option(
       "--mutant",
       soakOptions.mMutant,
-      "Break something on purpose: stale-vm, false-reset, no-restart")
+      "Break something on purpose: stale-vm, false-reset, no-restart, no-era")
     ->transform(CLI::CheckedTransformer(std::map<std::string, Lab::SoakMutant>{
       { "stale-vm", Lab::SoakMutant::StaleVm },
       { "false-reset", Lab::SoakMutant::FalseReset },
-      { "no-restart", Lab::SoakMutant::NoRestart } }));
+      { "no-restart", Lab::SoakMutant::NoRestart },
+      { "no-era", Lab::SoakMutant::NoEra } }));
+  std::vector<std::string> only;
+  std::vector<std::string> without;
+  auto const names = CLI::IsMember(Lab::SoakFaultNames());
+  soak->add_option("--only", only, "Play these faults only")->check(names);
+  soak->add_option("--without", without, "Leave these faults out")
+    ->check(names);
   try {
     app.parse(aCount, aValues);
   } catch (CLI::ParseError const& error) {
     return app.exit(error) == 0 ? 0 : kTrouble;
   }
+  for (auto const& name : only) {
+    soakOptions.mChoice.mOnly.insert(*Lab::SoakFaultNamed(name));
+  }
+  for (auto const& name : without) {
+    soakOptions.mChoice.mWithout.insert(*Lab::SoakFaultNamed(name));
+  }
   return *soak ? Soak(std::move(soakOptions), keep)
                : Run(std::move(options), events, json);
 }
--- a/lab/platform/tarragonsill_lab_soak.cpp
+++ b/lab/platform/tarragonsill_lab_soak.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <functional>
 #include <map>
+#include <random>
 #include <sstream>
 
 namespace tarragonsill::Lab {
@@ -22,6 +23,19 @@
 constexpr milliseconds kMutantTime{ 10000 };
 /// An upstream that leaves serves this long.
 constexpr milliseconds kLeaveTime{ 4000 };
+/// One whose drain a rollback of the store is to forget serves longer than
+/// every bound.
+constexpr milliseconds kLongLeaveTime{ 16000 };
+/// A rollback: the store is away for the second half of this time.
+constexpr milliseconds kRollbackAway{ 800 };
+/// From before the last changes, which are lost.
+constexpr milliseconds kLeastCopyAge{ 1000 };
+/// Entries are back within this time of the store's return (platform).
+constexpr milliseconds kWriteAgainTime{ 2000 };
+/// Three heartbeats of silence (platform).
+constexpr milliseconds kLapseTime{ 3600 };
+/// Changes of every entry just before, whose revisions are given out again.
+constexpr int kChurn = 10;
 /// Bounds on what a process holds. Its own memory is to stay below 12 MB on the
 /// operators' VMs; they have 4,100 descriptors.
 constexpr std::uint64_t kMostMemory = 12 * 1024 * 1024;
@@ -51,7 +65,8 @@
     auto const length = seconds{ mOptions.mSeconds };
     // A mutant is noticed best without other faults.
     if (mOptions.mMutant == SoakMutant::None) {
-      mPlan = DrawSoakPlan(mOptions.mSeed, length - 2 * kCalmTime);
+      mPlan =
+        DrawSoakPlan(mOptions.mSeed, length - 2 * kCalmTime, mOptions.mChoice);
     }
     mJudge.DisturbStore(mStarted + kCalmTime / 2);
     while (Clock::now() < mStarted + length) {
@@ -174,6 +189,9 @@
       case SoakFaultKind::EvacuateZone:
         ApplyToZone(aNow, end, aFault.mTarget);
         break;
+      case SoakFaultKind::StoreRollback:
+        RollBack(aNow, aFault);
+        break;
       case SoakFaultKind::Count:
         break;
     }
@@ -245,6 +263,61 @@
           [this, aZone] { mWorld.Evacuate(Clock::now(), aZone, false); });
   }
 
+  /// The store is away for a moment and comes back from an older copy; then
+  /// upstreams and the operator write again, in any order, some twice.
+  void RollBack(TimePoint aNow, SoakFault const& aFault)
+  {
+    auto const returns = aNow + kRollbackAway;
+    mJudge.DisturbStore(returns + kWriteAgainTime);
+    mWorld.Churn(kChurn);
+    DrainForLong(aNow, aFault.mTarget);
+    if (aFault.mTarget % 2 == 0) {
+      mWorld.Store().KeepOldReplica();
+      mWorld.Store().SetReplicaLags(true);
+      Later(returns + kWriteAgainTime,
+            [this] { mWorld.Store().SetReplicaLags(false); });
+    }
+    Later(aNow + kRollbackAway / 2, [this] { mWorld.Store().SetDown(true); });
+    Later(returns, [this, aFault] {
+      mWorld.Store().ComeBackOlder(kLeastCopyAge + 2 * aFault.mFor);
+      mWorld.Store().SetDown(false);
+      Tell("store is back, era " +
+           std::to_string(mWorld.Store().Position().mEra) + " revision " +
+           std::to_string(mWorld.Store().Position().mRevision));
+      WriteAgain(Clock::now(), aFault.mTarget);
+    });
+    Later(returns + kWriteAgainTime,
+          [this, aFault] { DrainForLong(Clock::now(), aFault.mTarget / 7); });
+  }
+
+  void WriteAgain(TimePoint aNow, std::uint64_t aSeed)
+  {
+    std::mt19937_64 random(aSeed);
+    std::uniform_int_distribution<milliseconds::rep> time(
+      0, kWriteAgainTime.count());
+    for (std::size_t writer = 0; writer < mWorld.WriterCount(); ++writer) {
+      auto const times = random() % 3 == 0 ? 2 : 1;
+      for (int write = 0; write < times; ++write) {
+        Later(aNow + milliseconds{ time(random) },
+              [this, writer] { mWorld.WriteAgain(writer); });
+      }
+    }
+    Later(aNow + kLapseTime, [this] { mWorld.LapseCrashed(); });
+  }
+
+  /// Drains an upstream that serves long enough for its rule to bind.
+  void DrainForLong(TimePoint aNow, std::size_t aUpstream)
+  {
+    auto const upstream = aUpstream % mWorld.UpstreamCount();
+    if (!mWorld.IsServing(upstream)) {
+      return;
+    }
+    mWorld.Drain(aNow, upstream);
+    mWorld.AddUpstream(upstream % 2);
+    Later(aNow + kLongLeaveTime,
+          [this, upstream] { mWorld.Crash(upstream, true); });
+  }
+
   /// Breaks what a check is to notice.
   void PlayMutant(TimePoint aNow)
   {
@@ -258,6 +331,10 @@
     if (mOptions.mMutant == SoakMutant::NoRestart) {
       ApplyToVm(aNow, aNow, 0, SoakFaultKind::KillAllVms);
     }
+    if (mOptions.mMutant == SoakMutant::NoEra) {
+      RollBack(aNow,
+               { SoakFaultKind::StoreRollback, {}, milliseconds{ 0 }, 3 });
+    }
     if (mOptions.mMutant == SoakMutant::StaleVm) {
       mWorld.Drain(aNow, 0);
       mWorld.Drain(aNow, 2);
--- a/lab/platform/tarragonsill_lab_soak_plan.hpp
+++ b/lab/platform/tarragonsill_lab_soak_plan.hpp
@@ -4,6 +4,9 @@
 #include "tarragonsill/state/tarragonsill_time.hpp"
 
 #include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -28,10 +31,15 @@
   DrainUpstream, ///< It ends some time after, and another one starts.
   ToggleRoute,
   EvacuateZone,
+  StoreRollback, ///< The store comes back from an older copy.
   Count,
 };
 
 std::string_view ToText(SoakFaultKind aKind);
+/// Nothing for a name that no kind has.
+std::optional<SoakFaultKind> SoakFaultNamed(std::string_view aName);
+/// The names of all kinds.
+std::vector<std::string> SoakFaultNames();
 
 struct SoakFault
 {
@@ -41,8 +49,20 @@
   std::uint32_t mTarget = 0; ///< Counts VMs, upstreams or zones, modulo.
 };
 
-/// Faults within a time, by time.
-std::vector<SoakFault> DrawSoakPlan(std::uint64_t aSeed, milliseconds aTime);
+/// Which kinds of faults a soak plays.
+struct SoakChoice
+{
+  std::set<SoakFaultKind> mOnly; ///< Empty: all.
+  std::set<SoakFaultKind> mWithout;
+
+  bool Has(SoakFaultKind aKind) const;
+};
+
+/// Faults within a time, by time. Of one seed each kind comes at the same times
+/// whichever others are left out.
+std::vector<SoakFault> DrawSoakPlan(std::uint64_t aSeed,
+                                    milliseconds aTime,
+                                    SoakChoice const& aChoice);
 
 } // namespace tarragonsill::Lab
 
--- a/lab/platform/tarragonsill_lab_soak_world.cpp
+++ b/lab/platform/tarragonsill_lab_soak_world.cpp
@@ -144,6 +144,9 @@
     }
     *store = started.Take();
   }
+  if (mOptions.mMutant == SoakMutant::NoEra) {
+    mStore->HideEra();
+  }
   Configure();
   for (std::size_t index = 0; index < 2 * kUpstreamsPerService; ++index) {
     AddUpstream(index % 2);
@@ -171,6 +174,18 @@
 
 void
 SoakWorld::Configure()
+{
+  ++mVersion;
+  auto const now = Clock::now();
+  WriteConfiguration();
+  if (mVersion == 1) {
+    mJudge.SetRoute(now, kRoutes[0], true);
+  }
+  mJudge.SetRoute(now, kRoutes[1], mHasSecondRoute);
+}
+
+void
+SoakWorld::WriteConfiguration()
 {
   auto routes = nlohmann::json::array();
   routes.push_back(RouteTo(0));
@@ -183,18 +198,15 @@
                          { "coldS", 2.0 },
                          { "coldRateS", 2.0 } });
   }
-  nlohmann::json const configuration = { { "version", ++mVersion },
+  nlohmann::json const configuration = { { "version", mVersion },
                                          { "routes", routes },
                                          { "services", services },
                                          { "limits",
                                            { { "idleTimeoutMs", 15000 } } } };
-  auto const now = Clock::now();
   mStore->Put("config", "main", configuration);
   if (mVersion == 1) {
     mStaleStore->Put("config", "main", configuration);
-    mJudge.SetRoute(now, kRoutes[0], true);
   }
-  mJudge.SetRoute(now, kRoutes[1], mHasSecondRoute);
 }
 
 void
@@ -209,6 +221,7 @@
                                    host.mIsDraining ? "draining" : "ready" },
                                  { "coldLeftMs", 0 },
                                  { "seq", 1 },
+                                 { "version", std::to_string(mChurn) },
                                  { "born", 1796000000000 } };
   mStore->Put("servers", host.mName, entry);
   if (!host.mIsDraining) {
@@ -281,6 +294,7 @@
 {
   mIsEvacuated = aIsOut;
   auto const& zone = mZones[aZone % mZones.size()];
+  mEvacuatedZone = aIsOut ? zone : std::string();
   if (aIsOut) {
     mStore->Put("evacuations", zone, nlohmann::json::object());
   } else {
@@ -289,6 +303,51 @@
   mJudge.SetEvacuated(aNow, zone, aIsOut);
 }
 
+void
+SoakWorld::Churn(int aChanges)
+{
+  for (int change = 0; change < aChanges; ++change) {
+    ++mChurn;
+    for (std::size_t upstream = 0; upstream < mHosts.size(); ++upstream) {
+      if (!mHosts[upstream].mHost.HasCrashed()) {
+        Register(upstream);
+      }
+    }
+  }
+}
+
+void
+SoakWorld::WriteAgain(std::size_t aWriter)
+{
+  if (aWriter < mHosts.size()) {
+    if (!mHosts[aWriter].mHost.HasCrashed()) {
+      Register(aWriter);
+    }
+    return;
+  }
+  if (aWriter == mHosts.size()) {
+    WriteConfiguration();
+    return;
+  }
+  for (auto const& zone : mZones) {
+    if (mIsEvacuated && zone == mEvacuatedZone) {
+      mStore->Put("evacuations", zone, nlohmann::json::object());
+    } else {
+      mStore->Remove("evacuations", zone);
+    }
+  }
+}
+
+void
+SoakWorld::LapseCrashed()
+{
+  for (auto const& host : mHosts) {
+    if (host.mHost.HasCrashed()) {
+      mStore->Remove("servers", host.mName);
+    }
+  }
+}
+
 void
 SoakWorld::Work()
 {
--- a/lab/platform/tarragonsill_lab_soak_world.hpp
+++ b/lab/platform/tarragonsill_lab_soak_world.hpp
@@ -6,6 +6,7 @@
 #include "platform/tarragonsill_lab_node_process.hpp"
 #include "platform/tarragonsill_lab_object_store.hpp"
 #include "platform/tarragonsill_lab_soak_judge.hpp"
+#include "platform/tarragonsill_lab_soak_plan.hpp"
 
 #include <mutex>
 #include <thread>
@@ -21,6 +22,7 @@
   StaleVm,    ///< One VM never hears of a change.
   FalseReset, ///< A flow of a living upstream is reset.
   NoRestart,  ///< VMs that were killed stay down.
+  NoEra,      ///< VMs see no era, so that they go by revisions alone.
 };
 
 /// The loopback networks of one soak; four of them for each number.
@@ -51,6 +53,7 @@
   std::string mProgram;
   std::string mDirectory; ///< Settings, logs and the list of events.
   SoakMutant mMutant = SoakMutant::None;
+  SoakChoice mChoice;
 };
 
 /// Asks VMs for readiness as the operators' routers do.
@@ -101,6 +104,14 @@
   void ToggleRoute();
   void Evacuate(TimePoint aNow, std::size_t aZone, bool aIsOut);
   bool IsEvacuated() const { return mIsEvacuated; }
+  /// Upstreams change their entries so that the store's revision rises.
+  void Churn(int aChanges);
+  /// Upstreams and the operator: each of these writes what it wrote last, also
+  /// where the store has lost it.
+  std::size_t WriterCount() const { return mHosts.size() + 2; }
+  void WriteAgain(std::size_t aWriter);
+  /// The entries of upstreams that have crashed lapse.
+  void LapseCrashed();
   /// Packets of flows that living upstreams do not hold.
   std::uint64_t ForeignPackets() const;
 
@@ -121,6 +132,7 @@
   Endpoint HostAt(std::size_t aUpstream) const;
   NodePlace PlaceOf(std::size_t aVm) const;
   void Configure();
+  void WriteConfiguration();
   void Register(std::size_t aUpstream);
 
   SoakOptions mOptions;
@@ -137,6 +149,8 @@
   int mVersion = 0;
   bool mHasSecondRoute = true;
   bool mIsEvacuated = false;
+  std::string mEvacuatedZone;
+  int mChurn = 0; ///< Shows in every entry, so that it differs from before.
 };
 
 } // namespace tarragonsill::Lab
