Go by era and version in the product's own path, too

Cause: the platform's object API hands versions out; after a return from an older copy they would be given out again. A condition on version 7 would have been met by another version 7, and a configuration written anew at a lower version would not have come into force until the versions had passed the old one.

Change: objects name the era in which their version was written; conditional writes, watches, announcements and hand-overs between VMs go by both. An operator's change that met an older copy is told as lost, to be made again.

PlatformClient: three new tests (conditions of an older era, a lost change, an older copy that is no news).

--- a/lab/tarragonsill_lab_platform.cpp
+++ b/lab/tarragonsill_lab_platform.cpp
@@ -23,10 +23,27 @@
 
 struct Object
 {
-  std::uint64_t mVersion = 0;
+  /// The era in which the version was written, and the version.
+  StorePosition mPosition;
   nlohmann::json mBody;
 };
 
+using Objects = std::map<std::string, Object>;
+
+/// Reads "ERA:VERSION" or "VERSION"; unset for anything else.
+StorePosition
+ReadPosition(std::string const& aText)
+{
+  auto const colon = aText.find(':');
+  auto const number = [](std::string const& aPart) {
+    return std::strtoull(aPart.c_str(), nullptr, 10);
+  };
+  return colon == std::string::npos
+           ? StorePosition{ 0, number(aText) }
+           : StorePosition{ number(aText.substr(0, colon)),
+                            number(aText.substr(colon + 1)) };
+}
+
 struct ListedVm
 {
   PlatformVm mVm;
@@ -54,7 +71,8 @@
   std::string Render(Object const& aObject) const
   {
     auto json = aObject.mBody;
-    json["version"] = aObject.mVersion;
+    json["version"] = aObject.mPosition.mRevision;
+    json["era"] = aObject.mPosition.mEra;
     return json.dump();
   }
 
@@ -74,18 +92,18 @@
     if (!Admit(aResponse)) {
       return;
     }
-    auto const newerThan = Parameter(aRequest, "newer_than");
+    auto const newerThan = ReadPosition(aRequest.get_param_value("newer_than"));
     auto const wait =
       std::min(kLongestWait, milliseconds{ Parameter(aRequest, "wait_ms") });
     std::unique_lock lock(mMutex);
     auto const& object = mObjects[aRequest.matches[1]];
     mChanged.wait_for(
-      lock, wait, [&] { return object.mVersion > newerThan || mDown; });
+      lock, wait, [&] { return object.mPosition > newerThan || mDown; });
     if (mDown) {
       aResponse.status = kUnavailable;
-    } else if (object.mVersion == 0) {
+    } else if (!object.mPosition.IsSet()) {
       aResponse.status = kNotFound;
-    } else if (wait.count() > 0 && object.mVersion <= newerThan) {
+    } else if (wait.count() > 0 && object.mPosition <= newerThan) {
       aResponse.status = kNotModified;
     } else {
       aResponse.set_content(Render(object), "application/json");
@@ -105,12 +123,13 @@
     std::lock_guard const lock(mMutex);
     auto& object = mObjects[aRequest.matches[1]];
     auto const expected = aRequest.get_header_value("If-Match");
-    if (expected != std::to_string(object.mVersion)) {
+    if (expected != ToText(object.mPosition)) {
       aResponse.status = kPreconditionFailed;
       aResponse.set_content(Render(object), "application/json");
       return;
     }
-    ++object.mVersion;
+    mCopies.push_back({ Clock::now(), mObjects });
+    object.mPosition = { mEra, object.mPosition.mRevision + 1 };
     object.mBody = body;
     mChanged.notify_all();
     if (mLoseAnswer.exchange(false)) {
@@ -154,7 +173,10 @@
   std::thread mThread;
   std::mutex mMutex;
   std::condition_variable mChanged;
-  std::map<std::string, Object> mObjects;
+  Objects mObjects;
+  std::uint64_t mEra = 0;
+  /// What was held until a time.
+  std::vector<std::pair<TimePoint, Objects>> mCopies;
   std::vector<ListedVm> mVms; ///< In order of time; later ones win.
   milliseconds mListLag{ 0 };
   std::atomic<bool> mDown{ false };
@@ -221,6 +243,22 @@
   mImpl->mDelay = aDelay;
 }
 
+void
+Platform::ComeBackOlder(milliseconds aAge)
+{
+  std::lock_guard const lock(mImpl->mMutex);
+  auto const at = Clock::now() - aAge;
+  for (auto const& [heldUntil, objects] : mImpl->mCopies) {
+    if (heldUntil > at) {
+      mImpl->mObjects = objects;
+      break;
+    }
+  }
+  mImpl->mCopies.clear();
+  ++mImpl->mEra;
+  mImpl->mChanged.notify_all();
+}
+
 void
 Platform::LoseNextWriteAnswer()
 {
--- a/lab/tarragonsill_lab_platform.hpp
+++ b/lab/tarragonsill_lab_platform.hpp
@@ -25,6 +25,8 @@
   void SetDown(bool aDown);
   /// Delays every answer.
   void SetDelay(milliseconds aDelay);
+  /// Comes back from a copy of this age, with the next era.
+  void ComeBackOlder(milliseconds aAge);
   /// Lets the next write take effect but loses its answer.
   void LoseNextWriteAnswer();
   /// Lists a VM, or changes its state, after the lag.
--- a/src/tarragonsill/cli/tarragonsill_cli_platform.cpp
+++ b/src/tarragonsill/cli/tarragonsill_cli_platform.cpp
@@ -105,7 +105,7 @@
     }
     auto const text = WriteConfiguration(*next, true);
     if (!absent && text == current.mText) {
-      return Succeeded(current.mVersion, "nothing to change");
+      return Succeeded(current.mPosition, "nothing to change");
     }
     return Report(client.Write(object, current, NewChangeId(), text), text);
   }
@@ -121,14 +121,16 @@
   }
 
 private:
-  int Succeeded(std::uint64_t aVersion, std::string const& aText)
+  int Succeeded(StorePosition aPosition, std::string const& aText)
   {
     if (mOptions.mJson) {
-      nlohmann::json const json = { { "version", aVersion },
+      nlohmann::json const json = { { "version", aPosition.mRevision },
+                                    { "era", aPosition.mEra },
                                     { "result", aText } };
       std::cout << json.dump() << '\n';
     } else {
-      std::cout << "apply: " << aText << ", version " << aVersion << '\n';
+      std::cout << "apply: " << aText << ", version " << ToText(aPosition)
+                << '\n';
     }
     return ExitStatus::kOk;
   }
@@ -140,18 +142,19 @@
     }
     auto const& current = aOutcome->mCurrent;
     if (aOutcome->mWon) {
-      return Succeeded(current.mVersion, "accepted");
+      return Succeeded(current.mPosition, "accepted");
     }
     auto const differences = Differences(aText, current.mText);
     if (mOptions.mJson) {
       nlohmann::json const json = { { "error", "another operator was first" },
-                                    { "winning_version", current.mVersion },
+                                    { "winning_version",
+                                      current.mPosition.mRevision },
                                     { "differences", differences } };
       std::cout << json.dump() << '\n';
       return ExitStatus::kRefused;
     }
     std::cerr << "apply: not applied, another operator was first; version "
-              << current.mVersion << " is in force and differs:\n";
+              << ToText(current.mPosition) << " is in force and differs:\n";
     for (auto const& line : differences) {
       std::cerr << "  " << line << '\n';
     }
--- a/src/tarragonsill/coordination/tarragonsill_control_plane.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_control_plane.cpp
@@ -115,8 +115,9 @@
     return;
   }
   Member const from = *found;
-  auto const version = mConfiguration ? mConfiguration->mVersion : 0;
-  if (aMessage.configuration_version() > version) {
+  StorePosition const announced{ aMessage.configuration_era(),
+                                 aMessage.configuration_version() };
+  if (announced > CurrentPosition()) {
     mAnnouncers.insert(from.mName);
   }
   if (aMessage.has_join_request()) {
@@ -192,19 +193,24 @@
 ControlPlane::SetConfiguration(
   std::shared_ptr<Configuration const> aConfiguration)
 {
-  auto const version = mConfiguration ? mConfiguration->mVersion : 0;
-  if (aConfiguration->mVersion <= version) {
+  if (aConfiguration->Position() <= CurrentPosition()) {
     return; // A configuration in force never reverts.
   }
   mOwnership.Configure(
     ThingsOf(*aConfiguration, mConfiguration.get(), mMembership.Self().mZone));
   mConfiguration = std::move(aConfiguration);
-  mMembership.SetConfigurationVersion(mConfiguration->mVersion);
+  mMembership.SetConfiguration(mConfiguration->Position());
   mAnnouncers.clear();
   mSnapshotGeneration = 0;
   mCounters.Add(Counter::ConfigurationsApplied);
 }
 
+StorePosition
+ControlPlane::CurrentPosition() const
+{
+  return mConfiguration ? mConfiguration->Position() : StorePosition{};
+}
+
 void
 ControlPlane::SetUsage(std::vector<UpstreamUsage> const& aUsage,
                        std::uint64_t aRightsRevision)
--- a/src/tarragonsill/coordination/tarragonsill_control_plane.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_control_plane.hpp
@@ -44,7 +44,7 @@
   void HandleVmList(TimePoint aNow,
                     std::vector<PlatformVm> const& aVms,
                     Outbox& aOutbox);
-  /// Takes a configuration with a higher version into use.
+  /// Takes a configuration into use whose position is higher.
   void SetConfiguration(std::shared_ptr<Configuration const> aConfiguration);
   void SetUsage(std::vector<UpstreamUsage> const& aUsage,
                 std::uint64_t aRightsRevision);
@@ -69,6 +69,8 @@
   {
     return mConfiguration;
   }
+  /// The position of the configuration in force; unset without one.
+  StorePosition CurrentPosition() const;
   /// A peer that announced a newer configuration than the one in force.
   std::optional<Member> PeerWithNewerConfiguration();
 
--- a/src/tarragonsill/coordination/tarragonsill_membership.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_membership.hpp
@@ -4,6 +4,7 @@
 #include "tarragonsill/coordination/tarragonsill_outbox.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
 #include "tarragonsill/state/tarragonsill_member.hpp"
+#include "tarragonsill/state/tarragonsill_store_position.hpp"
 #include "tarragonsill/state/tarragonsill_time.hpp"
 
 #include <cstdint>
@@ -79,10 +80,7 @@
   /// Fills in the sender and piggybacked updates of an outgoing message.
   void Decorate(wire::PeerMessage& aMessage);
   /// Lets the driver announce the configuration version in force.
-  void SetConfigurationVersion(std::uint64_t aVersion)
-  {
-    mConfigurationVersion = aVersion;
-  }
+  void SetConfiguration(StorePosition aPosition) { mConfiguration = aPosition; }
 
 private:
   struct Peer
@@ -143,7 +141,7 @@
   std::vector<Rumour> mRumours;
   std::mt19937_64 mRandom;
   std::uint64_t mGeneration = 1;
-  std::uint64_t mConfigurationVersion = 0;
+  StorePosition mConfiguration; ///< Era and version.
   bool mDeclaredGone = false;
 };
 
--- a/src/tarragonsill/coordination/tarragonsill_membership_updates.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_membership_updates.cpp
@@ -136,7 +136,8 @@
 Membership::Decorate(wire::PeerMessage& aMessage)
 {
   *aMessage.mutable_sender() = ToUpdate(mSelf, mSelfRevision);
-  aMessage.set_configuration_version(mConfigurationVersion);
+  aMessage.set_configuration_version(mConfiguration.mRevision);
+  aMessage.set_configuration_era(mConfiguration.mEra);
   // What was sent least often goes first, so that old news cannot hold up new.
   auto const most = static_cast<std::ptrdiff_t>(
     std::min(kMaxUpdatesPerMessage, mRumours.size()));
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -54,7 +54,8 @@
     mMembership.Rejoin(mMembership.Self().mIncarnation + kIncarnationStep);
     mMembership.SetSelfStage(stage);
   }
-  mMembership.SetConfigurationVersion(mDigest.mConfiguration);
+  // The operator counts these versions, whatever the store forgets.
+  mMembership.SetConfiguration({ 0, mDigest.mConfiguration });
   mMembership.Tick(aNow, aOutbox);
   if (aNow >= mNextAsk) {
     AskForMembers(aNow, aOutbox);
--- a/src/tarragonsill/state/tarragonsill_configuration.hpp
+++ b/src/tarragonsill/state/tarragonsill_configuration.hpp
@@ -2,6 +2,7 @@
 #define TARRAGONSILL_CONFIGURATION_HPP_INCLUDED
 
 #include "tarragonsill/state/tarragonsill_address.hpp"
+#include "tarragonsill/state/tarragonsill_store_position.hpp"
 #include "tarragonsill/state/tarragonsill_time.hpp"
 
 #include <cstdint>
@@ -75,10 +76,15 @@
 struct Configuration
 {
   std::string mDeployment;
-  std::uint64_t mVersion = 0; ///< Assigned by the platform; only rises.
+  std::uint64_t mVersion = 0; ///< Assigned by the platform.
+  /// Of the platform when this version was written. A platform that comes back
+  /// from an older copy gives versions out again, with a higher era.
+  std::uint64_t mEra = 0;
   std::vector<Zone> mZones;
   std::vector<Service> mServices;
 
+  /// What is in force only rises in this order.
+  StorePosition Position() const { return { mEra, mVersion }; }
   Zone const* FindZone(std::string const& aName) const;
   Service const* FindService(std::string const& aName) const;
   /// Finds an upstream of any service; null if there is none of that name.
--- a/src/tarragonsill/transport/tarragonsill_call_server.cpp
+++ b/src/tarragonsill/transport/tarragonsill_call_server.cpp
@@ -78,8 +78,11 @@
                                   wire::ConfigurationReply* aReply) override
   {
     auto const text = mState->mConfigurationText.Value();
-    if (text.mVersion > aRequest->newer_than()) {
-      aReply->set_version(text.mVersion);
+    StorePosition const held{ aRequest->newer_than_era(),
+                              aRequest->newer_than() };
+    if (text.mPosition > held) {
+      aReply->set_version(text.mPosition.mRevision);
+      aReply->set_era(text.mPosition.mEra);
       aReply->set_text(text.mText);
     }
     return grpc::Status::OK;
--- a/src/tarragonsill/transport/tarragonsill_configuration_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_configuration_actor.cpp
@@ -48,13 +48,13 @@
        caf::actor const& aControl,
        EntryState& aState,
        std::string const& aText,
-       std::uint64_t aVersion,
+       StorePosition aPosition,
        std::string const& aSource)
 {
-  auto configuration = ParseConfigurationText(aText, aVersion);
+  auto configuration = ParseConfigurationText(aText, aPosition);
   if (!configuration) {
     aState.mCounters.Add(Counter::ConfigurationsRefused);
-    LogError("config: version " + std::to_string(aVersion) +
+    LogError("config: version " + ToText(aPosition) +
              " is refused: " + configuration.LastReason().mText);
     return;
   }
@@ -71,14 +71,15 @@
 }
 
 Result<std::shared_ptr<Configuration const>>
-ParseConfigurationText(std::string const& aText, std::uint64_t aVersion)
+ParseConfigurationText(std::string const& aText, StorePosition aPosition)
 {
   YamlFaults faults("configuration");
   auto configuration = ReadConfiguration(aText, faults);
   if (!configuration) {
     return Reason{ ReasonCode::Invalid, faults.All().front().ToText() };
   }
-  configuration->mVersion = aVersion;
+  configuration->mVersion = aPosition.mRevision;
+  configuration->mEra = aPosition.mEra;
   return std::shared_ptr<Configuration const>(
     std::make_shared<Configuration>(std::move(*configuration)));
 }
@@ -94,23 +95,21 @@
       if (!aChannels->Connect(aPeer.mCalls, kPeerTimeout)) {
         return;
       }
-      auto const held = aState->mConfigurationText.Value().mVersion;
+      auto const held = aState->mConfigurationText.Value().mPosition;
       auto const stub = wire::Entry::NewStub(aChannels->To(aPeer.mCalls));
       grpc::ClientContext context;
       context.set_deadline(std::chrono::system_clock::now() + kPeerTimeout);
       wire::ConfigurationRequest request;
-      request.set_newer_than(held);
+      request.set_newer_than(held.mRevision);
+      request.set_newer_than_era(held.mEra);
       wire::ConfigurationReply reply;
       auto const status = stub->FetchConfiguration(&context, request, &reply);
-      if (!status.ok() || reply.version() <= held) {
+      StorePosition const offered{ reply.era(), reply.version() };
+      if (!status.ok() || offered <= held) {
         return;
       }
-      Accept(aSelf,
-             control,
-             *aState,
-             reply.text(),
-             reply.version(),
-             "peer:" + aPeer.mName);
+      Accept(
+        aSelf, control, *aState, reply.text(), offered, "peer:" + aPeer.mName);
     },
   };
 }
@@ -133,12 +132,12 @@
       }
       auto const object = aArguments.mClient->Watch(
         ConfigurationObject(state.mSettings.mDeployment),
-        state.mConfigurationText.Value().mVersion,
+        state.mConfigurationText.Value().mPosition,
         kWatchWait);
       if (object) {
         failures->Succeeded();
         Accept(
-          aSelf, aControl, state, object->mText, object->mVersion, "platform");
+          aSelf, aControl, state, object->mText, object->mPosition, "platform");
         aSelf->delayed_send(aSelf, kIdlePeriod, TickAtom::value);
         return;
       }
--- a/src/tarragonsill/transport/tarragonsill_configuration_actor.hpp
+++ b/src/tarragonsill/transport/tarragonsill_configuration_actor.hpp
@@ -15,7 +15,7 @@
 /// Parses a configuration; `aVersion` is the object's version.
 Result<std::shared_ptr<Configuration const>> ParseConfigurationText(
   std::string const& aText,
-  std::uint64_t aVersion);
+  StorePosition aPosition);
 
 struct PlatformActorArguments
 {
--- a/src/tarragonsill/transport/tarragonsill_control_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_control_actor.cpp
@@ -89,14 +89,13 @@
 
   void Receive(ConfigurationReceived const& aReceived)
   {
-    auto const version = aReceived.mConfiguration->mVersion;
-    auto const current = mPlane.Current() ? mPlane.Current()->mVersion : 0;
-    if (version <= current) {
+    auto const position = aReceived.mConfiguration->Position();
+    if (position <= mPlane.CurrentPosition()) {
       return;
     }
     mPlane.SetConfiguration(aReceived.mConfiguration);
-    mArguments.mState->mConfigurationText.Set({ version, aReceived.mText });
-    LogInfo("config: version " + std::to_string(version) +
+    mArguments.mState->mConfigurationText.Set({ position, aReceived.mText });
+    LogInfo("config: version " + ToText(position) +
             " is in force source=" + aReceived.mSource);
   }
 
--- a/src/tarragonsill/transport/tarragonsill_entry_state.hpp
+++ b/src/tarragonsill/transport/tarragonsill_entry_state.hpp
@@ -50,7 +50,7 @@
 /// The text of the configuration in force, as peers may fetch it.
 struct ConfigurationText
 {
-  std::uint64_t mVersion = 0;
+  StorePosition mPosition;
   std::string mText;
 };
 
--- a/src/tarragonsill/transport/tarragonsill_platform_client.cpp
+++ b/src/tarragonsill/transport/tarragonsill_platform_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <thread>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -36,7 +37,9 @@
                    "the platform's answer is not an object with a version" };
   }
   PlatformObject object;
-  object.mVersion = json["version"].get<std::uint64_t>();
+  auto const era = json.value("era", nlohmann::json());
+  object.mPosition = { era.is_number_unsigned() ? era.get<std::uint64_t>() : 0,
+                       json["version"].get<std::uint64_t>() };
   object.mText = json["text"].get<std::string>();
   for (auto const& change : json.value("changes", nlohmann::json::array())) {
     object.mChanges.push_back(change.is_string() ? change.get<std::string>()
@@ -53,6 +56,21 @@
                    aChangeId) != aObject.mChanges.end();
 }
 
+Result<WriteOutcome>
+OutcomeOf(PlatformObject aCurrent,
+          StorePosition aExpected,
+          std::string const& aChangeId)
+{
+  bool const won = Contains(aCurrent, aChangeId);
+  if (!won && aCurrent.mPosition < aExpected) {
+    return Reason{ ReasonCode::Conflict,
+                   "the platform came back from an older copy, at version " +
+                     ToText(aCurrent.mPosition) +
+                     "; the change is lost and has to be made again" };
+  }
+  return WriteOutcome{ won, std::move(aCurrent) };
+}
+
 Reason
 ReasonOf(int aStatus)
 {
@@ -149,11 +167,10 @@
 
 Result<PlatformObject>
 PlatformClient::Watch(std::string const& aName,
-                      std::uint64_t aNewerThan,
+                      StorePosition aNewerThan,
                       milliseconds aWait)
 {
-  auto const path = ObjectPath(aName) +
-                    "?newer_than=" + std::to_string(aNewerThan) +
+  auto const path = ObjectPath(aName) + "?newer_than=" + ToText(aNewerThan) +
                     "&wait_ms=" + std::to_string(aWait.count());
   auto const answer = Get(path, aWait + mOptions.mTimeout);
   if (!answer) {
@@ -184,21 +201,20 @@
     changes.erase(changes.begin());
   }
   nlohmann::json const body = { { "changes", changes }, { "text", aText } };
-  auto const result =
-    ConnectionTo(mOptions.mAddress)
-      .Put(ObjectPath(aName),
-           { { "If-Match", std::to_string(aExpected.mVersion) } },
-           body.dump(),
-           mOptions.mTimeout);
+  auto const result = ConnectionTo(mOptions.mAddress)
+                        .Put(ObjectPath(aName),
+                             { { "If-Match", ToText(aExpected.mPosition) } },
+                             body.dump(),
+                             mOptions.mTimeout);
   if (!result) {
     mCounters.Add(Counter::PlatformFailures);
     if (result.LastReason().mCode == ReasonCode::Unavailable) {
       return result.LastReason(); // The write never left.
     }
-    return SettleLostAnswer(aName, aExpected.mVersion, aChangeId);
+    return SettleLostAnswer(aName, aExpected.mPosition, aChangeId);
   }
   if (result->mStatus >= 500) {
-    return SettleLostAnswer(aName, aExpected.mVersion, aChangeId);
+    return SettleLostAnswer(aName, aExpected.mPosition, aChangeId);
   }
   if (result->mStatus != kStatusOk &&
       result->mStatus != kStatusPreconditionFailed) {
@@ -208,13 +224,12 @@
   if (!current) {
     return current.LastReason();
   }
-  bool const won = Contains(*current, aChangeId);
-  return WriteOutcome{ won, current.Take() };
+  return OutcomeOf(current.Take(), aExpected.mPosition, aChangeId);
 }
 
 Result<WriteOutcome>
 PlatformClient::SettleLostAnswer(std::string const& aName,
-                                 std::uint64_t aExpected,
+                                 StorePosition aExpected,
                                  std::string const& aChangeId)
 {
   for (unsigned attempt = 0; attempt < kSettleAttempts; ++attempt) {
@@ -223,11 +238,10 @@
     if (!current) {
       continue;
     }
-    if (current->mVersion == aExpected) {
+    if (current->mPosition == aExpected) {
       continue; // The write may still be under way.
     }
-    bool const won = Contains(*current, aChangeId);
-    return WriteOutcome{ won, current.Take() };
+    return OutcomeOf(current.Take(), aExpected, aChangeId);
   }
   return Reason{ ReasonCode::Timeout,
                  "the answer to the write was lost and it has not shown up; "
--- a/src/tarragonsill/transport/tarragonsill_platform_client.hpp
+++ b/src/tarragonsill/transport/tarragonsill_platform_client.hpp
@@ -4,6 +4,7 @@
 #include "tarragonsill/coordination/tarragonsill_membership.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
 #include "tarragonsill/state/tarragonsill_reason.hpp"
+#include "tarragonsill/state/tarragonsill_store_position.hpp"
 #include "tarragonsill/state/tarragonsill_token_bucket.hpp"
 #include "tarragonsill/transport/tarragonsill_http_connection.hpp"
 
@@ -22,7 +23,10 @@
 /// A stored object.
 struct PlatformObject
 {
-  std::uint64_t mVersion = 0;
+  /// The era of the platform in which this version was written, and the
+  /// version. A platform that comes back from an older copy of itself gives
+  /// versions out again, with a higher era.
+  StorePosition mPosition;
   /// The writes that led to this version, the latest one last; bounded.
   std::vector<std::string> mChanges;
   std::string mText;
@@ -55,14 +59,16 @@
   /// Reads an object. Reasons: `NotFound`, `Unavailable`, `Timeout`,
   /// `LimitReached` (the own budget), `Malformed`.
   Result<PlatformObject> Read(std::string const& aName);
-  /// Waits for a version above `aNewerThan`; `Timeout` if there is none in
+  /// Waits for a position above `aNewerThan`; `Timeout` if there is none in
   /// time.
   Result<PlatformObject> Watch(std::string const& aName,
-                               std::uint64_t aNewerThan,
+                               StorePosition aNewerThan,
                                milliseconds aWait);
-  /// Writes on condition that the object is still at the version of
-  /// `aExpected` (0: absent). A lost answer is settled by reading back the
-  /// change id, never by writing again.
+  /// Writes on condition that the object is still at the position of
+  /// `aExpected` (unset: absent). A lost answer is settled by reading back the
+  /// change id, never by writing again. The reason is `Conflict` if the
+  /// platform came back from an older copy meanwhile: the change is lost, and
+  /// has to be made anew on what the copy holds.
   Result<WriteOutcome> Write(std::string const& aName,
                              PlatformObject const& aExpected,
                              std::string const& aChangeId,
@@ -78,7 +84,7 @@
   Result<HttpAnswer> Get(std::string const& aPath, milliseconds aTimeout);
   bool TakeBudget();
   Result<WriteOutcome> SettleLostAnswer(std::string const& aName,
-                                        std::uint64_t aExpected,
+                                        StorePosition aExpected,
                                         std::string const& aChangeId);
 
   Options mOptions;
--- a/tests/transport/test_platform_client.cpp
+++ b/tests/transport/test_platform_client.cpp
@@ -4,6 +4,7 @@
 #include "tarragonsill_lab_platform.hpp"
 
 #include <memory>
+#include <thread>
 
 using namespace tarragonsill;
 
@@ -48,7 +49,7 @@
   auto const outcome = mClient->Write("object", {}, "change-1", "text");
   CHECK(outcome.HasValue());
   CHECK(outcome->mWon);
-  LONGS_EQUAL(1, Stored().mVersion);
+  LONGS_EQUAL(1, Stored().mPosition.mRevision);
   STRCMP_EQUAL("text", Stored().mText.c_str());
 }
 
@@ -59,7 +60,7 @@
   CHECK(first->mWon);
   CHECK(second.HasValue());
   CHECK_FALSE(second->mWon);
-  LONGS_EQUAL(1, second->mCurrent.mVersion);
+  LONGS_EQUAL(1, second->mCurrent.mPosition.mRevision);
   STRCMP_EQUAL("ours", second->mCurrent.mText.c_str());
 }
 
@@ -69,7 +70,7 @@
   auto const outcome = mClient->Write("object", {}, "change-1", "text");
   CHECK(outcome.HasValue());
   CHECK(outcome->mWon);
-  LONGS_EQUAL(1, Stored().mVersion);
+  LONGS_EQUAL(1, Stored().mPosition.mRevision);
 }
 
 TEST(PlatformClient, a_change_that_another_one_followed_still_counts_as_won)
@@ -98,9 +99,9 @@
 TEST(PlatformClient, a_watch_gives_newer_versions_only)
 {
   CHECK(mClient->Write("object", {}, "change-1", "text")->mWon);
-  auto const newer = mClient->Watch("object", 0, kNoWait);
+  auto const newer = mClient->Watch("object", {}, kNoWait);
   CHECK(newer.HasValue());
-  auto const none = mClient->Watch("object", 1, kNoWait);
+  auto const none = mClient->Watch("object", { 0, 1 }, kNoWait);
   CHECK(none.LastReason().mCode == ReasonCode::Timeout);
 }
 
@@ -136,3 +137,53 @@
     }
   }
 }
+
+TEST(PlatformClient, a_condition_of_an_older_era_is_never_met)
+{
+  CHECK(mClient->Write("object", {}, "change-1", "first")->mWon);
+  CHECK(mClient->Write("object", Stored(), "change-2", "second")->mWon);
+  auto const read = Stored();
+  mPlatform->ComeBackOlder(seconds{ 30 });
+  // Two writes give the version that was read out again.
+  CHECK(mClient->Write("object", Stored(), "change-3", "third")->mWon);
+  CHECK(mClient->Write("object", Stored(), "change-4", "fourth")->mWon);
+  LONGS_EQUAL(read.mPosition.mRevision, Stored().mPosition.mRevision);
+  auto const outcome = mClient->Write("object", read, "change-5", "fifth");
+  CHECK(outcome.HasValue());
+  CHECK_FALSE(outcome->mWon);
+  STRCMP_EQUAL("fourth", Stored().mText.c_str());
+}
+
+TEST(PlatformClient, a_change_that_the_platform_lost_is_told_as_lost)
+{
+  CHECK(mClient->Write("object", {}, "change-1", "first")->mWon);
+  std::this_thread::sleep_for(milliseconds{ 20 });
+  auto const kept = Clock::now();
+  std::this_thread::sleep_for(milliseconds{ 20 });
+  CHECK(mClient->Write("object", Stored(), "change-2", "second")->mWon);
+  auto const read = Stored();
+  mPlatform->ComeBackOlder(
+    std::chrono::duration_cast<milliseconds>(Clock::now() - kept));
+  STRCMP_EQUAL("first", Stored().mText.c_str());
+  auto const outcome = mClient->Write("object", read, "change-3", "third");
+  CHECK_FALSE(outcome.HasValue());
+  CHECK(outcome.LastReason().mCode == ReasonCode::Conflict);
+  CHECK(outcome.LastReason().mText.find("has to be made again") !=
+        std::string::npos);
+}
+
+TEST(PlatformClient, an_older_copy_is_no_news_but_what_is_written_there_is)
+{
+  CHECK(mClient->Write("object", {}, "change-1", "first")->mWon);
+  CHECK(mClient->Write("object", Stored(), "change-2", "second")->mWon);
+  auto const held = Stored().mPosition;
+  mPlatform->ComeBackOlder(seconds{ 30 });
+  auto const none = mClient->Watch("object", held, kNoWait);
+  CHECK_FALSE(none.HasValue());
+  CHECK(mClient->Write("object", {}, "change-3", "third")->mWon);
+  // Its version is lower than the one that is held.
+  auto const news = mClient->Watch("object", held, kNoWait);
+  CHECK(news.HasValue());
+  LONGS_EQUAL(1, news->mPosition.mRevision);
+  CHECK(news->mPosition > held);
+}
--- a/tests/transport/test_store_watch.cpp
+++ b/tests/transport/test_store_watch.cpp
@@ -71,7 +71,7 @@
   Evacuate(kTwoPages);
   auto const floor = mStore->Position();
   mStore->KeepOldReplica();
-  Evacuate(1);
+  mStore->Put("evacuations", "zone-later", {});
   mWatch->SetFloor(floor);
   CHECK_FALSE(mWatch->Step().mNews.has_value());
   // The second page would come from before the revision to watch from.
@@ -80,7 +80,7 @@
   CHECK_FALSE(mWatch->Step().mNews.has_value());
   auto const step = mWatch->Step();
   CHECK(step.mNews.has_value());
-  LONGS_EQUAL(kTwoPages, step.mNews->mChanges.size());
+  LONGS_EQUAL(kTwoPages + 1, step.mNews->mChanges.size());
   CHECK(mStore->Position() == step.mNews->mUpTo);
 }
 
