--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -150,6 +150,9 @@
       { "false-reset", Lab::SoakMutant::FalseReset },
       { "no-restart", Lab::SoakMutant::NoRestart },
       { "no-era", Lab::SoakMutant::NoEra } }));
+  soak->add_option("--node-without",
+                   soakOptions.mNodeWithout,
+                   "Mechanisms that the VMs switch off, by comma");
   std::vector<std::string> only;
   std::vector<std::string> without;
   auto const names = CLI::IsMember(Lab::SoakFaultNames());
--- a/lab/platform/tarragonsill_lab_node_process.cpp
+++ b/lab/platform/tarragonsill_lab_node_process.cpp
@@ -87,8 +87,11 @@
 {
   WriteSettings();
   auto const settings = mDirectory + "/" + mPlace.mName + ".toml";
-  mPid =
-    Spawn(mProgram, { "node", "--settings", settings }, { LogFile(), true });
+  std::vector<std::string> arguments = { "node", "--settings", settings };
+  if (!mPlace.mWithout.empty()) {
+    arguments.insert(arguments.end(), { "--without", mPlace.mWithout });
+  }
+  mPid = Spawn(mProgram, arguments, { LogFile(), true });
   if (mPid == 0) {
     return Reason{ ReasonCode::SystemFailure, "cannot start " + mProgram };
   }
--- a/lab/platform/tarragonsill_lab_node_process.hpp
+++ b/lab/platform/tarragonsill_lab_node_process.hpp
@@ -24,6 +24,8 @@
   Endpoint mStore;
   std::vector<Endpoint> mSeeds;
   bool mIsFirstStart = false;
+  /// Mechanisms that are switched off, by comma; empty for none.
+  std::string mWithout;
 
   static constexpr std::uint16_t kPacketPort = 18172;
   static constexpr std::uint16_t kReadinessPort = 18167;
--- a/lab/platform/tarragonsill_lab_soak_world.cpp
+++ b/lab/platform/tarragonsill_lab_soak_world.cpp
@@ -108,6 +108,7 @@
   place.mName = "vm-" + std::to_string(aVm);
   place.mZone = mZones[aVm % mZones.size()];
   place.mZones = mZones;
+  place.mWithout = mOptions.mNodeWithout;
   place.mAddress = { mOptions.mNetwork.Vms() + static_cast<std::uint32_t>(aVm) +
                      1 };
   place.mStore = isStale ? StoreAt(2) : Endpoint{ place.mAddress, kStorePort };
--- a/lab/platform/tarragonsill_lab_soak_world.hpp
+++ b/lab/platform/tarragonsill_lab_soak_world.hpp
@@ -54,6 +54,8 @@
   std::string mDirectory; ///< Settings, logs and the list of events.
   SoakMutant mMutant = SoakMutant::None;
   SoakChoice mChoice;
+  /// Mechanisms that the VMs switch off, by comma.
+  std::string mNodeWithout;
 };
 
 /// Asks VMs for readiness as the operators' routers do.
--- a/src/tarragonsill/cli/tarragonsill_cli.hpp
+++ b/src/tarragonsill/cli/tarragonsill_cli.hpp
@@ -34,7 +34,9 @@
 /// Runs an entry VM on the operators' platform until SIGTERM or SIGINT. An
 /// empty name means the file that the platform names in the environment.
 /// With a metrics port, metrics are served there instead of the settings' port.
-int RunNode(std::string const& aSettingsFile, std::uint16_t aMetricsPort);
+int RunNode(std::string const& aSettingsFile,
+            std::uint16_t aMetricsPort,
+            std::vector<std::string> const& aWithout);
 /// Checks a configuration or settings file.
 int CheckFile(std::string const& aFile, bool aJson);
 /// Puts a configuration into force.
--- a/src/tarragonsill/cli/tarragonsill_cli_node.cpp
+++ b/src/tarragonsill/cli/tarragonsill_cli_node.cpp
@@ -102,8 +102,15 @@
 } // namespace
 
 int
-RunNode(std::string const& aSettingsFile, std::uint16_t aMetricsPort)
+RunNode(std::string const& aSettingsFile,
+        std::uint16_t aMetricsPort,
+        std::vector<std::string> const& aWithout)
 {
+  auto const mechanisms = Mechanisms::Without(aWithout);
+  if (!mechanisms) {
+    std::cerr << "--without: " << mechanisms.LastReason().mText << '\n';
+    return ExitStatus::kRefused;
+  }
   // A reload that comes while the process starts must not end it.
   auto const signals = BlockSignals();
   auto file = aSettingsFile;
@@ -119,6 +126,7 @@
              ? ExitStatus::kRefused
              : ExitStatus::kTrouble;
   }
+  settings->mMechanisms = *mechanisms;
   ConfigureStructuredLog();
   auto daemon = NodeDaemon::Start(settings.Take());
   if (!daemon) {
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -29,12 +29,21 @@
 
 } // namespace
 
-CookieSteering::CookieSteering(std::uint64_t aSeed)
-  : mView(std::make_shared<RoutingView>())
-  , mChoice(aSeed)
+CookieSteering::CookieSteering(std::uint64_t aSeed, Mechanisms aMechanisms)
+  : mMechanisms(aMechanisms)
+  , mView(std::make_shared<RoutingView>())
+  , mChoice(aSeed, aMechanisms)
 {
 }
 
+UpstreamLoad
+CookieSteering::NewLoad() const
+{
+  UpstreamLoad load;
+  load.mWatch = UpstreamWatch(mMechanisms.Uses(Mechanism::EvidenceAges));
+  return load;
+}
+
 void
 CookieSteering::Use(RoutingViewPointer aView)
 {
@@ -44,12 +53,12 @@
     auto const& was = before[slot].mRecord;
     auto const& is = aView->mUpstreams[slot].mRecord;
     if (was.mName != is.mName || was.mStartMark != is.mStartMark) {
-      mLoads[slot].mWatch = {};
+      mLoads[slot].mWatch = NewLoad().mWatch;
       mLoads[slot].mPace = {};
     }
   }
   mView = std::move(aView);
-  mLoads.resize(mView->mUpstreams.size());
+  mLoads.resize(mView->mUpstreams.size(), NewLoad());
 }
 
 std::vector<UnaskedReset>
@@ -99,7 +108,8 @@
   }
   // Its caller has sent copies since, and may have opened the flow at another
   // upstream through another VM; a second answer would lead it astray.
-  if (aNow < mStoodStillUntil + kReadWaiting) {
+  if (mMechanisms.Uses(Mechanism::LateOpenings) &&
+      aNow < mStoodStillUntil + kReadWaiting) {
     return Refuse(SteeringAction::Drop, SteeringCause::LateOpening);
   }
   if (isKnown) {
@@ -125,8 +135,9 @@
   if (isCopy) {
     auto const slot = known->mSlot;
     auto const health = mLoads[slot].mWatch.Health(aNow);
-    if (UpstreamChoice::MayTake(mView->mUpstreams[slot]) &&
-        health == UpstreamHealth::Answering) {
+    bool const isFine = health == UpstreamHealth::Answering ||
+                        !mMechanisms.Uses(Mechanism::SecondChoice);
+    if (UpstreamChoice::MayTake(mView->mUpstreams[slot]) && isFine) {
       known->mSeen = aNow;
       return ForwardTo(slot, SteeringCause::OpeningCopy);
     }
@@ -202,7 +213,8 @@
 {
   auto const& watch = mLoads[aSlot].mWatch;
   return watch.IsProvenOutOfReach(aNow) ||
-         (watch.Health(aNow) == UpstreamHealth::Silent &&
+         (mMechanisms.Uses(Mechanism::SilentUpstreams) &&
+          watch.Health(aNow) == UpstreamHealth::Silent &&
           aNow < mLastAnswer + kOthersAnswered);
 }
 
@@ -245,7 +257,9 @@
 std::vector<std::uint32_t>
 CookieSteering::NextReachChecks(TimePoint aNow)
 {
-  return mReach.Begin(aNow, mLoads);
+  return mMechanisms.Uses(Mechanism::ReachChecks)
+           ? mReach.Begin(aNow, mLoads)
+           : std::vector<std::uint32_t>{};
 }
 
 std::vector<std::uint32_t>
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -115,7 +115,7 @@
 class CookieSteering
 {
 public:
-  explicit CookieSteering(std::uint64_t aSeed);
+  explicit CookieSteering(std::uint64_t aSeed, Mechanisms aMechanisms = {});
 
   /// Uses another view from now on.
   void Use(RoutingViewPointer aView);
@@ -177,6 +177,10 @@
             UpstreamPick const& aPick,
             UpstreamHealth aHealth);
 
+  /// What is known of an upstream of which nothing was seen.
+  UpstreamLoad NewLoad() const;
+
+  Mechanisms mMechanisms;
   RoutingViewPointer mView;
   std::vector<UpstreamLoad> mLoads; ///< By slot.
   /// By service and route, as the kinds of requests differ in their work.
--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -331,6 +331,9 @@
   if (aUpstream.mRecord.mDraining) {
     return UpstreamUse::Gone;
   }
+  if (!mSettings.mMechanisms.Uses(Mechanism::MissingPatience)) {
+    return UpstreamUse::Gone;
+  }
   // With the store away nothing new is known, and right after its return not
   // everything is back.
   auto const lapseEnd =
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -36,10 +36,12 @@
 NodePeers::NodePeers(Member aSelf,
                      std::vector<Endpoint> aSeeds,
                      std::uint64_t aSeed,
-                     Counters& aCounters)
+                     Counters& aCounters,
+                     Mechanisms aMechanisms)
   : mMembership(OptionsFor(aSeed), std::move(aSelf), aCounters)
   , mSeeds(std::move(aSeeds))
   , mSync(mMembership.Self().mName)
+  , mRelay(aMechanisms)
 {
 }
 
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -20,7 +20,8 @@
   NodePeers(Member aSelf,
             std::vector<Endpoint> aSeeds,
             std::uint64_t aSeed,
-            Counters& aCounters);
+            Counters& aCounters,
+            Mechanisms aMechanisms = {});
 
   /// How old knowledge may get and how long watches wait.
   void SetWatchTimes(WatchTimes const& aTimes) { mRelay.SetTimes(aTimes); }
--- a/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_choice.cpp
@@ -100,7 +100,7 @@
 UpstreamChoice::MayTakeCold(TimePoint aNow,
                             RoutingView const& aView,
                             UpstreamEntry const& aUpstream,
-                            UpstreamLoad& aLoad)
+                            UpstreamLoad& aLoad) const
 {
   if (aView.mDeciders.empty()) {
     return false;
@@ -113,8 +113,8 @@
   while (!starts.empty() && aNow >= starts.front() + seconds{ 1 }) {
     starts.pop_front();
   }
-  return static_cast<double>(starts.size() + 1) <=
-         aUpstream.mColdLimit * kColdShare;
+  auto const share = mMechanisms.Uses(Mechanism::ColdShare) ? kColdShare : 1.0;
+  return static_cast<double>(starts.size() + 1) <= aUpstream.mColdLimit * share;
 }
 
 double
@@ -122,38 +122,50 @@
                      RoutingView const& aView,
                      UpstreamEntry const& aUpstream,
                      UpstreamLoad const& aLoad,
-                     bool aIsZoneSaturated)
+                     bool aIsZoneSaturated) const
 {
   auto const slots = static_cast<double>(aUpstream.mRecord.mSlots);
   // The flow to come counts, too, or a slow upstream without any looked free.
   auto const work = aLoad.mFlows + 1 + kInProgressWeight * aLoad.mInProgress;
-  double cost = work * aLoad.mPace.Slowness(aNow) / slots;
+  auto const slowness =
+    mMechanisms.Uses(Mechanism::AnswerPace) ? aLoad.mPace.Slowness(aNow) : 1.0;
+  double cost = work * slowness / slots;
   // Where this VM alone has filled every slot the next request waits, while
   // another zone is a millisecond away.
   bool const isFull =
+    mMechanisms.Uses(Mechanism::SlotSpill) &&
     aLoad.mInProgress + aLoad.mOpening >= aUpstream.mRecord.mSlots;
-  bool const isElsewhere = aUpstream.mZone != aView.mOwnZone;
-  if ((isElsewhere || isFull) && !aIsZoneSaturated) {
+  bool const isElsewhere =
+    mMechanisms.Uses(Mechanism::ZoneFirst) && aUpstream.mZone != aView.mOwnZone;
+  bool const spills =
+    aIsZoneSaturated && mMechanisms.Uses(Mechanism::ZoneSpill);
+  if ((isElsewhere || isFull) && !spills) {
     cost += kOtherZoneCost;
   }
   if (aUpstream.mUse == UpstreamUse::Missing) {
     cost += kMissingCost;
   }
-  if (aLoad.mWatch.IsProbeDue(aNow)) {
-    return cost;
+  return cost + HealthCost(aNow, aLoad.mWatch);
+}
+
+double
+UpstreamChoice::HealthCost(TimePoint aNow, UpstreamWatch const& aWatch) const
+{
+  bool const isTried =
+    mMechanisms.Uses(Mechanism::Probation) && aWatch.IsProbeDue(aNow);
+  if (isTried || !mMechanisms.Uses(Mechanism::DoubtfulLast)) {
+    return 0.0;
   }
-  switch (aLoad.mWatch.Health(aNow)) {
+  switch (aWatch.Health(aNow)) {
     case UpstreamHealth::Answering:
-      break;
+      return 0.0;
     case UpstreamHealth::Doubtful:
-      cost += kDoubtfulCost;
-      break;
+      return kDoubtfulCost;
     case UpstreamHealth::Silent:
     case UpstreamHealth::Unreachable:
-      cost += kSilentCost;
-      break;
+      return kSilentCost;
   }
-  return cost;
+  return 0.0;
 }
 
 std::optional<UpstreamPick>
--- a/src/tarragonsill/coordination/tarragonsill_upstream_choice.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_choice.hpp
@@ -3,6 +3,7 @@
 
 #include "tarragonsill/coordination/tarragonsill_answer_pace.hpp"
 #include "tarragonsill/coordination/tarragonsill_upstream_watch.hpp"
+#include "tarragonsill/state/tarragonsill_mechanisms.hpp"
 #include "tarragonsill/state/tarragonsill_routing_view.hpp"
 
 #include <cstdint>
@@ -61,8 +62,9 @@
 class UpstreamChoice
 {
 public:
-  explicit UpstreamChoice(std::uint64_t aSeed)
+  explicit UpstreamChoice(std::uint64_t aSeed, Mechanisms aMechanisms = {})
     : mRandom(aSeed)
+    , mMechanisms(aMechanisms)
   {
   }
 
@@ -88,17 +90,20 @@
 
 private:
   /// Whether a cold upstream may be given one more flow by this VM.
-  static bool MayTakeCold(TimePoint aNow,
-                          RoutingView const& aView,
-                          UpstreamEntry const& aUpstream,
-                          UpstreamLoad& aLoad);
-  static double Cost(TimePoint aNow,
-                     RoutingView const& aView,
-                     UpstreamEntry const& aUpstream,
-                     UpstreamLoad const& aLoad,
-                     bool aIsZoneSaturated);
+  bool MayTakeCold(TimePoint aNow,
+                   RoutingView const& aView,
+                   UpstreamEntry const& aUpstream,
+                   UpstreamLoad& aLoad) const;
+  double Cost(TimePoint aNow,
+              RoutingView const& aView,
+              UpstreamEntry const& aUpstream,
+              UpstreamLoad const& aLoad,
+              bool aIsZoneSaturated) const;
+  /// What an upstream's health adds.
+  double HealthCost(TimePoint aNow, UpstreamWatch const& aWatch) const;
 
   std::mt19937_64 mRandom;
+  Mechanisms mMechanisms;
 };
 
 } // namespace tarragonsill
--- a/src/tarragonsill/coordination/tarragonsill_upstream_watch.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_watch.cpp
@@ -82,7 +82,8 @@
       mRepeatingFlows >= kSilentFlows && silence >= kSilentAfter;
     bool const alone =
       mCopies >= kSilentAloneCopies && silence >= kSilentAloneAfter;
-    bool const isRecent = aNow < mLastCopyAt + kRepeatsCountFor;
+    bool const isRecent =
+      !mEvidenceAges || aNow < mLastCopyAt + kRepeatsCountFor;
     bool const isSilent = isRecent && isLong && isChecked && (several || alone);
     return isSilent ? UpstreamHealth::Silent : UpstreamHealth::Doubtful;
   }
--- a/src/tarragonsill/coordination/tarragonsill_upstream_watch.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_watch.hpp
@@ -57,6 +57,14 @@
   /// answers, each such flow waits for a copy of its opening packet.
   static constexpr milliseconds kProbation{ 2000 };
 
+  UpstreamWatch() = default;
+  /// With evidence that does not age, what was found out holds until the
+  /// upstream answers.
+  explicit UpstreamWatch(bool aEvidenceAges)
+    : mEvidenceAges(aEvidenceAges)
+  {
+  }
+
   /// An opening packet was forwarded.
   void OpeningSent(TimePoint aNow);
   /// A caller repeated data that was forwarded first at `aFirstSent`.
@@ -83,7 +91,8 @@
   /// Whether a check failed lately enough to give up flows on it.
   bool IsProvenOutOfReach(TimePoint aNow) const
   {
-    return mIsOutOfReach && aNow < mOutOfReachAt + kFailedCheckCountsFor;
+    bool const isFresh = aNow < mOutOfReachAt + kFailedCheckCountsFor;
+    return mIsOutOfReach && (isFresh || !mEvidenceAges);
   }
   /// Whether a doubtful upstream is to be tried once more.
   bool IsProbeDue(TimePoint aNow) const;
@@ -106,6 +115,7 @@
   std::uint32_t mRepeatingFlows = 0;
   std::uint32_t mCopies = 0;
   bool mIsOutOfReach = false;
+  bool mEvidenceAges = true;
 };
 
 } // namespace tarragonsill
--- a/src/tarragonsill/coordination/tarragonsill_watch_relay.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_relay.cpp
@@ -129,6 +129,9 @@
                           bool aIsWatcher,
                           Situation const& aSituation) const
 {
+  if (!mMechanisms.Uses(Mechanism::PeersFirst)) {
+    return false;
+  }
   auto const since = aNow - mStarted;
   if (aSituation.mIsFirstStart) {
     return since < (aIsWatcher ? kFirstStartTime : kFirstHandOverTime);
@@ -152,6 +155,9 @@
     return WaitsForPeers(aNow, isFirst, aSituation) ? WatchDuty::Rely
                                                     : WatchDuty::Regular;
   }
+  if (!mMechanisms.Uses(Mechanism::DrawnWatchers)) {
+    return WatchDuty::Regular;
+  }
   auto const serving = ServingOf(aZone);
   auto const watchers = WatcherCount(serving.size());
   auto const before = DrawnBefore(serving, aSelf);
--- a/src/tarragonsill/coordination/tarragonsill_watch_relay.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_relay.hpp
@@ -1,6 +1,7 @@
 #ifndef TARRAGONSILL_WATCH_RELAY_HPP_INCLUDED
 #define TARRAGONSILL_WATCH_RELAY_HPP_INCLUDED
 
+#include "tarragonsill/state/tarragonsill_mechanisms.hpp"
 #include "tarragonsill/state/tarragonsill_member.hpp"
 #include "tarragonsill/state/tarragonsill_time.hpp"
 
@@ -72,6 +73,12 @@
     bool mIsFirstStart = false; ///< Of the whole deployment.
   };
 
+  WatchRelay() = default;
+  explicit WatchRelay(Mechanisms aMechanisms)
+    : mMechanisms(aMechanisms)
+  {
+  }
+
   void SetTimes(WatchTimes const& aTimes) { mTimes = aTimes; }
   WatchTimes const& Times() const { return mTimes; }
   /// A peer reported the age of its watches.
@@ -106,6 +113,7 @@
   /// The newest report of any of these.
   PeerWatch Newest(std::vector<Member> const& aMembers) const;
 
+  Mechanisms mMechanisms;
   WatchTimes mTimes;
   TimePoint mStarted{};
   std::map<std::string, PeerWatch> mPeers;
--- a/src/tarragonsill/coordination/tarragonsill_watch_retry.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_retry.cpp
@@ -31,7 +31,7 @@
 {
   mScout = mScout.value_or(aKind);
   auto& kind = Of(aKind);
-  if (mScout != aKind) {
+  if (mHasScout && mScout != aKind) {
     kind.mRetryAt = aNow + kFollowerPause;
     return;
   }
--- a/src/tarragonsill/coordination/tarragonsill_watch_retry.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_retry.hpp
@@ -2,6 +2,7 @@
 #define TARRAGONSILL_WATCH_RETRY_HPP_INCLUDED
 
 #include "tarragonsill/protocol/tarragonsill_stored_object.hpp"
+#include "tarragonsill/state/tarragonsill_mechanisms.hpp"
 #include "tarragonsill/state/tarragonsill_time.hpp"
 
 #include <array>
@@ -34,8 +35,9 @@
   /// A watch that waits for the scout tries for itself after this time.
   static constexpr milliseconds kFollowerPause{ 4000 };
 
-  explicit WatchRetry(std::uint64_t aSeed)
+  explicit WatchRetry(std::uint64_t aSeed, Mechanisms aMechanisms = {})
     : mRandom(aSeed)
+    , mHasScout(aMechanisms.Uses(Mechanism::WatchScout))
   {
   }
 
@@ -61,6 +63,7 @@
   /// The first watch that failed, until it is answered.
   std::optional<ObjectKind> mScout;
   std::mt19937_64 mRandom;
+  bool mHasScout;
 };
 
 } // namespace tarragonsill
--- a/src/tarragonsill/main.cpp
+++ b/src/tarragonsill/main.cpp
@@ -19,6 +19,7 @@
   PlatformOptions mPlatform;
   bool mJson = false;
   std::uint16_t mMetricsPort = 0;
+  std::vector<std::string> mWithout; ///< Mechanisms that are switched off.
 };
 
 void
@@ -60,8 +61,16 @@
   node->add_option("--metrics-port",
                    aArguments.mMetricsPort,
                    "Port of the metrics page instead of the settings' one");
-  node->callback(
-    [&] { aStatus = RunNode(aArguments.mFile, aArguments.mMetricsPort); });
+  node
+    ->add_option(
+      "--without",
+      aArguments.mWithout,
+      "Mechanisms to switch off, to find out whether one is to blame")
+    ->delimiter(',');
+  node->callback([&] {
+    aStatus =
+      RunNode(aArguments.mFile, aArguments.mMetricsPort, aArguments.mWithout);
+  });
 
   auto* check = aApp.add_subcommand(
     "check", "Check a configuration or settings file; exits with 0, 1 or 2");
--- a/src/tarragonsill/state/tarragonsill_node_settings.hpp
+++ b/src/tarragonsill/state/tarragonsill_node_settings.hpp
@@ -2,6 +2,7 @@
 #define TARRAGONSILL_NODE_SETTINGS_HPP_INCLUDED
 
 #include "tarragonsill/state/tarragonsill_address.hpp"
+#include "tarragonsill/state/tarragonsill_mechanisms.hpp"
 #include "tarragonsill/state/tarragonsill_time.hpp"
 
 #include <cstdint>
@@ -42,6 +43,7 @@
   bool mIsFirstStart = false;
   milliseconds mHeartbeat{ 1000 }; ///< Interval of the upstreams' reports.
   NodeBounds mBounds;
+  Mechanisms mMechanisms;
 };
 
 } // namespace tarragonsill
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -25,6 +25,7 @@
   /// Binds the socket and starts the thread; the reason is `SystemFailure`.
   static Result<std::unique_ptr<CookieWorker>> Start(Endpoint aPackets,
                                                      std::uint64_t aSeed,
+                                                     Mechanisms aMechanisms,
                                                      Counters& aCounters,
                                                      NodeLog& aLog)
   {
@@ -32,8 +33,8 @@
     if (!socket) {
       return socket.LastReason();
     }
-    auto worker = std::unique_ptr<CookieWorker>(
-      new CookieWorker(socket.Take(), aPackets.mPort, aSeed, aCounters, aLog));
+    auto worker = std::unique_ptr<CookieWorker>(new CookieWorker(
+      socket.Take(), aPackets.mPort, { aSeed, aMechanisms }, aCounters, aLog));
     worker->mThread = std::thread([raw = worker.get()] { raw->Run(); });
     return worker;
   }
@@ -65,16 +66,24 @@
   /// Lines on ordinary choices in one sweep period.
   static constexpr std::size_t kMostOrdinaryNotes = 2;
 
+  /// What decides besides what is seen.
+  struct Choices
+  {
+    std::uint64_t mSeed = 0;
+    Mechanisms mMechanisms;
+  };
+
   CookieWorker(UdpSocket aSocket,
                std::uint16_t aCallerPort,
-               std::uint64_t aSeed,
+               Choices aChoices,
                Counters& aCounters,
                NodeLog& aLog)
     : mSocket(std::move(aSocket))
     , mCallerPort(aCallerPort)
     , mCounters(aCounters)
     , mLog(aLog)
-    , mSteering(aSeed)
+    , mKeepsEarly(aChoices.mMechanisms.Uses(Mechanism::EarlyPackets))
+    , mSteering(aChoices.mSeed, aChoices.mMechanisms)
   {
   }
 
@@ -225,7 +234,8 @@
   void Receive(TimePoint aNow, std::span<std::byte> aBytes)
   {
     mCounters.Add(Counter::PacketsReceived);
-    if (!mSteering.View().mIsComplete && mEarly.Keep(aNow, aBytes)) {
+    bool const isEarly = mKeepsEarly && !mSteering.View().mIsComplete;
+    if (isEarly && mEarly.Keep(aNow, aBytes)) {
       return;
     }
     Handle(aNow, aBytes);
@@ -281,6 +291,7 @@
   std::uint16_t mCallerPort;
   Counters& mCounters;
   NodeLog& mLog;
+  bool mKeepsEarly;
   CookieSteering mSteering;
   ReachProber mProber;
   EarlyPackets mEarly;
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -46,8 +46,9 @@
     , mPeers(SelfOf(mArguments.mState->mSettings, mArguments.mIncarnation),
              mArguments.mState->mSettings.mSeeds,
              mArguments.mIncarnation,
-             mArguments.mState->mCounters)
-    , mRetry(mArguments.mIncarnation)
+             mArguments.mState->mCounters,
+             mArguments.mState->mSettings.mMechanisms)
+    , mRetry(mArguments.mIncarnation, mArguments.mState->mSettings.mMechanisms)
   {
     mPeers.SetWatchTimes(TimesOf(mArguments.mState->mSettings));
     mPeers.SetFirstStart(mArguments.mState->mSettings.mIsFirstStart);
@@ -302,8 +303,10 @@
     if (!mDirectory.IsComplete()) {
       return;
     }
-    bool const canServe =
-      !mPeers.IsZoneCutOff(aNow) || mDirectory.OwnZoneServes(aNow);
+    auto const& mechanisms = mArguments.mState->mSettings.mMechanisms;
+    bool const canServe = !mechanisms.Uses(Mechanism::CutZoneUnready) ||
+                          !mPeers.IsZoneCutOff(aNow) ||
+                          mDirectory.OwnZoneServes(aNow);
     if (mArguments.mState->mCanServe.exchange(canServe) != canServe) {
       Log().Write(
         "entry",
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -225,8 +225,10 @@
   mActors.push_back(arguments.mFetch);
   mNode = mSystem.spawn(NodeActor, std::move(arguments));
   for (auto const kind : kObjectKinds) {
-    mWatches.push_back(std::make_shared<Watch>(
-      mState->mSettings.mStore, kind, mState->mCounters));
+    mWatches.push_back(std::make_shared<Watch>(mState->mSettings.mStore,
+                                               kind,
+                                               mState->mCounters,
+                                               mState->mSettings.mMechanisms));
     mActors.push_back(mSystem.spawn<caf::detached>(
       StoreWatchActor, mState, mNode, kind, mWatches.back()));
   }
@@ -279,6 +281,7 @@
     page.mBody =
       state->mCounters.ToExposition(name) +
       GaugeLine("tarragonsill_store_era", name, state->mStoreEra) +
+      state->mSettings.mMechanisms.ToExposition(name) +
       latencies.mHandshake.ToExposition("tarragonsill_handshake_seconds",
                                         name) +
       latencies.mAnswer.ToExposition("tarragonsill_answer_seconds", name);
@@ -318,8 +321,12 @@
                            { { "zone", settings.mZone },
                              { "packets", ToText(settings.mPackets) },
                              { "store", ToText(settings.mStore) } });
+  for (auto const& name : settings.mMechanisms.Off()) {
+    impl->mState->mLog.Write("entry", "mechanism_off", { { "name", name } });
+  }
   auto worker = Worker::Start(settings.mPackets,
                               HashText(settings.mName),
+                              settings.mMechanisms,
                               impl->mState->mCounters,
                               impl->mState->mLog);
   if (!worker) {
@@ -372,7 +379,9 @@
   auto const asked = Clock::now();
   auto const latest = asked + mImpl->mGrace - kTurnAwayTime - kStopTime;
   state.mLog.Write("entry", "asked_to_leave", {});
-  while (!state.mMayLeave && Clock::now() < latest) {
+  bool const staysReady =
+    state.mSettings.mMechanisms.Uses(Mechanism::StayReady);
+  while (staysReady && !state.mMayLeave && Clock::now() < latest) {
     std::this_thread::sleep_for(kLeavePoll);
   }
   auto const waited =
--- a/src/tarragonsill/transport/tarragonsill_store_watch.hpp
+++ b/src/tarragonsill/transport/tarragonsill_store_watch.hpp
@@ -31,9 +31,13 @@
 class StoreWatch
 {
 public:
-  StoreWatch(Endpoint aStore, ObjectKind aKind, Counters& aCounters)
+  StoreWatch(Endpoint aStore,
+             ObjectKind aKind,
+             Counters& aCounters,
+             Mechanisms aMechanisms = {})
     : mConnection({ aStore, kConnectTimeout, true })
     , mCounters(aCounters)
+    , mMechanisms(aMechanisms)
   {
     mQuery.mKind = aKind;
   }
@@ -63,7 +67,9 @@
   void SetFloor(StorePosition aPosition)
   {
     NoteEra(aPosition.mEra);
-    if (aPosition.mEra == mEra) {
+    bool const isOfUse =
+      aPosition.mEra == mEra && mMechanisms.Uses(Mechanism::ReplicaLists);
+    if (isOfUse) {
       mFloor = std::max(mFloor, aPosition);
     }
   }
@@ -160,7 +166,9 @@
     StoreNews news{
       mQuery.mKind, std::move(aPage.mChanges), false, aPage.mPosition, after
     };
-    auto const pause = news.mChanges.empty() ? milliseconds{ 0 } : kGather;
+    bool const gathers =
+      !news.mChanges.empty() && mMechanisms.Uses(Mechanism::GatheredChanges);
+    auto const pause = gathers ? kGather : milliseconds{ 0 };
     return { true, {}, std::move(news), pause };
   }
 
@@ -210,6 +218,7 @@
 
   HttpConnection mConnection;
   Counters& mCounters;
+  Mechanisms mMechanisms;
   ObjectQuery mQuery;
   std::vector<ObjectChange> mListed;
   StorePosition mListPosition;
--- /dev/null
+++ b/tests/state/test_mechanisms.cpp
@@ -0,0 +1,124 @@
+#include "tarragonsill_test.hpp"
+
+#include "support/routing_fixture.hpp"
+#include "tarragonsill/coordination/tarragonsill_watch_relay.hpp"
+#include "tarragonsill/state/tarragonsill_mechanisms.hpp"
+
+using namespace tarragonsill;
+using namespace tarragonsill::Test;
+
+namespace {
+
+constexpr TimePoint kStart{ seconds{ 100 } };
+
+Mechanisms
+All()
+{
+  return {};
+}
+
+Mechanisms
+Without(char const* aName)
+{
+  return Mechanisms::Without({ aName }).Take();
+}
+
+/// The zone of the upstream that a new flow gets, with one idle upstream in
+/// another zone and one in the own zone that carries some flows.
+std::uint32_t
+ZoneOfNewFlow(Mechanisms aMechanisms)
+{
+  SampleStore store;
+  store.Configure(kStart, SampleConfiguration());
+  store.Register(kStart, SampleUpstream("a1", "a"));
+  store.Register(kStart, SampleUpstream("b1", "b"));
+  auto const view = store.View(kStart);
+  std::vector<UpstreamLoad> loads(view->mUpstreams.size());
+  loads[SlotOf(*view, "a1")].mFlows = 3;
+  UpstreamChoice choice(1, aMechanisms);
+  auto const pick =
+    choice.Pick(kStart, *view, view->mServices.front(), { loads, false, {} });
+  return view->mUpstreams[pick->mSlot].mZone;
+}
+
+} // namespace
+
+TEST_GROUP(Mechanisms){};
+
+TEST(Mechanisms, all_are_in_use_unless_said_otherwise)
+{
+  for (int index = 0; index < static_cast<int>(Mechanism::Count); ++index) {
+    CHECK(All().Uses(static_cast<Mechanism>(index)));
+  }
+  CHECK(All().Off().empty());
+}
+
+TEST(Mechanisms, each_can_be_named_and_only_those)
+{
+  for (int index = 0; index < static_cast<int>(Mechanism::Count); ++index) {
+    auto const mechanism = static_cast<Mechanism>(index);
+    std::string const name(ToText(mechanism));
+    auto const without = Mechanisms::Without({ name });
+    CHECK(without.HasValue());
+    CHECK_FALSE(without->Uses(mechanism));
+    LONGS_EQUAL(1, without->Off().size());
+    STRCMP_EQUAL(name.c_str(), without->Off().front().c_str());
+  }
+  auto const unknown = Mechanisms::Without({ "zone_first", "zone" });
+  CHECK_FALSE(unknown.HasValue());
+  CHECK(unknown.LastReason().mText.find("'zone'") != std::string::npos);
+  CHECK(unknown.LastReason().mText.find("zone_spill") != std::string::npos);
+}
+
+TEST(Mechanisms, the_metrics_page_shows_which_are_off)
+{
+  auto const page = Without("answer_pace").ToExposition("vm-1");
+  CHECK(page.find("name=\"answer_pace\"} 0\n") != std::string::npos);
+  CHECK(page.find("name=\"zone_first\"} 1\n") != std::string::npos);
+}
+
+TEST(Mechanisms, without_zone_first_the_least_loaded_upstream_is_taken)
+{
+  LONGS_EQUAL(0, ZoneOfNewFlow(All()));
+  LONGS_EQUAL(1, ZoneOfNewFlow(Without("zone_first")));
+}
+
+TEST(Mechanisms, without_patience_a_removed_upstream_is_gone_at_once)
+{
+  for (bool const isPatient : { true, false }) {
+    auto settings = SampleSettings();
+    settings.mMechanisms = isPatient ? All() : Without("missing_patience");
+    SampleStore store(settings);
+    store.Configure(kStart, SampleConfiguration());
+    store.Register(kStart, SampleUpstream("a1", "a"));
+    store.Remove(kStart, "a1");
+    auto const view = store.View(kStart);
+    CHECK(view->mUpstreams.front().mUse ==
+          (isPatient ? UpstreamUse::Missing : UpstreamUse::Gone));
+  }
+}
+
+TEST(Mechanisms, without_drawn_watchers_every_vm_watches)
+{
+  std::vector<Member> zone;
+  for (int index = 0; index < 9; ++index) {
+    Member member;
+    member.mName = "vm-" + std::to_string(index);
+    member.mStage = MemberStage::Serving;
+    zone.push_back(member);
+  }
+  for (bool const isDrawn : { true, false }) {
+    int watching = 0;
+    for (auto const& member : zone) {
+      WatchRelay relay(isDrawn ? All() : Without("drawn_watchers"));
+      WatchRelay::Situation const knows{ true, true, false };
+      relay.Hear(kStart, zone[0].mName, milliseconds{ 0 });
+      for (auto const& other : zone) {
+        relay.Hear(kStart, other.mName, milliseconds{ 0 });
+      }
+      auto const duty = relay.Duty(kStart, zone, member.mName, knows);
+      watching += duty == WatchDuty::Rely ? 0 : 1;
+    }
+    LONGS_EQUAL(isDrawn ? 2 : 9, watching);
+  }
+}
