Give each test process its own loopback network

Ruled out: NodeDaemon's failed start, which destroys what it had begun in order.

Change: tests that open sockets take their addresses from a network that the process reserves, and take results by TakeOrFail, which fails the test with the reason. Result::Take requires a value where invariants are checked.

--- a/src/tarragonsill/state/tarragonsill_reason.hpp
+++ b/src/tarragonsill/state/tarragonsill_reason.hpp
@@ -1,6 +1,8 @@
 #ifndef TARRAGONSILL_REASON_HPP_INCLUDED
 #define TARRAGONSILL_REASON_HPP_INCLUDED
 
+#include "tarragonsill/state/tarragonsill_invariant.hpp"
+
 #include <optional>
 #include <string>
 #include <utility>
@@ -48,7 +50,11 @@
   bool HasValue() const { return mValue.has_value(); }
   T& Value() { return *mValue; }
   T const& Value() const { return *mValue; }
-  T&& Take() { return std::move(*mValue); }
+  T&& Take()
+  {
+    RequireInvariant(mValue.has_value(), "a result without a value was taken");
+    return std::move(*mValue);
+  }
   T* operator->() { return &*mValue; }
   T const* operator->() const { return &*mValue; }
   T& operator*() { return *mValue; }
--- a/tests/transport/test_node_runs.cpp
+++ b/tests/transport/test_node_runs.cpp
@@ -3,26 +3,47 @@
 #include "platform/tarragonsill_lab_flow_callers.hpp"
 #include "platform/tarragonsill_lab_object_store.hpp"
 #include "platform/tarragonsill_lab_platform_upstreams.hpp"
+#include "support/loopback_network.hpp"
 #include "tarragonsill/transport/tarragonsill_node_daemon.hpp"
 
 #include <memory>
 #include <thread>
 
 using namespace tarragonsill;
+using Test::LoopbackNetwork;
+using Test::TakeOrFail;
 
 namespace {
 
 constexpr std::uint16_t kPacketPort = 18172;
-constexpr Endpoint kStoreAddress{ { 0x7F170001 }, 18169 };
-constexpr Endpoint kCallerAddress{ { 0x7F150001 }, kPacketPort };
 constexpr Endpoint kRoute{ { 0xC6120001 }, 443 };
 constexpr Endpoint kOtherRoute{ { 0xC6120002 }, 443 };
 constexpr int kFlows = 60;
 
+Endpoint
+StoreAddress()
+{
+  return LoopbackNetwork::At(0x0301, 18169);
+}
+
+Endpoint
+CallerAddress()
+{
+  return LoopbackNetwork::At(0x0101, kPacketPort);
+}
+
 Endpoint
 VmAddress(std::size_t aIndex, std::uint16_t aPort)
 {
-  return { { 0x7F140001 + static_cast<std::uint32_t>(aIndex) }, aPort };
+  return LoopbackNetwork::At(0x0001 + static_cast<std::uint32_t>(aIndex),
+                             aPort);
+}
+
+Endpoint
+UpstreamAddress(std::size_t aIndex)
+{
+  return LoopbackNetwork::At(0x0201 + static_cast<std::uint32_t>(aIndex),
+                             18080);
 }
 
 std::string
@@ -43,10 +64,10 @@
 
   void setup() override
   {
-    mStore = Lab::ObjectStore::Start(kStoreAddress).Take();
+    mStore = TakeOrFail(Lab::ObjectStore::Start(StoreAddress()));
     PutConfiguration(1, true);
     mCallers = std::make_unique<Lab::FlowCallers>(
-      Lab::FlowCallers::Start(kCallerAddress).Take());
+      TakeOrFail(Lab::FlowCallers::Start(CallerAddress())));
     for (std::size_t index = 0; index < 4; ++index) {
       AddUpstream(index);
     }
@@ -96,12 +117,10 @@
 
   void PutRegistration(std::size_t aIndex, char const* aState)
   {
-    Endpoint const address{ { 0x7F160001 + static_cast<std::uint32_t>(aIndex) },
-                            18080 };
     mStore->Put("servers",
                 UpstreamName(aIndex),
                 { { "service", "svc" },
-                  { "address", ToText(address) },
+                  { "address", ToText(UpstreamAddress(aIndex)) },
                   { "zone", aIndex % 2 == 0 ? "a" : "b" },
                   { "slots", 4 },
                   { "state", aState },
@@ -112,11 +131,9 @@
 
   void AddUpstream(std::size_t aIndex)
   {
-    Endpoint const address{ { 0x7F160001 + static_cast<std::uint32_t>(aIndex) },
-                            18080 };
     auto const identity = 0xA0 + aIndex;
-    mUpstreams.push_back(
-      Lab::PlatformUpstream::Start(address, identity, kPacketPort).Take());
+    mUpstreams.push_back(TakeOrFail(Lab::PlatformUpstream::Start(
+      UpstreamAddress(aIndex), identity, kPacketPort)));
     PutRegistration(aIndex, "ready");
   }
 
@@ -132,10 +149,8 @@
     settings.mMetrics = VmAddress(aIndex, 17721);
     settings.mKnowledge = VmAddress(aIndex, 17722);
     settings.mSeeds = { VmAddress(0, 17720), VmAddress(1, 17720) };
-    settings.mStore = kStoreAddress;
-    auto vm = NodeDaemon::Start(settings);
-    CHECK(vm.HasValue());
-    mVms[aIndex] = vm.Take();
+    settings.mStore = StoreAddress();
+    mVms[aIndex] = TakeOrFail(NodeDaemon::Start(settings));
   }
 
   void SetRotation(std::vector<std::size_t> const& aVms)
--- a/tests/transport/test_store_watch.cpp
+++ b/tests/transport/test_store_watch.cpp
@@ -1,6 +1,7 @@
 #include "tarragonsill_test.hpp"
 
 #include "platform/tarragonsill_lab_object_store.hpp"
+#include "support/loopback_network.hpp"
 #include "tarragonsill/platform/tarragonsill_platform_objects.hpp"
 #include "tarragonsill/transport/tarragonsill_store_watch.hpp"
 
@@ -10,10 +11,15 @@
 
 namespace {
 
-constexpr Endpoint kStoreAddress{ { 0x7F170002 }, 18169 };
 /// Number of objects whose list needs two pages; a page has at most 50.
 constexpr int kTwoPages = 60;
 
+Endpoint
+StoreAddress()
+{
+  return Test::LoopbackNetwork::At(0x0302, 18169);
+}
+
 } // namespace
 
 TEST_GROUP(StoreWatch)
@@ -24,9 +30,9 @@
 
   void setup() override
   {
-    mStore = Lab::ObjectStore::Start(kStoreAddress).Take();
+    mStore = Test::TakeOrFail(Lab::ObjectStore::Start(StoreAddress()));
     mWatch = std::make_unique<StoreWatch<Platform::ObjectFormat>>(
-      kStoreAddress, ObjectKind::Evacuations, mCounters);
+      StoreAddress(), ObjectKind::Evacuations, mCounters);
   }
 
   void teardown() override
