Keep removals that arrive before what they remove

Asserting the state of upstreams and zones against the change with the highest revision failed at once, in two ways: - [(0, 1), (2, 5), (2, 1)]: the removal of an upstream that is not known was forgotten, and its older registration put the upstream into use; - [(1, 15), (2, 1), (0, 1), (1, 1)]: a change of a zone that left its state as it was did not advance the zone's position, so an older one undid it. A zone that was evacuated, taken back and evacuated again, seen in the order 1, 3, 2, got new flows.

Change: early removals are kept by name and position, at most 1,024; a zone's position follows every newer change; a removal at the position of the change before it wins, as for upstreams.

Conclusion: a peer that is behind can no longer bring a removed upstream or an ended evacuation back.

--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -171,6 +171,10 @@
     }
     return;
   }
+  auto const removal = mEarlyRemovals.find(aChange.mName);
+  if (removal != mEarlyRemovals.end() && aChange.mPosition <= removal->second) {
+    return;
+  }
   auto const* registration =
     std::get_if<UpstreamRegistration>(&aChange.mContent);
   if (aChange.mRemoved || registration == nullptr) {
@@ -188,6 +192,7 @@
     MergeRestored(aNow, *known, aChange, aChanges);
     return;
   }
+  mEarlyRemovals.erase(aChange.mName);
   auto& upstream = mUpstreams[SlotFor(aNow, aChange.mName)];
   upstream.mRegistration = *registration;
   upstream.mPosition = aChange.mPosition;
@@ -223,6 +228,7 @@
 {
   auto const known = mSlots.find(aName);
   if (known == mSlots.end()) {
+    RecordEarlyRemoval(aName, aPosition);
     return;
   }
   auto& upstream = mUpstreams[known->second];
@@ -236,6 +242,20 @@
   aChanges.push_back({ "upstream", aName, "registration removed", aPosition });
 }
 
+void
+Directory::RecordEarlyRemoval(std::string const& aName, StorePosition aPosition)
+{
+  auto& position = mEarlyRemovals[aName];
+  position = std::max(position, aPosition);
+  if (mEarlyRemovals.size() <= kMaxEarlyRemovals) {
+    return;
+  }
+  mEarlyRemovals.erase(std::min_element(
+    mEarlyRemovals.begin(),
+    mEarlyRemovals.end(),
+    [](auto& aLeft, auto& aRight) { return aLeft.second < aRight.second; }));
+}
+
 void
 Directory::ApplyEvacuation(TimePoint aNow,
                            ObjectChange const& aChange,
@@ -243,15 +263,18 @@
 {
   auto& zone = mZones[aChange.mName];
   bool const evacuated = !aChange.mRemoved;
-  if (aChange.mPosition < zone.mPosition) {
+  // A removal may carry the revision of the change before it.
+  bool const isBeforeRemoval =
+    aChange.mPosition == zone.mPosition && evacuated && !zone.mIsEvacuated;
+  if (aChange.mPosition < zone.mPosition || isBeforeRemoval) {
     return;
   }
   bool const isUnconfirmed = zone.mUnconfirmedUntil != TimePoint{};
   zone.mUnconfirmedUntil = EndOf(aNow, aChange.mUnconfirmedFor);
+  zone.mPosition = aChange.mPosition;
   if (zone.mIsEvacuated == evacuated && !isUnconfirmed) {
     return;
   }
-  zone.mPosition = aChange.mPosition;
   zone.mIsEvacuated = evacuated;
   if (!evacuated) {
     zone.mReturnedAt = aNow;
--- a/src/tarragonsill/coordination/tarragonsill_directory.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.hpp
@@ -144,6 +144,8 @@
     TimePoint mUnconfirmedUntil{};
   };
   using Changes = std::vector<DirectoryChange>;
+  /// Bounds the memory for early removals; the oldest ones are dropped.
+  static constexpr std::size_t kMaxEarlyRemovals = 1024;
 
   void ApplyConfiguration(ObjectChange const& aChange, Changes& aChanges);
   void ApplyUpstream(TimePoint aNow,
@@ -157,6 +159,9 @@
                       std::string const& aName,
                       StorePosition aPosition,
                       Changes& aChanges);
+  /// Records the removal of an upstream that is not known, whose registration
+  /// may still arrive.
+  void RecordEarlyRemoval(std::string const& aName, StorePosition aPosition);
   /// Merges a registration that a store rollback restored into the newer state
   /// that is known of the upstream.
   void MergeRestored(TimePoint aNow,
@@ -211,6 +216,9 @@
   std::map<Endpoint, ResolvedRoute> mRemovedRoutes;
   std::vector<KnownUpstream> mUpstreams; ///< By slot.
   std::map<std::string, std::uint32_t> mSlots;
+  /// Removals of upstreams that were not known. Changes may arrive out of
+  /// order, so an older registration must not put the upstream into use.
+  std::map<std::string, StorePosition> mEarlyRemovals;
   /// Removals up to this position may no longer be in `mUpstreams`.
   StorePosition mForgottenRemovalsTo;
   std::map<std::string, KnownZone> mZones;
--- a/tests/coordination/test_directory.cpp
+++ b/tests/coordination/test_directory.cpp
@@ -326,31 +326,63 @@
   CheckProperty("monotonic", [] {
     Directory directory(SampleSettings());
     std::uint64_t version = 0;
-    std::map<std::string, std::uint64_t> revisions;
+    std::map<std::string, std::uint64_t> lastRevisions;
+    std::uint64_t lastEvacuation = 0;
+    // The content follows from the revision, as in one store.
+    auto const isRemoved = [](std::uint64_t aRevision) {
+      return aRevision % 5 == 0;
+    };
+    auto const isDraining = [](std::uint64_t aRevision) {
+      return aRevision % 2 == 0;
+    };
     auto const steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-      rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(1, 40)));
+      rc::gen::pair(rc::gen::inRange(0, 5), rc::gen::inRange(1, 40)));
     for (auto const& [kind, number] : steps) {
       auto const revision = static_cast<std::uint64_t>(number);
+      ObjectChange change{ "", At(revision), isRemoved(revision), {} };
+      auto objects = ObjectKind::Upstreams;
       if (kind == 0) {
-        (void)directory.Apply(
-          kStart,
-          Event(
-            ObjectKind::Configuration,
-            { "main", At(revision), false, SampleConfiguration(revision) }));
+        objects = ObjectKind::Configuration;
+        change = { "main", At(revision), false, SampleConfiguration(revision) };
         version = std::max(version, revision);
-        RC_ASSERT(directory.ConfigurationVersion() == version);
-        continue;
+      } else if (kind == 1) {
+        objects = ObjectKind::Evacuations;
+        change.mName = "a";
+        change.mContent = EvacuationRecord{};
+        lastEvacuation = std::max(lastEvacuation, revision);
+      } else {
+        auto registration = SampleUpstream("a" + std::to_string(kind), "a");
+        registration.mDraining = isDraining(revision);
+        change.mName = registration.mName;
+        change.mContent = registration;
+        auto& last = lastRevisions[registration.mName];
+        last = std::max(last, revision);
+      }
+      (void)directory.Apply(kStart, Event(objects, change));
+
+      RC_ASSERT(directory.ConfigurationVersion() == version);
+      if (version == 0) {
+        continue; // Without a configuration there are no upstreams to route to.
+      }
+      auto const view = directory.BuildView(kStart);
+      bool const isEvacuated = lastEvacuation > 0 && !isRemoved(lastEvacuation);
+      for (auto const& [name, last] : lastRevisions) {
+        auto const slot = SlotOf(*view, name);
+        bool const isKnown = slot < view->mUpstreams.size();
+        auto const availability = isKnown ? view->mUpstreams[slot].mAvailability
+                                          : UpstreamAvailability::Gone;
+        if (isRemoved(last)) {
+          bool const isOut = availability == UpstreamAvailability::Missing ||
+                             availability == UpstreamAvailability::Gone;
+          RC_ASSERT(isOut);
+          continue;
+        }
+        RC_ASSERT(isKnown);
+        RC_ASSERT(availability == (isDraining(last)
+                                     ? UpstreamAvailability::Draining
+                                     : UpstreamAvailability::Serving));
+        RC_ASSERT(view->mUpstreams[slot].mEvacuated == isEvacuated);
       }
-      auto registration = SampleUpstream("a" + std::to_string(kind), "a");
-      registration.mDraining = number % 2 == 0;
-      (void)directory.Apply(
-        kStart,
-        Event(
-          ObjectKind::Upstreams,
-          { registration.mName, At(revision), number % 5 == 0, registration }));
-      auto& last = revisions[registration.mName];
-      last = std::max(last, revision);
-      RC_ASSERT(!directory.Digest().mUpstreams.IsSet());
     }
   });
 }
