Mend small faults met while rewording

Change: one AdmitCall for reads and writes; field 9; the event's name; the mutex; the member removed; 32 bytes.

--- a/lab/tarragonsill_lab_event_runner.cpp
+++ b/lab/tarragonsill_lab_event_runner.cpp
@@ -43,7 +43,7 @@
     std::this_thread::sleep_until(timeAt(event.mSecond));
     auto const argument = ResolveArgument(event);
     Log("event " + std::to_string(event.mSecond) + " s: " +
-        std::to_string(static_cast<int>(event.mKind)) + " " + argument);
+        std::string(NameOf(event.mKind)) + " " + argument);
     mThreads.emplace_back(
       [this, kind = event.mKind, argument] { Execute(kind, argument); });
   }
@@ -202,7 +202,11 @@
   auto const end = Clock::now() + kReadyTimeout;
   while (Clock::now() < end) {
     std::this_thread::sleep_for(kPollInterval);
-    auto* const entry = mEnvironment.mFleet->Find(name);
+    EntryProcess const* entry = nullptr;
+    {
+      std::lock_guard const lock(mEnvironment.mMutex);
+      entry = mEnvironment.mFleet->Find(name);
+    }
     if (entry != nullptr && mEnvironment.IsServing(*entry)) {
       mEnvironment.SetFabricTarget(name, true);
       return;
--- a/src/tarragonsill/coordination/tarragonsill_membership.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_membership.hpp
@@ -94,7 +94,6 @@
     Member mMember;
     std::uint32_t mRevision = 0;
     TimePoint mSuspectedAt{};
-    TimePoint mLastReceivedAt{};
   };
   /// The probe whose answer is awaited.
   struct Probe
--- a/src/tarragonsill/coordination/tarragonsill_membership_updates.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_membership_updates.cpp
@@ -45,9 +45,6 @@
                peer.mMember.mHealth == MemberHealth::Gone ? 1U : 0U,
                peer.mRevision,
                HealthValue(peer.mMember.mHealth));
-  if (aDirect) {
-    peer.mLastReceivedAt = aNow;
-  }
   // A message from the member itself proves that it is alive.
   bool const revived = aDirect && peer.mMember.mHealth != MemberHealth::Alive &&
                        aUpdate.incarnation() == peer.mMember.mIncarnation &&
--- a/src/tarragonsill/state/tarragonsill_flow_table.hpp
+++ b/src/tarragonsill/state/tarragonsill_flow_table.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 /// A compact hash table for per-flow state. It uses open addressing with linear
-/// probing and backward-shift deletion, and needs at most 30 bytes per flow
+/// probing and backward-shift deletion, and needs at most 32 bytes per flow
 /// with 16-byte entries.
 namespace tarragonsill {
 
--- a/src/tarragonsill/transport/tarragonsill_platform_client.cpp
+++ b/src/tarragonsill/transport/tarragonsill_platform_client.cpp
@@ -130,28 +130,28 @@
 {
 }
 
-bool
-PlatformClient::TakeBudget()
+Result<Success>
+PlatformClient::AdmitCall()
 {
+  if (mOptions.mIsDenied && mOptions.mIsDenied(mOptions.mAddress)) {
+    return Reason{ ReasonCode::Unavailable,
+                   "the platform is in a denied network" };
+  }
   std::lock_guard const lock(mMutex);
   if (!mBudget.Take(Clock::now())) {
     mCounters.Add(Counter::PlatformCallsOverBudget);
-    return false;
+    return Reason{ ReasonCode::LimitReached,
+                   "the budget for calls to the platform is exhausted" };
   }
   mCounters.Add(Counter::PlatformCalls);
-  return true;
+  return Success{};
 }
 
 Result<HttpResponse>
 PlatformClient::Get(std::string const& aPath, milliseconds aTimeout)
 {
-  if (mOptions.mIsDenied && mOptions.mIsDenied(mOptions.mAddress)) {
-    return Reason{ ReasonCode::Unavailable,
-                   "the platform is in a denied network" };
-  }
-  if (!TakeBudget()) {
-    return Reason{ ReasonCode::LimitReached,
-                   "the budget for calls to the platform is exhausted" };
+  if (auto const admitted = AdmitCall(); !admitted) {
+    return admitted.LastReason();
   }
   auto answer = MakeConnection(mOptions.mAddress).Get(aPath, aTimeout);
   if (!answer) {
@@ -199,9 +199,8 @@
                       std::string const& aChangeId,
                       std::string const& aText)
 {
-  if (!TakeBudget()) {
-    return Reason{ ReasonCode::LimitReached,
-                   "the budget for calls to the platform is exhausted" };
+  if (auto const admitted = AdmitCall(); !admitted) {
+    return admitted.LastReason();
   }
   auto changes = aExpected.mChanges;
   changes.push_back(aChangeId);
--- a/src/tarragonsill/transport/tarragonsill_platform_client.hpp
+++ b/src/tarragonsill/transport/tarragonsill_platform_client.hpp
@@ -82,8 +82,9 @@
 
 private:
   Result<HttpResponse> Get(std::string const& aPath, milliseconds aTimeout);
-  /// Takes one call from the call budget; false if the budget is exhausted.
-  bool TakeBudget();
+  /// Takes one call from the call budget. Fails with `Unavailable` if the
+  /// platform is in a denied network, or with `LimitReached`.
+  Result<Success> AdmitCall();
   /// Reads the object to determine whether a write whose answer was lost took
   /// effect.
   Result<WriteOutcome> ResolveLostAnswer(std::string const& aName,
--- a/tests/transport/test_platform_client.cpp
+++ b/tests/transport/test_platform_client.cpp
@@ -1,5 +1,6 @@
 #include "tarragonsill_test.hpp"
 
+#include "support/loopback_network.hpp"
 #include "tarragonsill/transport/tarragonsill_platform_client.hpp"
 #include "tarragonsill_lab_platform.hpp"
 
@@ -10,9 +11,14 @@
 
 namespace {
 
-constexpr Endpoint kAddress{ { 0x7F630001 }, 18080 };
 constexpr milliseconds kShortWait{ 50 };
 
+Endpoint
+PlatformAddress()
+{
+  return Test::LoopbackNetwork::At(0x0401, 18080);
+}
+
 } // namespace
 
 TEST_GROUP(PlatformClient)
@@ -23,16 +29,15 @@
 
   void setup() override
   {
-    auto platform = Lab::Platform::Start(kAddress, milliseconds{ 0 });
-    CHECK(platform.HasValue());
-    mPlatform = platform.Take();
+    mPlatform = Test::TakeOrFail(
+      Lab::Platform::Start(PlatformAddress(), milliseconds{ 0 }));
     mClient = MakeClient(200);
   }
 
   std::unique_ptr<PlatformClient> MakeClient(std::uint32_t aCallsPerSecond)
   {
     PlatformClient::Options options;
-    options.mAddress = kAddress;
+    options.mAddress = PlatformAddress();
     options.mCallsPerSecond = aCallsPerSecond;
     return std::make_unique<PlatformClient>(options, mCounters);
   }
@@ -119,9 +124,25 @@
   LONGS_EQUAL(before, mPlatform->CallCount());
 }
 
+TEST(PlatformClient, no_call_is_sent_to_a_platform_in_a_denied_network)
+{
+  PlatformClient::Options options;
+  options.mAddress = PlatformAddress();
+  options.mIsDenied = [](Endpoint aAddress) {
+    return aAddress == PlatformAddress();
+  };
+  PlatformClient client(options, mCounters);
+  auto const before = mPlatform->CallCount();
+  CHECK(client.Read("object").LastReason().mCode == ReasonCode::Unavailable);
+  CHECK(client.Write("object", {}, "change-1", "text").LastReason().mCode ==
+        ReasonCode::Unavailable);
+  LONGS_EQUAL(before, mPlatform->CallCount());
+}
+
 TEST(PlatformClient, the_vm_list_is_read)
 {
-  mPlatform->ListVm({ "e1", "a", kAddress, PlatformVm::State::Removed });
+  mPlatform->ListVm(
+    { "e1", "a", PlatformAddress(), PlatformVm::State::Removed });
   auto const vms = mClient->ListVms();
   CHECK(vms.HasValue());
   LONGS_EQUAL(1, vms->size());
--- a/tools/plot-control.sh
+++ b/tools/plot-control.sh
@@ -3,7 +3,7 @@
 set -eu
 data=$(mktemp)
 trap 'rm -f "$data"' EXIT
-awk '/steady, 1 % loss/ { size = $2; bytes = $8 }
+awk '/steady, 1 % loss/ { size = $2; bytes = $9 }
      /a death is known everywhere/ { print size, bytes, $10 }' "$1" > "$data"
 gnuplot <<G
 set terminal png size 720,420
