--- a/lab/tarragonsill_lab_event_runner.cpp
+++ b/lab/tarragonsill_lab_event_runner.cpp
@@ -42,8 +42,8 @@
   for (auto const& event : events) {
     std::this_thread::sleep_until(timeAt(event.mSecond));
     auto const argument = ResolveArgument(event);
-    Log("event " + std::to_string(event.mSecond) + " s: " +
-        std::string(NameOf(event.mKind)) + " " + argument);
+    Log("event " + std::to_string(event.mSecond) +
+        " s: " + std::string(NameOf(event.mKind)) + " " + argument);
     mThreads.emplace_back(
       [this, kind = event.mKind, argument] { Execute(kind, argument); });
   }
