Leave a zone of which no upstream answers

Each VM judged each upstream by itself: some 400 new flows of 31.6 to 33.5 s went to dark upstreams that it still held for answering, since it had not tried those. After the cut the VMs stayed ready, as the store's list, which could no longer reach them, still named upstreams in their zone. So routers left the zone's callers with VMs that reached no upstream at all until 39.9 s; a VM that is not ready hands them to another zone. Ruled out: hosts that shed; the upstreams' return at 36.1 s, as new processes whose registrations a cut zone cannot learn.

Change: ZoneSilenceDetector. In a zone that is cut off, a VM whose own zone is silent is not ready. Mechanism silent_zones switches it off.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -48,6 +48,7 @@
 CookieSteering::SetView(RoutingViewPointer aView)
 {
   auto const& before = mView->mUpstreams;
+  std::vector<std::uint32_t> replaced;
   for (std::size_t slot = 0; slot < before.size(); ++slot) {
     // Observations of an earlier process, or of another upstream in this slot,
     // do not apply.
@@ -57,10 +58,27 @@
         previous.mStartMark != current.mStartMark) {
       mLoads[slot].mPassiveHealth = NewLoad().mPassiveHealth;
       mLoads[slot].mAnswerTime = {};
+      replaced.push_back(static_cast<std::uint32_t>(slot));
     }
   }
+  for (auto slot = before.size(); slot < aView->mUpstreams.size(); ++slot) {
+    replaced.push_back(static_cast<std::uint32_t>(slot));
+  }
   mView = std::move(aView);
   mLoads.resize(mView->mUpstreams.size(), NewLoad());
+  mZoneSilence.resize(mView->mZones.size() + 1);
+  for (auto const slot : replaced) {
+    ZoneSilenceOf(slot).RecordRegistration();
+  }
+}
+
+ZoneReach
+CookieSteering::OwnZoneReach(TimePoint aNow) const
+{
+  bool const isObserved = mMechanisms.Uses(Mechanism::SilentZones) &&
+                          mView->mOwnZone < mZoneSilence.size();
+  return isObserved ? mZoneSilence[mView->mOwnZone].Reach(aNow)
+                    : ZoneReach::Unknown;
 }
 
 std::vector<UnsolicitedReset>
@@ -157,8 +175,11 @@
   bool const isSaturated =
     detector != mSaturationDetectors.end() &&
     detector->second.IsSaturated(aNow, aRoute.mLatencyTarget);
-  auto const selection = mSelector.Pick(
-    aNow, *mView, mView->mServices[service], { mLoads, isSaturated, avoid });
+  auto const selection =
+    mSelector.Pick(aNow,
+                   *mView,
+                   mView->mServices[service],
+                   { mLoads, mZoneSilence, isSaturated, avoid });
   if (!selection) {
     return NotForwarded(SteeringAction::Drop, SteeringCause::NoUpstream);
   }
@@ -176,6 +197,7 @@
               *selection,
               tracker.Health(aNow));
   tracker.RecordOpening(aNow);
+  ZoneSilenceOf(selection->mSlot).RecordAttempt(aNow, selection->mSlot);
   return ForwardTo(selection->mSlot, cause);
 }
 
@@ -295,6 +317,9 @@
 {
   mChecker.HandleLocalPause();
   mResumedAt = aNow;
+  for (auto& zone : mZoneSilence) {
+    zone.HandleLocalPause(aNow);
+  }
   for (auto& load : mLoads) {
     load.mPassiveHealth.HandleLocalPause(aNow);
   }
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -138,6 +138,9 @@
   std::vector<UnsolicitedReset> TakeResets();
   std::vector<SteeringLogEntry> TakeLogEntries();
 
+  /// What this VM has observed of its own zone's upstreams.
+  ZoneReach OwnZoneReach(TimePoint aNow) const;
+
   RoutingView const& View() const { return *mView; }
   std::size_t TrackedFlows() const { return mFlows.Size(); }
   std::vector<UpstreamLoad> const& Loads() const { return mLoads; }
@@ -180,12 +183,18 @@
                    UpstreamSelection const& aSelection,
                    UpstreamHealth aHealth);
 
+  ZoneSilenceDetector& ZoneSilenceOf(std::uint32_t aSlot)
+  {
+    return mZoneSilence[mView->mUpstreams[aSlot].mZone];
+  }
   /// The load of an upstream without any observations.
   UpstreamLoad NewLoad() const;
 
   Mechanisms mMechanisms;
   RoutingViewPointer mView;
   std::vector<UpstreamLoad> mLoads; ///< By slot.
+  /// By zone, with one more for upstreams of an unknown zone.
+  std::vector<ZoneSilenceDetector> mZoneSilence;
   /// By service and route, as answer times differ between kinds of requests.
   std::unordered_map<std::uint64_t, ZoneSaturationDetector>
     mSaturationDetectors;
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -104,6 +104,7 @@
                          IsAfter(aPacket.mAcknowledged, aFlow.mAcknowledged));
   if (answered) {
     load.mPassiveHealth.RecordAnswer(aNow);
+    ZoneSilenceOf(aFlow.mSlot).RecordAnswer();
     mLastAnswer = aNow;
     aFlow.mRetransmissions = 0;
     aFlow.mAcknowledged = aPacket.mAcknowledged;
@@ -143,6 +144,7 @@
     }
     load.mPassiveHealth.RecordRetransmission(
       aNow, aFlow.mDataSent, aFlow.mRetransmissions == 0);
+    ZoneSilenceOf(aFlow.mSlot).RecordAttempt(aNow, aFlow.mSlot);
     mChecker.RequestProbe(aFlow.mSlot);
     ++aFlow.mRetransmissions;
     return;
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -5,6 +5,7 @@
 #include "tarragonsill/coordination/tarragonsill_knowledge_sync.hpp"
 #include "tarragonsill/coordination/tarragonsill_membership.hpp"
 #include "tarragonsill/coordination/tarragonsill_watch_relay.hpp"
+#include "tarragonsill/coordination/tarragonsill_zone_reach.hpp"
 
 #include <map>
 #include <optional>
@@ -80,6 +81,11 @@
   /// Whether the zone is cut off: VMs of other zones are known, but no message
   /// arrives from any of them.
   bool IsZoneCutOff(TimePoint aNow) const;
+  /// Sets what this VM has observed of its own zone's upstreams.
+  void SetZoneReach(ZoneReach aReach) { mZoneReach.SetOwn(aReach); }
+  /// Whether no upstream of the own zone answers, as observed by this VM or, if
+  /// it has observed nothing, by other VMs of the zone.
+  bool IsZoneSilent(TimePoint aNow) const { return mZoneReach.IsSilent(aNow); }
   std::uint64_t SelfHash() const { return mMembership.Self().NameHash(); }
   Membership const& Members() const { return mMembership; }
 
@@ -96,6 +102,7 @@
   std::vector<Endpoint> mSeeds;
   KnowledgeSync mSync;
   WatchRelay mRelay;
+  ZoneReachReports mZoneReach;
   WatchRole mRole = WatchRole::ReliesOnPeers;
   bool mIsFirstStart = false;
   std::optional<TimePoint> mLastWatchAnswer;
--- a/src/tarragonsill/coordination/tarragonsill_upstream_selector.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_selector.cpp
@@ -127,47 +127,58 @@
 double
 UpstreamSelector::Cost(TimePoint aNow,
                        RoutingView const& aView,
-                       ResolvedUpstream const& aUpstream,
-                       UpstreamLoad const& aLoad,
-                       bool aIsZoneSaturated) const
+                       std::uint32_t aSlot,
+                       SelectionContext const& aContext) const
 {
-  auto const slots = static_cast<double>(aUpstream.mRegistration.mSlots);
+  auto const& upstream = aView.mUpstreams[aSlot];
+  auto const& load = aContext.mLoads[aSlot];
+  auto const slots = static_cast<double>(upstream.mRegistration.mSlots);
   // Include the new flow, or a slow upstream without flows would cost nothing.
-  auto const work = aLoad.mFlows + 1 + kInProgressWeight * aLoad.mInProgress;
+  auto const work = load.mFlows + 1 + kInProgressWeight * load.mInProgress;
   auto const slowness = mMechanisms.Uses(Mechanism::AnswerPace)
-                          ? aLoad.mAnswerTime.Slowness(aNow)
+                          ? load.mAnswerTime.Slowness(aNow)
                           : 1.0;
   double cost = work * slowness / slots;
   // If this VM alone has filled every slot, the next request is queued, while
   // the round trip to another zone takes only a millisecond.
   bool const isFull =
     mMechanisms.Uses(Mechanism::SlotSpill) &&
-    aLoad.mInProgress + aLoad.mOpeningFlows >= aUpstream.mRegistration.mSlots;
+    load.mInProgress + load.mOpeningFlows >= upstream.mRegistration.mSlots;
   bool const isOtherZone =
-    mMechanisms.Uses(Mechanism::ZoneFirst) && aUpstream.mZone != aView.mOwnZone;
+    mMechanisms.Uses(Mechanism::ZoneFirst) && upstream.mZone != aView.mOwnZone;
   bool const spillsOver =
-    aIsZoneSaturated && mMechanisms.Uses(Mechanism::ZoneSpill);
+    aContext.mIsZoneSaturated && mMechanisms.Uses(Mechanism::ZoneSpill);
   if ((isOtherZone || isFull) && !spillsOver) {
     cost += kOtherZoneCost;
   }
-  if (aUpstream.mAvailability == UpstreamAvailability::Missing) {
+  if (upstream.mAvailability == UpstreamAvailability::Missing) {
     cost += kMissingCost;
   }
-  return cost + HealthCost(aNow, aLoad.mPassiveHealth);
+  if (aContext.mAvoid == aSlot) {
+    cost += kSilentCost;
+  }
+  return cost + HealthCost(aNow,
+                           load.mPassiveHealth,
+                           aContext.mZoneSilence[upstream.mZone]);
 }
 
 double
 UpstreamSelector::HealthCost(TimePoint aNow,
-                             PassiveHealthTracker const& aTracker) const
+                             PassiveHealthTracker const& aTracker,
+                             ZoneSilenceDetector const& aZoneSilence) const
 {
-  bool const isTrialFlow =
-    mMechanisms.Uses(Mechanism::Probation) && aTracker.IsTrialFlowDue(aNow);
+  bool const isZoneSilent =
+    mMechanisms.Uses(Mechanism::SilentZones) && aZoneSilence.IsSilent(aNow);
+  // A trial flow of a silent zone stands for all of the zone's upstreams.
+  bool const isTrialFlow = mMechanisms.Uses(Mechanism::Probation) &&
+                           aTracker.IsTrialFlowDue(aNow) &&
+                           (!isZoneSilent || aZoneSilence.IsTrialFlowDue(aNow));
   if (isTrialFlow || !mMechanisms.Uses(Mechanism::DoubtfulLast)) {
     return 0.0;
   }
   switch (aTracker.Health(aNow)) {
     case UpstreamHealth::Answering:
-      return 0.0;
+      return isZoneSilent ? kDoubtfulCost : 0.0;
     case UpstreamHealth::Doubtful:
       return kDoubtfulCost;
     case UpstreamHealth::Silent:
@@ -195,11 +206,7 @@
       continue;
     }
     ++candidates;
-    auto cost =
-      Cost(aNow, aView, upstream, loads[slot], aContext.mIsZoneSaturated);
-    if (aContext.mAvoid == slot) {
-      cost += kSilentCost;
-    }
+    auto const cost = Cost(aNow, aView, slot, aContext);
     if (best && cost > best->mCost) {
       continue;
     }
@@ -215,6 +222,11 @@
   }
   best->mCandidates = candidates;
   auto& chosen = loads[best->mSlot];
+  auto& zoneSilence =
+    aContext.mZoneSilence[aView.mUpstreams[best->mSlot].mZone];
+  if (zoneSilence.IsTrialFlowDue(aNow)) {
+    zoneSilence.RecordTrialFlow(aNow);
+  }
   if (aNow < aView.mUpstreams[best->mSlot].mColdUntil) {
     chosen.mColdFlowTimes.push_back(aNow);
   }
--- a/src/tarragonsill/coordination/tarragonsill_upstream_selector.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_selector.hpp
@@ -3,6 +3,7 @@
 
 #include "tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp"
 #include "tarragonsill/coordination/tarragonsill_relative_answer_time.hpp"
+#include "tarragonsill/coordination/tarragonsill_zone_silence_detector.hpp"
 #include "tarragonsill/state/tarragonsill_mechanisms.hpp"
 #include "tarragonsill/state/tarragonsill_routing_view.hpp"
 
@@ -76,6 +77,8 @@
   struct SelectionContext
   {
     std::vector<UpstreamLoad>& mLoads;
+    /// By zone.
+    std::vector<ZoneSilenceDetector>& mZoneSilence;
     /// Whether requests are queued at the own zone's upstreams.
     bool mIsZoneSaturated = false;
     /// An upstream that has already been offered this flow.
@@ -98,11 +101,12 @@
                        UpstreamLoad& aLoad) const;
   double Cost(TimePoint aNow,
               RoutingView const& aView,
-              ResolvedUpstream const& aUpstream,
-              UpstreamLoad const& aLoad,
-              bool aIsZoneSaturated) const;
-  /// The cost added for an upstream's health.
-  double HealthCost(TimePoint aNow, PassiveHealthTracker const& aTracker) const;
+              std::uint32_t aSlot,
+              SelectionContext const& aContext) const;
+  /// The cost added for the health of an upstream and of its zone.
+  double HealthCost(TimePoint aNow,
+                    PassiveHealthTracker const& aTracker,
+                    ZoneSilenceDetector const& aZoneSilence) const;
 
   std::mt19937_64 mRandom;
   Mechanisms mMechanisms;
--- a/src/tarragonsill/state/tarragonsill_mechanisms.hpp
+++ b/src/tarragonsill/state/tarragonsill_mechanisms.hpp
@@ -24,6 +24,7 @@
   DoubtfulLast,    ///< Choose suspected upstreams last.
   Probation,       ///< Send a suspected upstream an occasional trial flow.
   SecondChoice,    ///< Retry an opening at another upstream.
+  SilentZones,     ///< Avoid zones of which no upstream answers.
   SilentUpstreams, ///< Reset flows of upstreams that do not answer.
   ReachChecks,     ///< Probe suspected upstreams by connecting.
   EvidenceAges,    ///< Let evidence about an upstream's health expire.
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -54,6 +54,10 @@
     std::atomic_store(&mPostedView, std::move(aView));
   }
 
+  /// What this VM had observed of its own zone's upstreams at the last sweep.
+  /// Thread-safe.
+  ZoneReach OwnZoneReach() const { return mOwnZoneReach; }
+
   /// Thread-safe.
   SteeringLatencies const& Latencies() const { return mSteering.Latencies(); }
 
@@ -114,6 +118,7 @@
       if (now >= mNextSweep) {
         mNextSweep = now + kSweepPeriod;
         mSteering.Sweep(now);
+        mOwnZoneReach = mSteering.OwnZoneReach(now);
         SendResets();
         WriteLogEntries();
       }
@@ -311,6 +316,7 @@
   std::array<Header, UdpSocket::kBatch> mHeaders{};
   std::size_t mUsedHeaders = 0;
   TimePoint mNextSweep{};
+  std::atomic<ZoneReach> mOwnZoneReach{ ZoneReach::Unknown };
   std::atomic<bool> mStop{ false };
   std::thread mThread;
 };
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -304,23 +304,29 @@
   }
 
   /// Updates whether this VM can serve callers. In a zone that is cut off and
-  /// has no upstream that serves, VMs report that they are not ready: routers
-  /// then use VMs of other zones, which can serve the callers.
+  /// has no upstream that serves and answers, VMs report that they are not
+  /// ready: routers then use VMs of other zones, which can serve the callers.
   void UpdateCanServe(TimePoint aNow)
   {
     if (!mDirectory.IsComplete()) {
       return;
     }
+    mPeers.SetZoneReach(mArguments.mOwnZoneReach());
     auto const& mechanisms = mArguments.mState->mSettings.mMechanisms;
-    bool const canServe = !mechanisms.Uses(Mechanism::CutZoneUnready) ||
-                          !mPeers.IsZoneCutOff(aNow) ||
-                          mDirectory.OwnZoneServes(aNow);
-    if (mArguments.mState->mCanServe.exchange(canServe) != canServe) {
-      Log().Write(
-        "entry",
-        canServe ? "can_serve_again" : "cannot_serve",
-        { { "reason", "zone cut off, none of its upstreams in use" } });
+    bool const isCutOff =
+      mechanisms.Uses(Mechanism::CutZoneUnready) && mPeers.IsZoneCutOff(aNow);
+    bool const isZoneSilent = mPeers.IsZoneSilent(aNow);
+    bool const canServe =
+      !isCutOff || (mDirectory.OwnZoneServes(aNow) && !isZoneSilent);
+    if (mArguments.mState->mCanServe.exchange(canServe) == canServe) {
+      return;
     }
+    Log().Write(
+      "entry",
+      canServe ? "can_serve_again" : "cannot_serve",
+      { { "reason",
+          isZoneSilent ? "zone cut off, none of its upstreams answers"
+                       : "zone cut off, none of its upstreams in use" } });
   }
 
   NodeLog& Log() { return mArguments.mState->mLog; }
--- a/src/tarragonsill/transport/tarragonsill_node_actor.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.hpp
@@ -1,6 +1,7 @@
 #ifndef TARRAGONSILL_NODE_ACTOR_HPP_INCLUDED
 #define TARRAGONSILL_NODE_ACTOR_HPP_INCLUDED
 
+#include "tarragonsill/coordination/tarragonsill_zone_reach.hpp"
 #include "tarragonsill/transport/tarragonsill_node_log.hpp"
 #include "tarragonsill/transport/tarragonsill_node_messages.hpp"
 
@@ -26,7 +27,7 @@
   /// Whether a configuration is known and each kind of objects was listed.
   std::atomic<bool> mIsComplete{ false };
   /// Whether this VM can serve callers. False in a zone that is cut off and has
-  /// no upstream that may get new flows.
+  /// no upstream that may get new flows or answers.
   std::atomic<bool> mCanServe{ true };
   /// Whether enough other VMs of the zone are serving for this VM to leave.
   std::atomic<bool> mMayLeave{ true };
@@ -42,6 +43,8 @@
   std::function<void(RoutingViewPointer)> mPublishView;
   /// Sends a control datagram to a peer.
   std::function<void(Endpoint, std::string const&)> mSend;
+  /// Returns what this VM has observed of its own zone's upstreams.
+  std::function<ZoneReach()> mOwnZoneReach;
   caf::actor mFetchActor;
   std::uint64_t mIncarnation = 1;
 };
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -219,6 +219,9 @@
   arguments.mPublishView = [worker = mWorker.get()](RoutingViewPointer aView) {
     worker->PostView(std::move(aView));
   };
+  arguments.mOwnZoneReach = [worker = mWorker.get()] {
+    return worker->OwnZoneReach();
+  };
   arguments.mSend = [link = mLink.get()](Endpoint aTo,
                                          std::string const& aBytes) {
     link->Send(aTo, aBytes);
--- a/tests/coordination/test_upstream_selector.cpp
+++ b/tests/coordination/test_upstream_selector.cpp
@@ -19,6 +19,7 @@
   SampleStore mStore;
   UpstreamSelector mSelector{ 7 };
   std::vector<UpstreamLoad> mLoads;
+  std::vector<ZoneSilenceDetector> mZoneSilence;
   RoutingViewPointer mView;
 
   void setup() override
@@ -38,6 +39,7 @@
   {
     mView = mStore.View(aNow);
     mLoads.resize(mView->mUpstreams.size());
+    mZoneSilence.resize(mView->mZones.size() + 1);
   }
 
   std::string Pick(TimePoint aNow, bool aIsSaturated = false)
@@ -46,7 +48,7 @@
       mSelector.Pick(aNow,
                      *mView,
                      mView->mServices.front(),
-                     { mLoads, aIsSaturated, std::nullopt });
+                     { mLoads, mZoneSilence, aIsSaturated, std::nullopt });
     if (!selection) {
       return "";
     }
--- a/tests/state/test_mechanisms.cpp
+++ b/tests/state/test_mechanisms.cpp
@@ -35,9 +35,10 @@
   auto const view = store.View(kStart);
   std::vector<UpstreamLoad> loads(view->mUpstreams.size());
   loads[SlotOf(*view, "a1")].mFlows = 3;
+  std::vector<ZoneSilenceDetector> zoneSilence(view->mZones.size() + 1);
   UpstreamSelector selector(1, aMechanisms);
-  auto const selection =
-    selector.Pick(kStart, *view, view->mServices.front(), { loads, false, {} });
+  auto const selection = selector.Pick(
+    kStart, *view, view->mServices.front(), { loads, zoneSilence, false, {} });
   return view->mUpstreams[selection->mSlot].mZone;
 }
 
