Let a VM that has just started learn that its zone is silent

VMs of hofud-b are restarted in turn during the cut; each new one had tried no upstream and became ready, and routers use all VMs of a zone as soon as fewer than half, but not none, are ready. The callers came back for a second or more.

Change: messages between VMs carry what the sender observed of its own zone's upstreams (field 21, zone_reach). A VM without an observation of its own follows most of those that have one and were heard within 2 s. It reports only its own observation, so that no report feeds on itself.

Side by side with older programs: they neither send nor read the field; absent or unknown values count as no observation.

Test: a_vm_that_starts_in_a_silent_zone_learns_that_from_its_zone.

--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -31,6 +31,34 @@
   return options;
 }
 
+wire::ZoneReach
+ToWire(ZoneReach aReach)
+{
+  switch (aReach) {
+    case ZoneReach::Answering:
+      return wire::ZONE_REACH_ANSWERING;
+    case ZoneReach::Silent:
+      return wire::ZONE_REACH_SILENT;
+    case ZoneReach::Unknown:
+      break;
+  }
+  return wire::ZONE_REACH_UNKNOWN;
+}
+
+/// Values of newer programs count as unknown.
+ZoneReach
+ZoneReachOf(wire::ZoneReach aReach)
+{
+  switch (aReach) {
+    case wire::ZONE_REACH_ANSWERING:
+      return ZoneReach::Answering;
+    case wire::ZONE_REACH_SILENT:
+      return ZoneReach::Silent;
+    default:
+      return ZoneReach::Unknown;
+  }
+}
+
 } // namespace
 
 NodePeers::NodePeers(Member aSelf,
@@ -172,7 +200,9 @@
       { aMessage.upstreams_era(), aMessage.upstreams_revision() },
       { aMessage.evacuations_era(), aMessage.evacuations_revision() } });
   bool const isOwnZone = from->mZone == mMembership.Self().mZone;
-  if (!isOwnZone) {
+  if (isOwnZone) {
+    mZoneReach.RecordReport(aNow, sender, ZoneReachOf(aMessage.zone_reach()));
+  } else {
     mOtherZonesSeenAt = aNow;
   }
   // Watchers of other zones relay nothing to this VM, and watchers in an older
@@ -224,6 +254,7 @@
     message.set_evacuations_revision(mDigest.mEvacuations.mRevision);
     message.set_evacuations_era(mDigest.mEvacuations.mEra);
     message.set_store_era(mEra);
+    message.set_zone_reach(ToWire(mZoneReach.Own()));
     if (mLastWatchAnswer) {
       auto const age =
         std::chrono::duration_cast<milliseconds>(aNow - *mLastWatchAnswer);
--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -268,6 +268,22 @@
   CHECK_FALSE(mGroup.At(2).IsZoneCutOff(mGroup.Now()));
 }
 
+/// Failure pattern *restart in a dark zone*: a zone loses all upstreams and
+/// then its links. A VM that restarts there has tried no upstream yet.
+TEST(NodePeers, a_vm_that_starts_in_a_silent_zone_learns_that_from_its_zone)
+{
+  mGroup.Run(seconds{ 5 });
+  mGroup.At(0).SetZoneReach(ZoneReach::Silent);
+  mGroup.At(3).SetZoneReach(ZoneReach::Silent);
+  mGroup.At(1).SetZoneReach(ZoneReach::Answering); // A VM of another zone.
+  mGroup.Run(seconds{ 3 }, LinkWithZoneACutOff);
+  mGroup.Restart(2, 2);
+  mGroup.Run(milliseconds{ 100 }, LinkWithZoneACutOff);
+  CHECK(mGroup.At(2).IsZoneSilent(mGroup.Now()));
+  mGroup.At(2).SetZoneReach(ZoneReach::Answering);
+  CHECK_FALSE(mGroup.At(2).IsZoneSilent(mGroup.Now()));
+}
+
 TEST(NodePeers, two_vms_of_a_zone_watch_the_store_and_the_others_rely_on_them)
 {
   for (int count = 0; count < 6; ++count) {
