Confirm an unanswered probe of an upstream that no caller doubts

Change: an unanswered probe proves an upstream unreachable at once only with evidence of its own: a caller's packet without an answer, or a zone of which none answers. Otherwise the probe is repeated after half a second, and a second failure proves it. A refused connection counts at once, as before.

Tests: one_unanswered_probe_is_no_proof_without_a_callers_evidence failed before (1 upstream given up, 0 expected), a_second_unanswered_probe_confirms_the_first. Two older tests doubted an upstream without any evidence; they now record the caller's repeated packet that leads to a probe in the product, and check the same.

--- a/src/tarragonsill/coordination/tarragonsill_active_health_checker.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_active_health_checker.cpp
@@ -125,6 +125,29 @@
                     : std::vector<std::uint32_t>{};
 }
 
+bool
+ActiveHealthChecker::IsUnansweredProbeProof(TimePoint aNow,
+                                            std::uint32_t aSlot,
+                                            UpstreamLoad const& aLoad)
+{
+  bool const isCorroborated =
+    aLoad.mIsInSilentZone ||
+    aLoad.mPassiveHealth.Health(aNow) != UpstreamHealth::Answering;
+  if (isCorroborated) {
+    return true;
+  }
+  auto& firstUnanswered = mProbeStates[aSlot].mFirstUnanswered;
+  if (firstUnanswered == TimePoint{} ||
+      aNow >= firstUnanswered + kConfirmationTime) {
+    firstUnanswered = aNow;
+  }
+  if (aNow >= firstUnanswered + kMinBackoff) {
+    return true;
+  }
+  RequestProbe(aSlot);
+  return false;
+}
+
 std::vector<std::uint32_t>
 ActiveHealthChecker::EvaluateRound(TimePoint aNow,
                                    std::vector<UpstreamLoad> const& aLoads)
@@ -137,16 +160,20 @@
   bool hasNewUnreachable = false;
   for (auto const& probe : mRound) {
     if (probe.mResult == ConnectResult::Accepted) {
-      mProbeStates[probe.mSlot] = { aNow + kAcceptedInterval,
-                                    milliseconds{ 0 },
-                                    aNow };
+      mProbeStates[probe.mSlot] = {
+        aNow + kAcceptedInterval, milliseconds{ 0 }, aNow, {}
+      };
     }
-    bool const isUnreachable =
-      probe.mResult == ConnectResult::Refused ||
-      (probe.mResult == ConnectResult::NoAnswer && ownLinkWorks);
     auto const& tracker = aLoads[probe.mSlot].mPassiveHealth;
     bool const answeredSince = tracker.LastAnswer() >= mRoundStarted;
-    if (!isUnreachable || answeredSince || probe.mIsReference) {
+    if (answeredSince || probe.mIsReference) {
+      continue;
+    }
+    bool const isUnreachable =
+      probe.mResult == ConnectResult::Refused ||
+      (probe.mResult == ConnectResult::NoAnswer && ownLinkWorks &&
+       IsUnansweredProbeProof(aNow, probe.mSlot, aLoads[probe.mSlot]));
+    if (!isUnreachable) {
       continue;
     }
     unreachable.push_back(probe.mSlot);
--- a/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
@@ -36,6 +36,11 @@
   /// with each failed probe.
   static constexpr milliseconds kMinBackoff{ 500 };
   static constexpr milliseconds kMaxBackoff{ 4000 };
+  /// Without a caller's packet as evidence, an unanswered probe is confirmed by
+  /// another one after `kMinBackoff` and within this time. Many VMs may probe
+  /// an upstream at once, and a full queue of new connections drops all probes
+  /// of that moment.
+  static constexpr milliseconds kConfirmationTime{ 4000 };
   /// The interval after an accepted connection.
   static constexpr milliseconds kAcceptedInterval{ 2000 };
   /// One event can make many upstreams unreachable at once. Upstreams that
@@ -85,6 +90,11 @@
   };
 
   bool IsFollowUpDue(TimePoint aNow, std::uint32_t aSlot) const;
+  /// Whether an unanswered probe proves that the upstream is unreachable.
+  /// Otherwise the next unanswered probe may.
+  bool IsUnansweredProbeProof(TimePoint aNow,
+                              std::uint32_t aSlot,
+                              UpstreamLoad const& aLoad);
   std::optional<std::uint32_t> FindReference(
     TimePoint aNow,
     std::vector<UpstreamLoad> const& aLoads) const;
@@ -101,6 +111,8 @@
     TimePoint mNextProbe{};
     milliseconds mBackoff{ 0 };
     TimePoint mLastAccepted{}; ///< When the last connection was accepted.
+    /// When the first of the unconfirmed probes was not answered.
+    TimePoint mFirstUnanswered{};
   };
   std::vector<ProbeState> mProbeStates; ///< By slot.
 };
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -301,6 +301,7 @@
   if (aResult == ConnectResult::Accepted) {
     mLoads[aSlot].mPassiveHealth.RecordReachable(aNow);
   }
+  mLoads[aSlot].mIsInSilentZone = ZoneSilenceOf(aSlot).IsSilent(aNow);
   std::vector<std::uint32_t> newlyUnreachable;
   for (auto const slot : mChecker.HandleResult(aNow, aSlot, aResult, mLoads)) {
     auto& tracker = mLoads[slot].mPassiveHealth;
--- a/src/tarragonsill/coordination/tarragonsill_upstream_selector.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_selector.hpp
@@ -27,6 +27,8 @@
   /// Flows whose handshake is in progress; each sends a request shortly.
   std::uint32_t mOpeningFlows = 0;
   PassiveHealthTracker mPassiveHealth;
+  /// Whether no upstream of its zone answered when it was last probed.
+  bool mIsInSilentZone = false;
   RelativeAnswerTime mAnswerTime;
   /// When this VM admitted flows to the cold upstream within the last second.
   std::deque<TimePoint> mColdFlowTimes;
--- a/tests/coordination/test_active_health_checker.cpp
+++ b/tests/coordination/test_active_health_checker.cpp
@@ -31,6 +31,13 @@
     }
   }
 
+  /// Records that a caller's request at an upstream gets no answer.
+  void RecordRetransmission(std::uint32_t aSlot)
+  {
+    mLoads[aSlot].mPassiveHealth.RecordRetransmission(
+      kStart, kStart - milliseconds{ 200 }, true);
+  }
+
   std::vector<std::uint32_t> StartRound(TimePoint aNow)
   {
     return mChecker.StartRound(aNow, mLoads);
@@ -76,6 +83,8 @@
 TEST(ActiveHealthChecker,
      an_unanswered_probe_counts_only_if_another_upstream_answers)
 {
+  RecordRetransmission(2);
+  RecordRetransmission(3);
   mChecker.RequestProbe(2);
   auto const unreachable = FinishRound(StartRound(kStart),
                                        { 2 },
@@ -103,6 +112,50 @@
       .size());
 }
 
+/// Failure pattern *lapse of many registrations at once*: every VM of a zone
+/// probes the upstreams of its idle flows at the same moment, and a busy
+/// upstream's queue of new connections drops all of them.
+TEST(ActiveHealthChecker,
+     one_unanswered_probe_is_no_proof_without_a_callers_evidence)
+{
+  mChecker.RequestProbe(2);
+  LONGS_EQUAL(0,
+              FinishRound(StartRound(kStart),
+                          { 2 },
+                          ConnectResult::NoAnswer,
+                          ConnectResult::Accepted)
+                .size());
+  // The probe is repeated without another request, and accepted.
+  auto const later = kStart + ActiveHealthChecker::kMinBackoff;
+  auto const slots = StartRound(later);
+  CHECK(std::count(slots.begin(), slots.end(), 2) == 1);
+  std::vector<std::uint32_t> unreachable;
+  for (auto const slot : slots) {
+    unreachable =
+      mChecker.HandleResult(later, slot, ConnectResult::Accepted, mLoads);
+  }
+  LONGS_EQUAL(0, unreachable.size());
+}
+
+TEST(ActiveHealthChecker, a_second_unanswered_probe_confirms_the_first)
+{
+  mChecker.RequestProbe(2);
+  (void)FinishRound(StartRound(kStart),
+                    { 2 },
+                    ConnectResult::NoAnswer,
+                    ConnectResult::Accepted);
+  auto const later = kStart + ActiveHealthChecker::kMinBackoff;
+  std::vector<std::uint32_t> unreachable;
+  for (auto const slot : StartRound(later)) {
+    unreachable = mChecker.HandleResult(later,
+                                        slot,
+                                        slot == 2 ? ConnectResult::NoAnswer
+                                                  : ConnectResult::Accepted,
+                                        mLoads);
+  }
+  LONGS_EQUAL(1, unreachable.size());
+}
+
 TEST(ActiveHealthChecker, silent_upstreams_with_flows_get_follow_up_probes)
 {
   mChecker.RequestProbe(2);
@@ -152,6 +205,7 @@
   std::mt19937_64 random(20261204);
   std::bernoulli_distribution loseAttempt(0.5);
   int falseAlarms = 0;
+  RecordRetransmission(2);
   constexpr int kRounds = 2000;
   for (int round = 0; round < kRounds; ++round) {
     mChecker = {};
