Offer a repeated opening to another zone than the first

Cause: a second choice cost nothing less in the zone of the upstream that had just not answered.

Change: a second choice costs more in the zone of the first one than in another, and a third one returns, as the other zone may be the one that is out of reach.

--- a/src/tarragonsill/coordination/tarragonsill_upstream_selector.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_selector.cpp
@@ -28,6 +28,9 @@
 constexpr double kBaselineDriftPerSecond = 0.01;
 /// Without answers for this time, the saturation is unknown.
 constexpr milliseconds kEstimateMaxAge{ 2000 };
+/// Added for an upstream in the zone of one that did not answer the same flow:
+/// upstreams of a zone often fail together. Exceeds `kOtherZoneCost`.
+constexpr double kAvoidedZoneCost = 3e3;
 /// Added for an upstream whose registration is missing.
 constexpr double kMissingCost = 1e5;
 /// Added for suspected upstreams, and for silent and unreachable ones, which
@@ -157,6 +160,12 @@
   if (aContext.mAvoid == aSlot) {
     cost += kSilentCost;
   }
+  bool const isInAvoidedZone =
+    aContext.mAvoid &&
+    aView.mUpstreams[*aContext.mAvoid].mZone == upstream.mZone;
+  if (isInAvoidedZone) {
+    cost += kAvoidedZoneCost;
+  }
   return cost + HealthCost(aNow,
                            load.mPassiveHealth,
                            aContext.mZoneSilence[upstream.mZone]);
