Do not take an answer of long ago for a sign of health

Routers move nearly all flows whenever a VM joins or leaves; a flow that comes back after seconds acknowledges answers that another VM had seen before the upstreams failed, and that counted as an answer now. It also ended proofs against upstreams. And a VM with few flows held on to an old answer against the reports of its whole zone.

Change: an acknowledgement that has advanced is an answer only if the flow's last packet through this VM is at most 1 s old. An answer shows for 1 s that a zone answers; after that a VM follows the reports. Log lines zone_silent and zone_answers_again, which showed the cause.

Tests: an_answer_that_another_vm_saw_long_ago_is_no_sign_of_health failed before; an_old_answer_does_not_show_that_the_zone_answers, a_zone_that_falls_silent_is_ reported_once, a_second_choice_is_in_another_zone_than_the_first.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -93,6 +93,18 @@
   return std::exchange(mLogEntries, {});
 }
 
+std::vector<ZoneChange>
+CookieSteering::TakeZoneChanges(TimePoint aNow)
+{
+  std::vector<ZoneChange> changes;
+  for (std::size_t zone = 0; zone < mView->mZones.size(); ++zone) {
+    if (auto const isSilent = mZoneSilence[zone].TakeChange(aNow)) {
+      changes.push_back({ mView->mZones[zone], *isSilent });
+    }
+  }
+  return changes;
+}
+
 SteeringVerdict
 CookieSteering::Steer(TimePoint aNow, FlowPacket const& aPacket)
 {
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -72,6 +73,13 @@
   std::uint32_t mSequence = 0;
 };
 
+/// A zone whose upstreams have stopped answering or answer again.
+struct ZoneChange
+{
+  std::string mZone;
+  bool mIsSilent = false;
+};
+
 /// A steering decision to be written to the log.
 struct SteeringLogEntry
 {
@@ -137,6 +145,9 @@
 
   std::vector<UnsolicitedReset> TakeResets();
   std::vector<SteeringLogEntry> TakeLogEntries();
+  /// Returns the zones that have become silent or answer again since the last
+  /// call.
+  std::vector<ZoneChange> TakeZoneChanges(TimePoint aNow);
 
   /// What this VM has observed of its own zone's upstreams.
   ZoneReach OwnZoneReach(TimePoint aNow) const;
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -10,6 +10,11 @@
 /// again sooner was only reordered.
 constexpr milliseconds kMinRetransmissionDelay{ 150 };
 
+/// If a flow's last packet through this VM is older, an answer that its next
+/// packet acknowledges may have arrived long ago, while routers sent the flow
+/// through another VM.
+constexpr milliseconds kAnswerSightingMaxAge{ 1000 };
+
 /// Whether a sequence number is after another one, modulo 2^32.
 bool
 IsAfter(std::uint32_t aLeft, std::uint32_t aRight)
@@ -98,13 +103,19 @@
                               Detail::TrackedFlow& aFlow)
 {
   auto& load = mLoads[aFlow.mSlot];
+  bool const isFresh = aNow < aFlow.mLastSeen + kAnswerSightingMaxAge;
   aFlow.mLastSeen = aNow;
-  bool const answered =
-    aFlow.mIsOpening || (aPacket.mAcknowledges &&
-                         IsAfter(aPacket.mAcknowledged, aFlow.mAcknowledged));
+  bool const hasAdvanced = aPacket.mAcknowledges &&
+                           IsAfter(aPacket.mAcknowledged, aFlow.mAcknowledged);
+  bool const answered = aFlow.mIsOpening || (hasAdvanced && isFresh);
+  if (hasAdvanced && !answered) {
+    aFlow.mAcknowledged = aPacket.mAcknowledged;
+    load.mInProgress -= aFlow.mInProgress ? 1 : 0;
+    aFlow.mInProgress = false;
+  }
   if (answered) {
     load.mPassiveHealth.RecordAnswer(aNow);
-    ZoneSilenceOf(aFlow.mSlot).RecordAnswer();
+    ZoneSilenceOf(aFlow.mSlot).RecordAnswer(aNow);
     mLastAnswer = aNow;
     aFlow.mRetransmissions = 0;
     aFlow.mAcknowledged = aPacket.mAcknowledged;
--- a/src/tarragonsill/coordination/tarragonsill_zone_reach.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_zone_reach.hpp
@@ -13,7 +13,7 @@
 /// What one VM has observed of its own zone's upstreams.
 enum class ZoneReach : std::uint8_t
 {
-  Unknown, ///< None has answered this VM yet, nor is there proof of silence.
+  Unknown, ///< None has answered lately, nor is there proof of silence.
   Answering,
   Silent, ///< Several were tried in succession and none answered.
 };
--- a/src/tarragonsill/coordination/tarragonsill_zone_silence_detector.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_zone_silence_detector.cpp
@@ -1,6 +1,7 @@
 #include "tarragonsill/coordination/tarragonsill_zone_silence_detector.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tarragonsill {
 
@@ -38,7 +39,19 @@
   if (IsSilent(aNow)) {
     return ZoneReach::Silent;
   }
-  return mHasAnswered ? ZoneReach::Answering : ZoneReach::Unknown;
+  bool const hasAnswered =
+    mLastAnswer != TimePoint{} && aNow < mLastAnswer + kAnswerMaxAge;
+  return hasAnswered ? ZoneReach::Answering : ZoneReach::Unknown;
+}
+
+std::optional<bool>
+ZoneSilenceDetector::TakeChange(TimePoint aNow)
+{
+  bool const isSilent = IsSilent(aNow);
+  if (std::exchange(mWasSilent, isSilent) == isSilent) {
+    return std::nullopt;
+  }
+  return isSilent;
 }
 
 bool
--- a/src/tarragonsill/coordination/tarragonsill_zone_silence_detector.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_zone_silence_detector.hpp
@@ -5,6 +5,7 @@
 #include "tarragonsill/coordination/tarragonsill_zone_reach.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 /// Detects that a whole availability zone of upstreams has stopped answering.
@@ -19,15 +20,19 @@
   /// A zone is silent if this many of its upstreams in succession do not
   /// answer.
   static constexpr std::size_t kMinUpstreams = 3;
+  /// An answer shows for this time that the zone answers. Routers use all VMs
+  /// of a zone as long as one is ready, so a VM with few flows must not hold on
+  /// to what it saw long ago.
+  static constexpr milliseconds kAnswerMaxAge{ 1000 };
 
   /// Records that an opening packet or a retransmission was forwarded to an
   /// upstream of the zone.
   void RecordAttempt(TimePoint aNow, std::uint32_t aSlot);
   /// Records an answer of any upstream of the zone.
-  void RecordAnswer()
+  void RecordAnswer(TimePoint aNow)
   {
     mUnanswered.clear();
-    mHasAnswered = true;
+    mLastAnswer = aNow;
   }
   /// Records that an upstream of the zone has registered: the zone may be back.
   void RecordRegistration() { mUnanswered.clear(); }
@@ -40,6 +45,8 @@
   /// Whether an upstream of a silent zone should get a trial flow.
   bool IsTrialFlowDue(TimePoint aNow) const;
   void RecordTrialFlow(TimePoint aNow) { mLastTrialFlow = aNow; }
+  /// Returns whether the zone is silent if that differs from the last call.
+  std::optional<bool> TakeChange(TimePoint aNow);
 
 private:
   struct Attempt
@@ -52,7 +59,8 @@
   /// zone's last answer.
   std::vector<Attempt> mUnanswered;
   TimePoint mLastTrialFlow{};
-  bool mHasAnswered = false;
+  TimePoint mLastAnswer{};
+  bool mWasSilent = false; ///< At the last call of `TakeChange`.
 };
 
 } // namespace tarragonsill
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -120,6 +120,7 @@
         mSteering.Sweep(now);
         mOwnZoneReach = mSteering.OwnZoneReach(now);
         SendResets();
+        WriteZoneChanges(now);
         WriteLogEntries();
       }
     }
@@ -191,6 +192,15 @@
     }
   }
 
+  void WriteZoneChanges(TimePoint aNow)
+  {
+    for (auto const& change : mSteering.TakeZoneChanges(aNow)) {
+      mLog.Write("steer",
+                 change.mIsSilent ? "zone_silent" : "zone_answers_again",
+                 { { "zone", change.mZone } });
+    }
+  }
+
   std::vector<LogField> FieldsOf(SteeringLogEntry const& aEntry) const
   {
     auto const& view = mSteering.View();
--- a/tests/coordination/test_cookie_silence.cpp
+++ b/tests/coordination/test_cookie_silence.cpp
@@ -21,6 +21,26 @@
               mSteering.Steer(mNow, flow.Acknowledge(first.mCookie)).mSlot);
 }
 
+/// Failure pattern *flows that return*: routers move flows to other VMs and
+/// back, and the upstream has failed meanwhile.
+TEST(CookieSilence, an_answer_that_another_vm_saw_long_ago_is_no_sign_of_health)
+{
+  auto [flow, opened] = CompleteRequestAt("a1");
+  auto const lastAnswer =
+    mSteering.Loads()[opened.mSlot].mPassiveHealth.LastAnswer();
+  // The next request and its answer pass through another VM.
+  (void)flow.Data(opened.mCookie);
+  (void)flow.Acknowledge(opened.mCookie);
+  mNow += seconds{ 3 };
+  (void)mSteering.Steer(mNow, flow.Data(opened.mCookie));
+  auto const& load = mSteering.Loads()[opened.mSlot];
+  CHECK(load.mPassiveHealth.LastAnswer() == lastAnswer);
+  // An answer that this VM's own packets frame counts as before.
+  mNow += milliseconds{ 30 };
+  (void)mSteering.Steer(mNow, flow.Acknowledge(opened.mCookie));
+  CHECK(load.mPassiveHealth.LastAnswer() == mNow);
+}
+
 TEST(CookieSilence, new_flows_avoid_a_crashed_upstream)
 {
   std::vector<SampleFlow> flows;
--- a/tests/coordination/test_cookie_zone_silence.cpp
+++ b/tests/coordination/test_cookie_zone_silence.cpp
@@ -99,6 +99,40 @@
   CHECK_EQUAL('a', OpenUnanswered());
 }
 
+TEST(CookieZoneSilence, an_old_answer_does_not_show_that_the_zone_answers)
+{
+  (void)CompleteRequestAt("a1");
+  CHECK(mSteering.OwnZoneReach(mNow) == ZoneReach::Answering);
+  mNow += ZoneSilenceDetector::kAnswerMaxAge;
+  CHECK(mSteering.OwnZoneReach(mNow) == ZoneReach::Unknown);
+}
+
+TEST(CookieZoneSilence, a_second_choice_is_in_another_zone_than_the_first)
+{
+  SampleFlow flow(CallerAt(mPort++));
+  CHECK_EQUAL('a', UpstreamOf(mSteering.Steer(mNow, flow.Opening())).front());
+  mNow += milliseconds{ 200 };
+  CHECK_EQUAL('b', UpstreamOf(mSteering.Steer(mNow, flow.Opening(1))).front());
+  // The other zone may be the one that is out of reach.
+  mNow += milliseconds{ 400 };
+  CHECK_EQUAL('a', UpstreamOf(mSteering.Steer(mNow, flow.Opening(2))).front());
+}
+
+TEST(CookieZoneSilence, a_zone_that_falls_silent_is_reported_once)
+{
+  auto [flow, opened] = CompleteRequestAt("a1");
+  SilenceOwnZone();
+  auto const silent = mSteering.TakeZoneChanges(mNow);
+  LONGS_EQUAL(1, silent.size());
+  STRCMP_EQUAL("a", silent.front().mZone.c_str());
+  CHECK(silent.front().mIsSilent);
+  LONGS_EQUAL(0, mSteering.TakeZoneChanges(mNow).size());
+  AnswerFromOwnZone(flow, opened.mCookie);
+  auto const answering = mSteering.TakeZoneChanges(mNow);
+  LONGS_EQUAL(1, answering.size());
+  CHECK_FALSE(answering.front().mIsSilent);
+}
+
 TEST(CookieZoneSilence, an_upstream_that_registers_ends_the_silence)
 {
   SilenceOwnZone();
