--- a/src/tarragonsill/coordination/tarragonsill_active_health_checker.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_active_health_checker.cpp
@@ -126,9 +126,9 @@
 }
 
 bool
-ActiveHealthChecker::IsUnansweredProbeProof(TimePoint aNow,
-                                            std::uint32_t aSlot,
-                                            UpstreamLoad const& aLoad)
+ActiveHealthChecker::RecordUnansweredProbe(TimePoint aNow,
+                                           std::uint32_t aSlot,
+                                           UpstreamLoad const& aLoad)
 {
   bool const isCorroborated =
     aLoad.mIsInSilentZone ||
@@ -172,7 +172,7 @@
     bool const isUnreachable =
       probe.mResult == ConnectResult::Refused ||
       (probe.mResult == ConnectResult::NoAnswer && ownLinkWorks &&
-       IsUnansweredProbeProof(aNow, probe.mSlot, aLoads[probe.mSlot]));
+       RecordUnansweredProbe(aNow, probe.mSlot, aLoads[probe.mSlot]));
     if (!isUnreachable) {
       continue;
     }
--- a/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
@@ -90,11 +90,11 @@
   };
 
   bool IsFollowUpDue(TimePoint aNow, std::uint32_t aSlot) const;
-  /// Whether an unanswered probe proves that the upstream is unreachable.
-  /// Otherwise the next unanswered probe may.
-  bool IsUnansweredProbeProof(TimePoint aNow,
-                              std::uint32_t aSlot,
-                              UpstreamLoad const& aLoad);
+  /// Records an unanswered probe. Returns whether it proves that the upstream
+  /// is unreachable; otherwise requests another probe.
+  bool RecordUnansweredProbe(TimePoint aNow,
+                             std::uint32_t aSlot,
+                             UpstreamLoad const& aLoad);
   std::optional<std::uint32_t> FindReference(
     TimePoint aNow,
     std::vector<UpstreamLoad> const& aLoads) const;
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -97,6 +97,9 @@
 CookieSteering::TakeZoneChanges(TimePoint aNow)
 {
   std::vector<ZoneChange> changes;
+  if (!mMechanisms.Uses(Mechanism::SilentZones)) {
+    return changes;
+  }
   for (std::size_t zone = 0; zone < mView->mZones.size(); ++zone) {
     if (auto const isSilent = mZoneSilence[zone].TakeChange(aNow)) {
       changes.push_back({ mView->mZones[zone], *isSilent });
@@ -313,7 +316,8 @@
   if (aResult == ConnectResult::Accepted) {
     mLoads[aSlot].mPassiveHealth.RecordReachable(aNow);
   }
-  mLoads[aSlot].mIsInSilentZone = ZoneSilenceOf(aSlot).IsSilent(aNow);
+  mLoads[aSlot].mIsInSilentZone = mMechanisms.Uses(Mechanism::SilentZones) &&
+                                  ZoneSilenceOf(aSlot).IsSilent(aNow);
   std::vector<std::uint32_t> newlyUnreachable;
   for (auto const slot : mChecker.HandleResult(aNow, aSlot, aResult, mLoads)) {
     auto& tracker = mLoads[slot].mPassiveHealth;
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -108,23 +108,22 @@
   bool const hasAdvanced = aPacket.mAcknowledges &&
                            IsAfter(aPacket.mAcknowledged, aFlow.mAcknowledged);
   bool const answered = aFlow.mIsOpening || (hasAdvanced && isFresh);
-  if (hasAdvanced && !answered) {
-    aFlow.mAcknowledged = aPacket.mAcknowledged;
-    load.mInProgress -= aFlow.mInProgress ? 1 : 0;
-    aFlow.mInProgress = false;
-  }
   if (answered) {
     load.mPassiveHealth.RecordAnswer(aNow);
     ZoneSilenceOf(aFlow.mSlot).RecordAnswer(aNow);
     mLastAnswer = aNow;
     aFlow.mRetransmissions = 0;
+  }
+  if (answered || hasAdvanced) {
     aFlow.mAcknowledged = aPacket.mAcknowledged;
   }
   if (aFlow.mIsOpening) {
     mLatencies.mHandshake.Record(aNow - aFlow.mDataSent);
   }
-  if (answered && aFlow.mInProgress) {
-    RecordAnswerTime(aNow, aFlow);
+  if ((answered || hasAdvanced) && aFlow.mInProgress) {
+    if (answered) {
+      RecordAnswerTime(aNow, aFlow);
+    }
     aFlow.mInProgress = false;
     --load.mInProgress;
   }
