End a soak that checked nothing with status 2

Change: a soak whose seed draws no fault of the selected kinds is refused before anything starts; a lock names a network that is in use; a run without an opened flow or without an answer ends with status 2 and says why. Test processes take networks that no soak uses.

Before: status 0 in the first two cases.

Conclusion: a soak that passes has checked something.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -81,11 +81,16 @@
   }
   std::cout << "seed " << aOptions.mSeed << ": " << report->ToText();
   bool const hasViolations = !report->mViolations.empty();
-  if (hasViolations) {
+  auto const missingEvidence = report->FindMissingEvidence();
+  if (hasViolations || missingEvidence) {
     std::cout << "events and logs: " << aOptions.mDirectory << '\n';
   } else if (aKeep.empty()) {
     std::filesystem::remove_all(aOptions.mDirectory, ignored);
   }
+  if (missingEvidence && !hasViolations) {
+    std::cerr << *missingEvidence << '\n';
+    return kRunFailed;
+  }
   return hasViolations ? kGuaranteeViolated : 0;
 }
 
@@ -138,7 +143,7 @@
   auto* soak = app.add_subcommand(
     "soak",
     "Inject random faults into VM processes; exits with 0, 1 (a guarantee was "
-    "violated) or 2 (error)");
+    "violated) or 2 (error, or nothing was checked)");
   soak->add_option("--seed", soakOptions.mSeed, "Seed of the faults");
   soak->add_option("--seconds", soakOptions.mSeconds, "Duration of the soak")
     ->check(CLI::Range(10, 600));
--- a/lab/platform/tarragonsill_lab_soak.cpp
+++ b/lab/platform/tarragonsill_lab_soak.cpp
@@ -1,5 +1,6 @@
 #include "tarragonsill_lab_soak.hpp"
 
+#include "platform/tarragonsill_lab_network_lock.hpp"
 #include "platform/tarragonsill_lab_soak_plan.hpp"
 
 #include <csignal>
@@ -44,10 +45,34 @@
 constexpr std::size_t kMaxDescriptors = 128;
 constexpr std::uint64_t kMaxLogBytesPerSecond = 64 * 1024;
 
+/// Returns the faults to inject. Fails with `Invalid` if there are none, as the
+/// soak would check nothing.
+Result<std::vector<SoakFault>>
+MakePlan(SoakOptions const& aOptions)
+{
+  // Other faults could hide the effect of a mutant.
+  if (aOptions.mMutant != SoakMutant::None) {
+    return std::vector<SoakFault>{};
+  }
+  auto plan = MakeSoakPlan(aOptions.mSeed,
+                           seconds{ aOptions.mSeconds } - 2 * kQuietPeriod,
+                           aOptions.mFaultFilter);
+  if (plan.empty()) {
+    return Reason{ ReasonCode::Invalid,
+                   "seed " + std::to_string(aOptions.mSeed) +
+                     " draws no fault of the selected kinds in " +
+                     std::to_string(aOptions.mSeconds) +
+                     " s, so nothing would be checked; choose another seed or "
+                     "a longer time" };
+  }
+  return plan;
+}
+
 class Soak
 {
 public:
   Soak(SoakOptions const& aOptions,
+       std::vector<SoakFault> aPlan,
        SoakEnvironment& aEnvironment,
        SoakChecker& aChecker)
     : mOptions(aOptions)
@@ -55,6 +80,7 @@
     , mChecker(aChecker)
     , mEvents(aOptions.mDirectory + "/events.txt")
     , mStartedAt(Clock::now())
+    , mPlan(std::move(aPlan))
   {
   }
 
@@ -66,14 +92,8 @@
       return callers.LastReason();
     }
     mCallers.emplace(callers.Take());
-    auto const length = seconds{ mOptions.mSeconds };
-    // Other faults could hide the effect of a mutant.
-    if (mOptions.mMutant == SoakMutant::None) {
-      mPlan = MakeSoakPlan(
-        mOptions.mSeed, length - 2 * kQuietPeriod, mOptions.mFaultFilter);
-    }
     mChecker.RecordStoreFault(mStartedAt + kQuietPeriod / 2);
-    while (Clock::now() < mStartedAt + length) {
+    while (Clock::now() < mStartedAt + seconds{ mOptions.mSeconds }) {
       Step(Clock::now());
     }
     for (auto& vm : mEnvironment.Vms()) {
@@ -395,8 +415,8 @@
   SoakChecker& mChecker;
   std::ofstream mEvents;
   TimePoint mStartedAt;
-  std::optional<FlowCallers> mCallers;
   std::vector<SoakFault> mPlan;
+  std::optional<FlowCallers> mCallers;
   std::size_t mNextFault = 0;
   std::multimap<TimePoint, std::function<void()>> mScheduled;
   TimePoint mNextOpen{};
@@ -422,16 +442,36 @@
   return text.str();
 }
 
+std::optional<std::string>
+SoakReport::FindMissingEvidence() const
+{
+  if (mCallers.mOpened == 0) {
+    return "no flow was opened, so nothing was checked";
+  }
+  if (mCallers.mAnswers == 0) {
+    return "no request was answered, so nothing was checked";
+  }
+  return std::nullopt;
+}
+
 Result<SoakReport>
 RunSoak(SoakOptions const& aOptions)
 {
+  auto plan = MakePlan(aOptions);
+  if (!plan) {
+    return plan.LastReason();
+  }
+  auto const lock = NetworkLock::Take(aOptions.mNetwork.mNumber);
+  if (!lock) {
+    return lock.LastReason();
+  }
   SoakChecker checker;
   auto started = SoakEnvironment::Start(aOptions, checker);
   if (!started) {
     return started.LastReason();
   }
   auto const environment = started.Take();
-  Soak soak(aOptions, *environment, checker);
+  Soak soak(aOptions, plan.Take(), *environment, checker);
   auto const result = soak.Run();
   if (!result) {
     return result.LastReason();
--- a/lab/platform/tarragonsill_lab_soak.hpp
+++ b/lab/platform/tarragonsill_lab_soak.hpp
@@ -3,6 +3,8 @@
 
 #include "platform/tarragonsill_lab_soak_environment.hpp"
 
+#include <optional>
+
 /// Injects random faults into real processes and continuously checks the
 /// guarantees to the operators against what callers and upstreams observe.
 namespace tarragonsill::Lab {
@@ -17,10 +19,15 @@
   std::uint64_t mMaxLogBytesPerSecond = 0;
 
   std::string ToText() const;
+  /// Why the soak proved nothing, if so: no flow was opened or none was
+  /// answered.
+  std::optional<std::string> FindMissingEvidence() const;
 };
 
 /// Runs the faults of one seed. Events are logged to `events.txt` in the
-/// directory.
+/// directory. Fails with `Invalid` if the seed draws no fault of the selected
+/// kinds in that time, and with `SystemFailure` if a process or a network is
+/// not to be had.
 Result<SoakReport> RunSoak(SoakOptions const& aOptions);
 
 } // namespace tarragonsill::Lab
--- a/tests/support/loopback_network.hpp
+++ b/tests/support/loopback_network.hpp
@@ -35,9 +35,9 @@
   }
 
 private:
-  /// The networks 127.200.0.0/16 to 127.239.0.0/16; the lab uses others.
-  static constexpr std::uint32_t kFirstNetwork = 200;
-  static constexpr std::uint32_t kNetworks = 40;
+  /// The networks 127.244.0.0/16 to 127.253.0.0/16; the lab uses others.
+  static constexpr std::uint32_t kFirstNetwork = 244;
+  static constexpr std::uint32_t kNetworks = 10;
   static constexpr std::uint32_t kReservedHost = 0xFFFE;
   static constexpr std::uint16_t kReservedPort = 18100;
 
--- a/tools/soak-tests.sh
+++ b/tools/soak-tests.sh
@@ -17,6 +17,10 @@
 soak --seed 15 --seconds 25 --entries 6 --network 4 --without store_rollback
 # Six store rollbacks in 32 s, among them two in a row.
 soak --seed 2 --seconds 40 --entries 6 --network 5 --only store_rollback
+# A soak that cannot check anything fails: seed 6 draws no rollback in 30 s.
+status=0
+soak --seed 6 --seconds 30 --network 6 --only store_rollback || status=$?
+[ "$status" -eq 2 ] || { echo "an empty soak ended with $status"; exit 1; }
 # Each check must detect the defect that violates its guarantee.
 kept=$(mktemp -d)
 trap 'rm -rf "$kept"' EXIT
