Give up a flow on silence only if it was itself left unanswered

So the passive verdict does it: two callers that repeat themselves for reasons of their own made an upstream silent, and every flow of it was given up, also those that had sent nothing in vain.

Change: passive silence gives up a flow only if the flow itself has repeated data since it was last acknowledged; an acknowledgement, also a late one, ends its repetitions. Failed probes give up all flows, as before.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -242,7 +242,7 @@
     known->mIsOpening = hadSecondChoice;
   }
   ObservePacket(aNow, aPacket, *known);
-  if (AreFlowsLost(aNow, slot)) {
+  if (IsFlowLost(aNow, *known)) {
     AddLogEntry(SteeringCause::SilentUpstream,
                 aPacket.mSource,
                 aPacket.mDestination,
@@ -255,11 +255,15 @@
 }
 
 bool
-CookieSteering::AreFlowsLost(TimePoint aNow, std::uint32_t aSlot) const
+CookieSteering::IsFlowLost(TimePoint aNow,
+                           Detail::TrackedFlow const& aFlow) const
 {
-  auto const& tracker = mLoads[aSlot].mPassiveHealth;
+  auto const& tracker = mLoads[aFlow.mSlot].mPassiveHealth;
+  // The silence of an upstream to some callers may have its cause on their
+  // side, so it proves nothing for a flow that has sent nothing in vain.
+  bool const isUnanswered = aFlow.mRetransmissions > 0;
   return tracker.HasRecentFailedProbe(aNow) ||
-         (mMechanisms.Uses(Mechanism::SilentUpstreams) &&
+         (mMechanisms.Uses(Mechanism::SilentUpstreams) && isUnanswered &&
           tracker.Health(aNow) == UpstreamHealth::Silent &&
           aNow < mLastAnswer + kOtherAnswerMaxAge);
 }
@@ -283,7 +287,7 @@
     auto const timeout = aFlow.mIsClosed ? Duration(kClosedFlowTimeout)
                                          : Duration(mView->mIdleTimeout);
     bool const isIdle = aNow > aFlow.mLastSeen + timeout;
-    bool const isLost = !isIdle && AreFlowsLost(aNow, aFlow.mSlot);
+    bool const isLost = !isIdle && IsFlowLost(aNow, aFlow);
     if (!isIdle && !isLost) {
       return false;
     }
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -171,9 +171,9 @@
   void ObserveData(TimePoint aNow,
                    FlowPacket const& aPacket,
                    Detail::TrackedFlow& aFlow);
-  /// Whether the flows of an upstream should be reset: a probe failed recently,
-  /// or the upstream is silent while others answer.
-  bool AreFlowsLost(TimePoint aNow, std::uint32_t aSlot) const;
+  /// Whether a flow should be reset: a probe of its upstream failed recently,
+  /// or the upstream is silent, also to this flow, while others answer.
+  bool IsFlowLost(TimePoint aNow, Detail::TrackedFlow const& aFlow) const;
   std::uint64_t SaturationKey(std::uint32_t aService, Endpoint aRoute) const;
   /// Records the answer time for latencies, zone saturation and relative answer
   /// time.
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -112,9 +112,9 @@
     load.mPassiveHealth.RecordAnswer(aNow);
     ZoneSilenceOf(aFlow.mSlot).RecordAnswer(aNow);
     mLastAnswer = aNow;
-    aFlow.mRetransmissions = 0;
   }
   if (answered || hasAdvanced) {
+    aFlow.mRetransmissions = 0;
     aFlow.mAcknowledged = aPacket.mAcknowledged;
   }
   if (aFlow.mIsOpening) {
