--- a/review/standin.cpp
+++ b/review/standin.cpp
@@ -1470,21 +1470,50 @@
                    " requests in one second at the cold host; the limit is 8");
 }
 
-/// A foreign writer leaves a copy of a host's entry, with fields missing.
+/// A foreign writer leaves a copy of a host's entry, with fields missing and
+/// with the service that the host belonged to before.
 int
 ForeignCopy(Deployment& aDeployment, bool aTrouble)
 {
-  StartDeployment(aDeployment);
+  auto& store = aDeployment.TheStore();
+  for (auto const* zone : { "a", "b", "c", "a", "b", "c" }) {
+    auto& host = aDeployment.AddHost("app", zone);
+    (void)store.Put("servers", host.Id(), host.Spec("ready"));
+  }
+  auto& other = aDeployment.AddHost("slips", "a");
+  (void)store.Put("servers", other.Id(), other.Spec("ready"));
+  (void)store.Put("config",
+                  "main",
+                  Deployment::Configuration(
+                    7,
+                    aDeployment.RouteText(1, "app") + "," +
+                      aDeployment.RouteText(2, "slips"),
+                    Deployment::ServiceText("app") + "," +
+                      Deployment::ServiceText("slips")));
+  aDeployment.StartAll();
+  aDeployment.RunUntil(Now() + 5000, { 1, 2 }, 20);
   if (aTrouble) {
-    auto& host = *aDeployment.Hosts().front();
-    (void)aDeployment.TheStore().Put(
-      "servers",
-      "copy-of-" + host.Id(),
-      R"({"service":"app","address":")" + Text(host.Where()) +
-        R"(","zone":"a","slots":4,"state":"ready","coldLeftMs":0})");
+    (void)store.Put("servers",
+                    "copy-of-" + other.Id(),
+                    R"({"service":"app","address":")" + Text(other.Where()) +
+                      R"(","zone":"a","slots":4,"state":"ready",)"
+                      R"("coldLeftMs":0})");
   }
-  aDeployment.RunUntil(Now() + 3000, { 1 }, 20);
-  return JudgeDrain(aDeployment);
+  aDeployment.RunUntil(Now() + 10'000, { 1, 2 }, 20);
+  WriteOpenings(aDeployment);
+  std::size_t foreign = 0;
+  std::size_t own = 0;
+  for (auto const& opening : other.Openings()) {
+    auto const& route = aDeployment.FlowOf(opening.mClient).mRoute;
+    ++(route == aDeployment.Route(1) ? foreign : own);
+  }
+  if (own == 0) {
+    CannotRun("the service slips took no flow of its own");
+  }
+  return Verdict("ROUTE",
+                 foreign,
+                 "flows of a route to app were taken by the host of slips, " +
+                   std::to_string(own) + " of its own route");
 }
 
 } // namespace
