Case 4: one lost request and a full queue cut a host's idle flows

It takes the place of the case on cold hosts (FAILBACK), which is lesser; its scenario stays in the stand-ins. The lagging watches are now case 5.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,7 +5,7 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/tarragonsill ] || exit 2
-target/review/standin cold-host target/tarragonsill "$here/record.txt" "${TROUBLE:-1}"
+target/review/standin stale-watch target/tarragonsill "$here/record.txt" "${TROUBLE:-1}"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/standin.cpp
+++ b/review/standin.cpp
@@ -540,32 +540,51 @@
     mIdentity =
       std::strtoull(mId.substr(mId.rfind('-') + 1).c_str(), nullptr, 16);
     mSocket = Bind(SOCK_DGRAM, mAddress);
-    int const listener = Bind(SOCK_STREAM, mAddress);
-    if (mSocket < 0 || listener < 0) {
+    mListener = Bind(SOCK_STREAM, mAddress);
+    if (mSocket < 0 || mListener < 0) {
       CannotRun("host cannot listen on " + Text(mAddress));
     }
     // Status checks are answered on the same address.
-    std::thread([listener] {
+    std::thread([this] {
       while (true) {
-        int const connection =
-          ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
-        if (connection < 0) {
+        pollfd entry{ mListener, POLLIN, 0 };
+        (void)::poll(&entry, 1, 20);
+        if (mIsQueueFull) {
           continue;
         }
-        std::thread([connection] {
-          std::array<char, 1024> buffer{};
-          if (::recv(connection, buffer.data(), buffer.size(), 0) > 0) {
-            std::string const answer =
-              "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-            (void)::send(
-              connection, answer.data(), answer.size(), MSG_NOSIGNAL);
-          }
-          (void)::close(connection);
-        }).detach();
+        int const connection =
+          ::accept4(mListener, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+        if (connection >= 0) {
+          AnswerStatusCheck(connection);
+        }
       }
     }).detach();
+    int const flags = ::fcntl(mListener, F_GETFL);
+    (void)::fcntl(mListener, F_SETFL, flags | O_NONBLOCK);
+  }
+
+  /// Status checks of others fill the queue of new connections, or leave it.
+  void SetQueueFull(bool aIsFull)
+  {
+    mIsQueueFull = aIsFull;
+    (void)::listen(mListener, aIsFull ? 0 : 256);
+    for (int check = 0; aIsFull && check < 4; ++check) {
+      int const socket =
+        ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+      auto const address = ToSocketAddress(mAddress);
+      (void)::connect(socket,
+                      reinterpret_cast<sockaddr const*>(&address),
+                      sizeof(address));
+      mStatusChecks.push_back(socket);
+    }
+    gRecord->Write("host   %s queue of new connections is %s",
+                   mId.c_str(),
+                   aIsFull ? "full" : "free");
   }
 
+  /// The network loses the next request to this host.
+  void LoseNextRequest() { mLosesNextRequest = true; }
+
   /// The entry that the host writes into the store.
   std::string Spec(std::string const& aState) const
   {
@@ -597,6 +616,13 @@
       if (!packet || (identity != 0 && identity != mIdentity)) {
         return; // Meant for another host.
       }
+      if (mLosesNextRequest && packet->mLength > 0) {
+        mLosesNextRequest = false;
+        gRecord->Write("net    a request of client %u to host %s was lost",
+                       packet->mFrom.mPort,
+                       mId.c_str());
+        return;
+      }
       if (packet->mSum != SumOf(*packet)) {
         gRecord->Write("host   %s got a packet its sender didn't write",
                        mId.c_str());
@@ -628,6 +654,21 @@
     double mDueAt = 0.0;
   };
 
+  static void AnswerStatusCheck(int aConnection)
+  {
+    std::thread([aConnection] {
+      pollfd entry{ aConnection, POLLIN, 0 };
+      std::array<char, 1024> buffer{};
+      if (::poll(&entry, 1, 1000) > 0 &&
+          ::recv(aConnection, buffer.data(), buffer.size(), 0) > 0) {
+        std::string const answer =
+          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        (void)::send(aConnection, answer.data(), answer.size(), MSG_NOSIGNAL);
+      }
+      (void)::close(aConnection);
+    }).detach();
+  }
+
   void SendAnswer(PendingAnswer const& aAnswer)
   {
     Answer(aAnswer.mRequest,
@@ -722,6 +763,10 @@
       .count());
   std::uint64_t mIdentity = 0;
   int mSocket = -1;
+  int mListener = -1;
+  std::atomic<bool> mIsQueueFull{ false };
+  std::vector<int> mStatusChecks;
+  bool mLosesNextRequest = false;
   std::mt19937 mRandom{ std::random_device{}() };
   std::map<Address, Flow> mFlows;
   std::vector<Opening> mOpenings;
@@ -790,8 +835,12 @@
   std::uint32_t mAcknowledged = 0;
   std::uint32_t mEcho = 0;
   unsigned mRetransmissions = 0;
+  double mPause = 0.0; ///< Between two requests; 0 if there is only one.
+  double mRequestedAt = 0.0;
   bool mIsOpen = false;
   bool mHasEnded = false;
+  /// When a reset arrived that no host had sent, while the flow was open.
+  double mSystemResetAt = 0.0;
 };
 
 class Deployment
@@ -961,7 +1010,8 @@
                 double aPerSecond)
   {
     while (Now() < aEnd) {
-      for (std::size_t zone = 0; zone < mZones.size(); ++zone) {
+      for (std::size_t zone = 0; aPerSecond > 0.0 && zone < mZones.size();
+           ++zone) {
         auto& next = mNextOpening[zone];
         next = std::max(next, Now() - 1000.0);
         if (Now() >= next) {
@@ -1116,9 +1166,12 @@
     return *nodes[(hash >> 8) % nodes.size()];
   }
 
-  void Open(std::string const& aZone, Address aRoute)
+public:
+  /// Opens a flow; one with a pause stays open for further requests.
+  void Open(std::string const& aZone, Address aRoute, double aPause = 0.0)
   {
     ClientFlow flow;
+    flow.mPause = aPause;
     flow.mClient = { Ip(3, 1),
                      static_cast<std::uint16_t>(kFirstClientPort +
                                                 mFlows.size()) };
@@ -1129,6 +1182,7 @@
     mFlows.push_back(flow);
   }
 
+private:
   void Send(ClientFlow& aFlow, unsigned aFlags, std::uint16_t aLength)
   {
     Packet packet;
@@ -1163,7 +1217,10 @@
       aFlow.mNextSend = Now() + kDelays[aFlow.mCopies++];
       return;
     }
-    if (Now() > aFlow.mSentAt[0] + kBudgetMs) {
+    if (aFlow.mRetransmissions == 0) {
+      aFlow.mRequestedAt = Now();
+    }
+    if (Now() > aFlow.mRequestedAt + kBudgetMs) {
       End(aFlow, "was not answered in time");
       return;
     }
@@ -1183,7 +1240,14 @@
       return;
     }
     if ((aPacket.mFlags & kRst) != 0) {
-      End(flow, flow.mIsOpen ? "was reset" : "was refused");
+      bool const isFromHost = aPacket.mSum == SumOf(aPacket);
+      if (flow.mIsOpen && !isFromHost) {
+        flow.mSystemResetAt = Now();
+      }
+      End(flow,
+          !flow.mIsOpen ? "was refused"
+          : isFromHost  ? "was reset by its host"
+                        : "was reset by the system while open");
       return;
     }
     flow.mEcho = aPacket.mEcho;
@@ -1200,6 +1264,11 @@
         aPacket.mSequence == flow.mAcknowledged) {
       flow.mSequence += kRequestBytes;
       flow.mAcknowledged += aPacket.mLength;
+      if (flow.mPause > 0.0) {
+        flow.mRetransmissions = 0;
+        flow.mNextSend = Now() + flow.mPause;
+        return;
+      }
       Send(flow, kAck | kFin, 0);
       End(flow, nullptr);
     }
@@ -1399,6 +1468,44 @@
   return JudgeDrain(aDeployment);
 }
 
+/// A host's queue of new connections is full, and a few requests are lost.
+int
+FullQueue(Deployment& aDeployment, bool aTrouble)
+{
+  constexpr int kFlowsPerZone = 40;
+  StartDeployment(aDeployment);
+  std::mt19937 random(7);
+  std::uniform_real_distribution<double> pause(2500.0, 4500.0);
+  for (int number = 0; number < kFlowsPerZone; ++number) {
+    for (auto const* zone : { "a", "b", "c" }) {
+      aDeployment.Open(zone, aDeployment.Route(2), pause(random));
+    }
+    aDeployment.RunUntil(Now() + 50, { 1 }, 2);
+  }
+  aDeployment.RunUntil(Now() + 5000, { 1 }, 2);
+  auto& host = *aDeployment.Hosts().front();
+  if (aTrouble) {
+    host.SetQueueFull(true);
+  }
+  for (int loss = 0; loss < 6; ++loss) {
+    if (aTrouble) {
+      host.LoseNextRequest();
+    }
+    aDeployment.RunUntil(Now() + 3000, { 1 }, 2);
+  }
+  if (aTrouble) {
+    host.SetQueueFull(false);
+  }
+  aDeployment.RunUntil(Now() + 2000, { 1 }, 2);
+  WriteOpenings(aDeployment);
+  std::size_t resets = 0;
+  for (auto const& flow : aDeployment.Flows()) {
+    resets += flow.mSystemResetAt > 0.0 ? 1 : 0;
+  }
+  return Verdict(
+    "FLOW", resets, "open flows were reset by the system, all hosts live");
+}
+
 /// Adds a cold host to a service whose hosts stand in one zone.
 int
 ColdHost(Deployment& aDeployment, bool aTrouble)
@@ -1539,6 +1646,7 @@
     { "unreadable-entry", UnreadableEntry },
     { "stale-watch", StaleWatch },
     { "cold-host", ColdHost },
+    { "full-queue", FullQueue },
     { "foreign-copy", ForeignCopy },
   };
   auto const found = scenarios.find(scenario);
