--- a/review/standin.cpp
+++ b/review/standin.cpp
@@ -737,9 +737,12 @@
         flow.mExpected += aPacket.mLength;
         flow.mNext += kAnswerBytes;
       }
-      // A retransmission of a request that is still at work gets no answer.
+      // A request at work is acknowledged; its answer comes later.
       auto const dueAt = isNew ? Now() + mWork : flow.mAnsweredAt;
       flow.mAnsweredAt = dueAt;
+      if (dueAt > Now()) {
+        Answer(aPacket, kAck, flow.mNext - kAnswerBytes, flow.mExpected);
+      }
       if (isNew || dueAt <= Now()) {
         mAnswers.push_back({ aPacket,
                              flow.mNext - kAnswerBytes,
@@ -1260,12 +1263,19 @@
       }
       return;
     }
+    if (flow.mIsOpen && aPacket.mLength == 0 &&
+        aPacket.mAcknowledged == flow.mSequence + kRequestBytes) {
+      // The host has the request and works on it.
+      flow.mNextSend = flow.mRequestedAt + kBudgetMs + 1.0;
+      return;
+    }
     if (flow.mIsOpen && aPacket.mLength > 0 &&
         aPacket.mSequence == flow.mAcknowledged) {
       flow.mSequence += kRequestBytes;
       flow.mAcknowledged += aPacket.mLength;
       if (flow.mPause > 0.0) {
         flow.mRetransmissions = 0;
+        Send(flow, kAck, 0);
         flow.mNextSend = Now() + flow.mPause;
         return;
       }
@@ -1472,8 +1482,12 @@
 int
 FullQueue(Deployment& aDeployment, bool aTrouble)
 {
-  constexpr int kFlowsPerZone = 40;
+  constexpr int kFlowsPerZone = 30;
+  constexpr double kWorkMs = 200;
   StartDeployment(aDeployment);
+  for (auto const& host : aDeployment.Hosts()) {
+    host->SetWork(kWorkMs);
+  }
   std::mt19937 random(7);
   std::uniform_real_distribution<double> pause(2500.0, 4500.0);
   for (int number = 0; number < kFlowsPerZone; ++number) {
