Read each stored object by itself, so that an odd one hides no other

Other operators reported the same of numbers that are too large, and of processes that ended again and again after a deeply nested entry.

Cause: the answer of the store was parsed at once. The parser rejects a text that holds an unpaired surrogate or a number beyond a double's range, so the answer was discarded with all other objects, and watch and list asked for it again. A value of 500,000 levels in the finalizers of an entry ended the process with signal 11: the parsed `meta` was copied, which recurses. Ports out of range did no harm before.

Change: the answer is split into the texts of its objects without parsing, and only name, revision and specification of each are parsed, one by one. Related: `born` beyond 63 bits and weights beyond 32 bits no longer wrap.

--- a/src/tarragonsill/platform/internal/tarragonsill_platform_records.cpp
+++ b/src/tarragonsill/platform/internal/tarragonsill_platform_records.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace tarragonsill::Platform {
 
@@ -28,6 +29,11 @@
 /// More concurrent requests than any upstream runs.
 constexpr std::uint64_t kMaxSlots = 1'000'000;
 
+constexpr std::uint64_t kMaxWeight = std::numeric_limits<std::uint32_t>::max();
+
+constexpr std::uint64_t kMaxStartMark =
+  std::numeric_limits<std::int64_t>::max();
+
 Reason
 MalformedReason(std::string aText)
 {
@@ -83,7 +89,8 @@
     if (!service || !weight) {
       continue;
     }
-    shares.push_back({ *service, static_cast<std::uint32_t>(*weight) });
+    shares.push_back(
+      { *service, static_cast<std::uint32_t>(std::min(*weight, kMaxWeight)) });
   }
   return shares;
 }
@@ -196,6 +203,10 @@
   registration.mRemainingColdTime = FromMilliseconds(*cold);
   // `born` identifies a start of the upstream.
   auto const& startMark = Member(aSpec, "born");
+  if (startMark.is_number_unsigned() &&
+      startMark.get<std::uint64_t>() > kMaxStartMark) {
+    return MalformedReason("born: a 63-bit whole number is expected");
+  }
   if (startMark.is_number_integer()) {
     registration.mStartMark = startMark.get<std::int64_t>();
   }
--- a/src/tarragonsill/platform/tarragonsill_platform_objects.cpp
+++ b/src/tarragonsill/platform/tarragonsill_platform_objects.cpp
@@ -1,8 +1,8 @@
 #include "tarragonsill/platform/tarragonsill_platform_objects.hpp"
 
+#include "tarragonsill/platform/internal/tarragonsill_platform_json_parts.hpp"
 #include "tarragonsill/platform/internal/tarragonsill_platform_records.hpp"
 
-#include <algorithm>
 #include <charconv>
 
 namespace tarragonsill::Platform {
@@ -23,52 +23,46 @@
   return "";
 }
 
-/// Parses a body. If a foreign writer stored bytes that are not valid text,
-/// they are replaced by spaces, so that the other objects can still be read.
-nlohmann::json
-ParseBody(std::string const& aBody)
+/// Decodes the content of an object; `aSpec` is its raw text.
+template<typename Decode>
+void
+SetContent(ObjectChange& aChange, std::string_view aSpec, Decode aDecode)
 {
-  auto parsed = nlohmann::json::parse(aBody, nullptr, false);
-  if (!parsed.is_discarded()) {
-    return parsed;
+  auto const spec = ParseJson(aSpec);
+  if (!spec) {
+    aChange.mContent = InvalidRecord{ spec.LastReason().mText };
+    return;
   }
-  auto cleaned = aBody;
-  std::replace_if(
-    cleaned.begin(),
-    cleaned.end(),
-    [](char aByte) {
-      constexpr unsigned char kFirstPrintable = 0x20;
-      constexpr unsigned char kFirstNonAscii = 0x80;
-      auto const byte = static_cast<unsigned char>(aByte);
-      return byte < kFirstPrintable || byte >= kFirstNonAscii;
-    },
-    ' ');
-  return nlohmann::json::parse(cleaned, nullptr, false);
+  auto content = aDecode(spec.Value());
+  if (!content) {
+    aChange.mContent = InvalidRecord{ content.LastReason().mText };
+    return;
+  }
+  aChange.mContent = content.Take();
 }
 
 ObjectChange
-DecodeObject(ObjectKind aKind,
-             std::uint64_t aEra,
-             nlohmann::json const& aObject)
+DecodeObject(ObjectKind aKind, std::uint64_t aEra, std::string_view aObject)
 {
   ObjectChange change;
-  auto const meta = Member(aObject, "meta");
+  auto const parts = SplitObject(aObject);
+  auto const meta =
+    ReadMembers(SplitObject(MemberText(parts, "meta")), { "name", "revision" });
   change.mName = Text(meta, "name").value_or("");
   change.mPosition = { aEra, Unsigned(meta, "revision").value_or(0) };
-  auto const& spec = Member(aObject, "spec");
-  auto const setContent = [&](auto aResult) {
-    if (aResult) {
-      change.mContent = aResult.Take();
-    } else {
-      change.mContent = InvalidRecord{ aResult.LastReason().mText };
-    }
-  };
+  if (change.mName.empty()) {
+    change.mContent = InvalidRecord{ "name: a text is expected" };
+    return change;
+  }
+  auto const spec = MemberText(parts, "spec");
   switch (aKind) {
     case ObjectKind::Configuration:
-      setContent(DecodeConfiguration(spec));
+      SetContent(change, spec, DecodeConfiguration);
       break;
     case ObjectKind::Upstreams:
-      setContent(DecodeUpstream(change.mName, spec));
+      SetContent(change, spec, [&](nlohmann::json const& aSpec) {
+        return DecodeUpstream(change.mName, aSpec);
+      });
       break;
     case ObjectKind::Evacuations:
       change.mContent = EvacuationRecord{};
@@ -117,11 +111,12 @@
                      std::uint64_t aEra,
                      std::string const& aBody)
 {
-  auto const body = ParseBody(aBody);
-  auto const revision = Unsigned(body, "currentRev");
   bool const isWatch = aQuery.mWatchFrom.IsSet();
-  auto const& items = Member(body, isWatch ? "events" : "items");
-  if (!revision || !items.is_array()) {
+  auto const body = SplitObject(aBody);
+  auto const head = ReadMembers(body, { "currentRev", "more" });
+  auto const revision = Unsigned(head, "currentRev");
+  auto const items = SplitArray(MemberText(body, isWatch ? "events" : "items"));
+  if (!revision || !items) {
     return Reason{
       ReasonCode::Malformed,
       "answer of the store has no list of objects or no revision"
@@ -129,15 +124,16 @@
   }
   ObjectPage page;
   page.mPosition = { aEra, *revision };
-  page.mHasMore = Flag(body, "more");
-  for (auto const& item : items) {
+  page.mHasMore = Flag(head, "more");
+  for (auto const item : *items) {
     if (!isWatch) {
       page.mChanges.push_back(DecodeObject(aQuery.mKind, aEra, item));
       continue;
     }
-    auto change = DecodeObject(aQuery.mKind, aEra, Member(item, "object"));
+    auto const event = SplitObject(item);
+    auto change = DecodeObject(aQuery.mKind, aEra, MemberText(event, "object"));
     // A tombstone is an event that removes its object.
-    change.mRemoved = Flag(item, "tombstone");
+    change.mRemoved = Flag(ReadMembers(event, { "tombstone" }), "tombstone");
     page.mChanges.push_back(std::move(change));
   }
   return page;
