Continue a list after any name, and never end it for lack of one

What callers would see: upstreams on the later pages of a list count as removed.

Cause: a list continues after the last name of a page. A name of another writer with reserved characters ended the query string there, and a name that cannot be read ended the list, which then counted as complete.

Change: names are percent-encoded in the query; the last name that can be read counts, and a page without one fails the call, which keeps the state.

Evidence: the two new tests of StoreWatch fail without the change (a list of 51 objects never completes; a first page of 50 nameless objects counts as answered) and hold with it.

--- a/lab/platform/tarragonsill_lab_object_store.cpp
+++ b/lab/platform/tarragonsill_lab_object_store.cpp
@@ -240,6 +240,14 @@
   mImpl->ApplyChange(aKind, aName, aSpec, false);
 }
 
+void
+ObjectStore::PutNameless(std::string const& aKind, std::string const& aName)
+{
+  Put(aKind, aName, {});
+  std::lock_guard const lock(mImpl->mMutex);
+  mImpl->mState.mObjects[aKind][aName]["meta"].erase("name");
+}
+
 void
 ObjectStore::Remove(std::string const& aKind, std::string const& aName)
 {
--- a/lab/platform/tarragonsill_lab_object_store.hpp
+++ b/lab/platform/tarragonsill_lab_object_store.hpp
@@ -25,6 +25,8 @@
   void Put(std::string const& aKind,
            std::string const& aName,
            nlohmann::json const& aSpec);
+  /// Puts an object that is listed under its name but shows none.
+  void PutNameless(std::string const& aKind, std::string const& aName);
   void Remove(std::string const& aKind, std::string const& aName);
   /// While down, the store answers every call with status 503.
   void SetDown(bool aIsDown);
--- a/src/tarragonsill/platform/tarragonsill_platform_objects.cpp
+++ b/src/tarragonsill/platform/tarragonsill_platform_objects.cpp
@@ -23,6 +23,29 @@
   return "";
 }
 
+/// Percent-encodes all characters of a value of a query but the unreserved ones
+/// (RFC 3986), since other writers choose names too.
+std::string
+EncodeQueryValue(std::string_view aText)
+{
+  constexpr std::string_view kHexDigits = "0123456789ABCDEF";
+  constexpr std::string_view kUnreserved = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                           "abcdefghijklmnopqrstuvwxyz"
+                                           "0123456789-._~";
+  std::string encoded;
+  for (char const character : aText) {
+    if (kUnreserved.find(character) != std::string_view::npos) {
+      encoded += character;
+      continue;
+    }
+    auto const byte = static_cast<unsigned char>(character);
+    encoded += '%';
+    encoded += kHexDigits[byte >> 4U];
+    encoded += kHexDigits[byte & 0xFU];
+  }
+  return encoded;
+}
+
 /// Decodes the content of an object; `aSpec` is its raw text.
 template<typename Decode>
 void
@@ -83,7 +106,7 @@
     separator = '&';
   };
   if (!aQuery.mAfter.empty()) {
-    add("after", aQuery.mAfter);
+    add("after", EncodeQueryValue(aQuery.mAfter));
   }
   if (aQuery.mWatchFrom.IsSet()) {
     add("watch", std::to_string(aQuery.mWatchFrom.mRevision));
--- a/src/tarragonsill/transport/tarragonsill_store_watch.hpp
+++ b/src/tarragonsill/transport/tarragonsill_store_watch.hpp
@@ -218,15 +218,19 @@
       Restart();
       return { true, {}, {}, milliseconds{ 0 } };
     }
-    auto const lastName =
-      aPage.mChanges.empty() ? std::string() : aPage.mChanges.back().mName;
+    auto const lastName = LastName(aPage);
+    // A list that ended here would lack the objects of the next pages.
+    bool const hasNext = !lastName.empty() && lastName != mQuery.mAfter;
+    if (aPage.mHasMore && !hasNext) {
+      return RecordFailure("no object of a page has a name that can be read");
+    }
     if (mListedChanges.empty()) {
       mListPosition = aPage.mPosition;
     }
     std::move(aPage.mChanges.begin(),
               aPage.mChanges.end(),
               std::back_inserter(mListedChanges));
-    if (aPage.mHasMore && !lastName.empty()) {
+    if (aPage.mHasMore) {
       mQuery.mAfter = lastName;
       return { true, {}, {}, milliseconds{ 0 } };
     }
@@ -240,6 +244,17 @@
     return { true, {}, std::move(update), milliseconds{ 0 } };
   }
 
+  /// Returns the name of the last object that has one. Objects of other writers
+  /// may have a name that cannot be read.
+  static std::string LastName(ObjectPage const& aPage)
+  {
+    auto const last =
+      std::find_if(aPage.mChanges.rbegin(),
+                   aPage.mChanges.rend(),
+                   [](auto const& aChange) { return !aChange.mName.empty(); });
+    return last == aPage.mChanges.rend() ? std::string() : last->mName;
+  }
+
   void Restart()
   {
     mQuery.mWatchFrom = {};
--- a/tests/transport/test_store_watch.cpp
+++ b/tests/transport/test_store_watch.cpp
@@ -212,6 +212,33 @@
   CHECK(result.mUpdate->mIsWholeList);
 }
 
+TEST(StoreWatch, a_list_continues_after_a_name_with_reserved_characters)
+{
+  // Guards against a name of another writer that ends the query of the next
+  // page, so that the pages after it are never read.
+  constexpr int kFirstPage = 50;
+  PutEvacuations(kFirstPage - 1);
+  mStore->Put("evacuations", "zone-z &watch=9#%41+", {});
+  mStore->Put("evacuations", "zone-zz", {});
+  CHECK_FALSE(mWatch->Poll().mUpdate.has_value());
+  auto const result = mWatch->Poll();
+  CHECK(result.mUpdate.has_value());
+  LONGS_EQUAL(kFirstPage + 1, result.mUpdate->mChanges.size());
+  STRCMP_EQUAL("zone-zz", result.mUpdate->mChanges.back().mName.c_str());
+}
+
+TEST(StoreWatch, a_list_without_a_name_to_continue_after_is_not_complete)
+{
+  // Guards against upstreams of later pages that count as removed because no
+  // name of a page can be read.
+  for (int object = 0; object < kTwoPages; ++object) {
+    mStore->PutNameless("evacuations", "zone-" + std::to_string(object));
+  }
+  auto const result = mWatch->Poll();
+  CHECK_FALSE(result.mAnswered);
+  CHECK_FALSE(result.mUpdate.has_value());
+}
+
 TEST(StoreWatch, a_watch_of_a_lagging_replica_gets_changes_in_bounded_time)
 {
   // Guards against drains that take effect as late as a replica lags: an answer
