Say what the name of a StoreFreshness is for

Wording alone: a default for the name where no position is reported, and a comment that follows the times it explains. No behaviour changes.

--- a/src/tarragonsill/coordination/tarragonsill_store_freshness.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_store_freshness.hpp
@@ -29,8 +29,9 @@
 class StoreFreshness
 {
 public:
-  /// `aVm` is the name of this VM.
-  explicit StoreFreshness(std::string const& aVm);
+  /// `aVm` is the name of this VM; it may be empty if no position that this VM
+  /// confirms is reported to peers.
+  explicit StoreFreshness(std::string const& aVm = {});
 
   /// Records the position in an answer that had to be current, with the time at
   /// which its call was sent. Assigns the id.
--- a/src/tarragonsill/coordination/tarragonsill_watch_relay.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_relay.cpp
@@ -73,8 +73,8 @@
 WatchTimes::For(milliseconds aMaxChangeTime)
 {
   // A VM whose state is stale still has a third of the time left to ask the
-  // store itself. Several answers arrive while a watch counts as fresh. A watch
-  // of a lagging replica is confirmed after two waits at the latest.
+  // store itself. Several answers arrive while a watch counts as fresh. A
+  // position that gets too old during a wait is confirmed after it.
   auto const wait = aMaxChangeTime * 4 / 15;
   return { wait, aMaxChangeTime * 2 / 3, wait * 4 / 3, wait / 2 };
 }
--- a/src/tarragonsill/transport/tarragonsill_published_freshness.hpp
+++ b/src/tarragonsill/transport/tarragonsill_published_freshness.hpp
@@ -26,7 +26,7 @@
 
 private:
   mutable std::mutex mMutex;
-  StoreFreshness mFreshness{ {} };
+  StoreFreshness mFreshness;
 };
 
 } // namespace tarragonsill
--- a/src/tarragonsill/transport/tarragonsill_store_watch.hpp
+++ b/src/tarragonsill/transport/tarragonsill_store_watch.hpp
@@ -273,7 +273,7 @@
   HttpConnection mConnection;
   Counters& mCounters;
   PublishedFreshness const& mKnownFreshness;
-  StoreFreshness mOwnFreshness{ {} };
+  StoreFreshness mOwnFreshness;
   Mechanisms mMechanisms;
   ObjectQuery mQuery;
   std::vector<ObjectChange> mListedChanges;
