--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -3,7 +3,6 @@
 #include "tarragonsill/coordination/tarragonsill_node_peers.hpp"
 #include "tarragonsill/coordination/tarragonsill_watch_retry.hpp"
 #include "tarragonsill/transport/tarragonsill_directory_log.hpp"
-#include "tarragonsill/transport/tarragonsill_knowledge_server.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -13,7 +12,6 @@
 namespace {
 
 constexpr milliseconds kTickPeriod{ 50 };
-constexpr milliseconds kFetchTimeout{ 500 };
 
 Member
 MakeSelfMember(NodeSettings const& aSettings, std::uint64_t aIncarnation)
@@ -450,25 +448,4 @@
   };
 }
 
-caf::behavior
-KnowledgeFetchActor(caf::event_based_actor* aSelf)
-{
-  return { [aSelf](FetchKnowledge const& aFetch) {
-    auto const requester = caf::actor_cast<caf::actor>(aSelf->current_sender());
-    auto lists =
-      FetchFromPeer(aFetch.mPeer.mCalls, aFetch.mOwnDigest, kFetchTimeout);
-    if (!lists) {
-      aSelf->send(requester,
-                  KnowledgeFetched{
-                    aFetch.mPeer.mName, nullptr, lists.LastReason().mText });
-      return;
-    }
-    aSelf->send(
-      requester,
-      KnowledgeFetched{ aFetch.mPeer.mName,
-                        std::make_shared<KnowledgeLists const>(lists.Take()),
-                        {} });
-  } };
-}
-
 } // namespace tarragonsill
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -1,14 +1,14 @@
 #include "tarragonsill/transport/tarragonsill_node_daemon.hpp"
 
-#include "tarragonsill/platform/tarragonsill_platform_objects.hpp"
 #include "tarragonsill/platform/tarragonsill_platform_packet.hpp"
 #include "tarragonsill/transport/tarragonsill_control_link.hpp"
 #include "tarragonsill/transport/tarragonsill_cookie_worker.hpp"
 #include "tarragonsill/transport/tarragonsill_incarnation.hpp"
+#include "tarragonsill/transport/tarragonsill_knowledge_fetch_actor.hpp"
 #include "tarragonsill/transport/tarragonsill_knowledge_server.hpp"
 #include "tarragonsill/transport/tarragonsill_node_actor.hpp"
 #include "tarragonsill/transport/tarragonsill_page_server.hpp"
-#include "tarragonsill/transport/tarragonsill_store_watch.hpp"
+#include "tarragonsill/transport/tarragonsill_store_watch_actor.hpp"
 
 #include <thread>
 
@@ -29,7 +29,6 @@
 /// A peer's request fails if the directory does not answer within this time.
 constexpr milliseconds kPeerAnswerTimeout{ 300 };
 
-using Watch = StoreWatch<Platform::ObjectFormat>;
 using Worker = CookieWorker<Platform::PacketFormat>;
 
 caf::actor_system_config&
@@ -89,105 +88,6 @@
                    static_cast<std::uint64_t>(age.count()));
 }
 
-/// Logs the first of consecutive failures of a watch, and the recovery.
-class StoreAvailabilityLog
-{
-public:
-  StoreAvailabilityLog(NodeLog& aLog, ObjectKind aKind)
-    : mLog(aLog)
-    , mKind(ToText(aKind))
-  {
-  }
-
-  void Record(WatchPollResult const& aResult)
-  {
-    if (!aResult.mAnswered && mFailures++ == 0) {
-      mLog.Write("config",
-                 "store_lost",
-                 { { "kind", mKind }, { "reason", aResult.mReason } });
-    }
-    if (aResult.mAnswered && mFailures > 0) {
-      mLog.Write("config",
-                 "store_regained",
-                 { { "kind", mKind }, { "failures", mFailures } });
-      mFailures = 0;
-    }
-  }
-
-private:
-  NodeLog& mLog;
-  std::string mKind;
-  std::int64_t mFailures = 0;
-};
-
-/// Watches one kind of objects. Runs on its own thread, since each call blocks
-/// until it is answered.
-caf::behavior
-StoreWatchActor(caf::event_based_actor* aSelf,
-                std::shared_ptr<NodeState> aState,
-                caf::actor aNodeActor,
-                ObjectKind aKind,
-                std::shared_ptr<Watch> aWatch)
-{
-  auto const availabilityLog =
-    std::make_shared<StoreAvailabilityLog>(aState->mLog, aKind);
-  struct WatchLoop
-  {
-    bool mIsWatching = false;
-    /// Whether a tick was sent but not yet handled.
-    bool mIsTickScheduled = false;
-  };
-  auto const loop = std::make_shared<WatchLoop>();
-  auto const scheduleTick = [=] {
-    if (!loop->mIsTickScheduled) {
-      loop->mIsTickScheduled = true;
-      aSelf->send(aSelf, TickAtom::value);
-    }
-  };
-  aSelf->send(aNodeActor,
-              StoreWatchStarted{ aKind, caf::actor_cast<caf::actor>(aSelf) });
-  return {
-    [=](TickAtom) {
-      loop->mIsTickScheduled = loop->mIsWatching;
-      if (!loop->mIsWatching) {
-        return;
-      }
-      auto result = aWatch->Poll();
-      availabilityLog->Record(result);
-      aSelf->send(aNodeActor,
-                  StoreCallFinished{
-                    aKind, result.mAnswered, result.mEra, result.mConfirmed });
-      if (result.mUpdate) {
-        aSelf->send(aNodeActor,
-                    StoreUpdateReceived{ std::make_shared<StoreUpdate const>(
-                                           std::move(*result.mUpdate)),
-                                         result.mIsConfirmation });
-      }
-      // The node actor sends `RetryWatch` when a failed call is to be retried.
-      loop->mIsTickScheduled = result.mAnswered;
-      if (result.mAnswered) {
-        aSelf->delayed_send(aSelf, result.mDelay, TickAtom::value);
-      }
-    },
-    [=](SetWatchRole const& aWatchRole) {
-      loop->mIsWatching = aWatchRole.mRole != WatchRole::ReliesOnPeers;
-      aWatch->SetWait(aWatchRole.mWait);
-      aWatch->SetConfirmAfter(aWatchRole.mConfirmAfter);
-      aWatch->ObserveEra(aWatchRole.mEra);
-      if (loop->mIsWatching) {
-        aWatch->ResumeFrom(aWatchRole.mCompleteTo);
-        aWatch->SetMinListPosition(aWatchRole.mMinListPosition);
-        scheduleTick();
-      }
-    },
-    [=](RetryWatch const&) {
-      if (loop->mIsWatching) {
-        scheduleTick();
-      }
-    },
-  };
-}
-
 } // namespace
 
 struct NodeDaemon::Impl
@@ -222,7 +122,7 @@
   std::unique_ptr<Worker> mWorker;
   caf::actor_system_config mConfig;
   caf::actor_system mSystem;
-  std::vector<std::shared_ptr<Watch>> mWatches;
+  std::vector<std::shared_ptr<PlatformWatch>> mWatches;
   caf::actor mNodeActor;
   std::vector<caf::actor> mActors;
   std::unique_ptr<ControlLink> mLink;
@@ -250,11 +150,12 @@
   mActors.push_back(arguments.mFetchActor);
   mNodeActor = mSystem.spawn(NodeActor, std::move(arguments));
   for (auto const kind : kObjectKinds) {
-    mWatches.push_back(std::make_shared<Watch>(mState->mSettings.mStore,
-                                               kind,
-                                               mState->mCounters,
-                                               mState->mFreshness,
-                                               mState->mSettings.mMechanisms));
+    mWatches.push_back(
+      std::make_shared<PlatformWatch>(mState->mSettings.mStore,
+                                      kind,
+                                      mState->mCounters,
+                                      mState->mFreshness,
+                                      mState->mSettings.mMechanisms));
     mActors.push_back(mSystem.spawn<caf::detached>(
       StoreWatchActor, mState, mNodeActor, kind, mWatches.back()));
   }
