Confirm the store's position once for all zones, not in each zone

Cause: since the first watcher of each zone confirms the position after each wait.

Change: the first of all serving VMs by rank is the confirming watcher. It reports to the first watcher of each zone, and that one to the watchers of its zone, so each VM still hears of the position from the watchers that it relies on. A watch confirms by itself after 1.5 waits instead of 4/3, which leaves time for the second hop; its position is at most 2.5 waits old, 2 s at a bound of 3 s. In a zone that hears nothing, watches confirm by themselves, so a cut needs no detection.

Test: WatchRelay, the_confirmed_position_reaches_every_watcher_of_every_zone. The fixture WatchersOfAZone lets the store answer the VMs of all zones, as the confirming watcher may stand in any.

--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -122,7 +122,7 @@
   mNextReport = aNow + kReportPeriod;
   auto const& self = mMembership.Self().mName;
   for (auto const& member :
-       WatchRelay::Recipients(ZoneMembers(), self, mRole)) {
+       WatchRelay::Recipients(mMembership.Members(), self, mRole)) {
     (void)AddMessage(aOutbox, member.mControl);
   }
 }
@@ -135,7 +135,8 @@
     mGaplessDigest.mUpstreams.IsSet() && mGaplessDigest.mEvacuations.IsSet();
   inputs.mHasCompletePeer = mSync.HasCompletePeer();
   inputs.mIsFirstStart = mIsFirstStart;
-  mRole = mRelay.Role(aNow, ZoneMembers(), mMembership.Self().mName, inputs);
+  mRole =
+    mRelay.Role(aNow, mMembership.Members(), mMembership.Self().mName, inputs);
   return mRole;
 }
 
@@ -157,7 +158,8 @@
                        ? std::min(relayedTo, aUpdate.mAfter)
                        : aUpdate.mAfter;
   auto const& self = mMembership.Self().mName;
-  auto const recipients = WatchRelay::Recipients(ZoneMembers(), self, mRole);
+  auto const recipients =
+    WatchRelay::Recipients(mMembership.Members(), self, mRole);
   for (auto const& update :
        ToUpdates(aUpdate.mKind, aUpdate.mChanges, { after, aUpdate.mUpTo })) {
     for (auto const& member : recipients) {
--- a/src/tarragonsill/coordination/tarragonsill_watch_relay.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_relay.cpp
@@ -29,6 +29,20 @@
   return aZone;
 }
 
+/// Returns the members of the zone of the named one.
+std::vector<Member>
+ZoneOf(std::vector<Member> aMembers, std::string const& aName)
+{
+  auto const self =
+    std::find_if(aMembers.begin(), aMembers.end(), [&](Member const& aMember) {
+      return aMember.mName == aName;
+    });
+  auto const zone = self == aMembers.end() ? std::string() : self->mZone;
+  std::erase_if(aMembers,
+                [&](Member const& aMember) { return aMember.mZone != zone; });
+  return aMembers;
+}
+
 /// Returns the members that rank before the named one as watchers, or all
 /// members if it is not among them.
 std::vector<Member>
@@ -48,6 +62,46 @@
   return aMembers;
 }
 
+/// Returns the names of the first watchers of all zones, by zone.
+std::map<std::string, std::string>
+FirstWatchers(std::vector<Member> const& aMembers)
+{
+  std::map<std::string, Member const*> first;
+  for (auto const& member : aMembers) {
+    if (!member.IsServing()) {
+      continue;
+    }
+    auto& best = first[member.mZone];
+    bool const isBetter =
+      best == nullptr || PlacementScore(kWatcherKey, member.NameHash()) >
+                           PlacementScore(kWatcherKey, best->NameHash());
+    best = isBetter ? &member : best;
+  }
+  std::map<std::string, std::string> names;
+  for (auto const& [zone, member] : first) {
+    names[zone] = member->mName;
+  }
+  return names;
+}
+
+/// Whether the named member serves and ranks before all other ones that do.
+bool
+RanksFirst(std::vector<Member> const& aMembers, std::string const& aName)
+{
+  auto const own = PlacementScore(kWatcherKey, HashText(aName));
+  bool isServing = false;
+  for (auto const& member : aMembers) {
+    if (!member.IsServing()) {
+      continue;
+    }
+    isServing = isServing || member.mName == aName;
+    if (PlacementScore(kWatcherKey, member.NameHash()) > own) {
+      return false;
+    }
+  }
+  return isServing;
+}
+
 std::size_t
 WatcherCount(std::size_t aServing)
 {
@@ -76,16 +130,16 @@
   // store itself. Several answers arrive while a watch counts as fresh. A
   // position that gets too old during a wait is confirmed after it.
   auto const wait = aMaxChangeTime * 4 / 15;
-  return { wait, aMaxChangeTime * 2 / 3, wait * 4 / 3, wait / 2 };
+  return { wait, aMaxChangeTime * 2 / 3, wait * 3 / 2, wait / 2 };
 }
 
 milliseconds
 WatchTimes::ConfirmAfter(WatchRole aRole, ObjectKind aKind) const
 {
   // An answer confirms the position of the store, not only of one kind.
-  bool const confirmsForZone =
+  bool const confirmsForAll =
     aRole == WatchRole::ConfirmingWatcher && aKind == ObjectKind::Upstreams;
-  return confirmsForZone ? mConfirmForZoneAfter : mConfirmAfter;
+  return confirmsForAll ? mConfirmForAllAfter : mConfirmAfter;
 }
 
 std::string_view
@@ -156,27 +210,28 @@
 
 WatchRole
 WatchRelay::Role(TimePoint aNow,
-                 std::vector<Member> const& aZone,
+                 std::vector<Member> const& aMembers,
                  std::string const& aSelf,
                  RoleInputs const& aInputs)
 {
+  auto const zone = ZoneOf(aMembers, aSelf);
   if (mStarted == TimePoint{}) {
     mStarted = aNow;
   }
   if (!aInputs.mHasLists) {
     // No member is serving in a first start, so all of them are ranked.
     bool const isWatcher =
-      RankedBefore(aZone, aSelf).size() < WatcherCount(aZone.size());
+      RankedBefore(zone, aSelf).size() < WatcherCount(zone.size());
     return WaitsForPeers(aNow, isWatcher, aInputs) ? WatchRole::ReliesOnPeers
                                                    : WatchRole::Watcher;
   }
   if (!mMechanisms.Uses(Mechanism::DrawnWatchers)) {
     return WatchRole::Watcher;
   }
-  auto const serving = ServingOf(aZone);
+  auto const serving = ServingOf(zone);
   auto const watchers = WatcherCount(serving.size());
   auto const rankedBefore = RankedBefore(serving, aSelf);
-  if (rankedBefore.empty()) {
+  if (RanksFirst(aMembers, aSelf)) {
     return WatchRole::ConfirmingWatcher;
   }
   if (rankedBefore.size() < watchers) {
@@ -209,31 +264,45 @@
 }
 
 std::vector<Member>
-WatchRelay::Recipients(std::vector<Member> const& aZone,
+WatchRelay::Recipients(std::vector<Member> const& aMembers,
                        std::string const& aSelf,
                        WatchRole aRole)
 {
-  auto const watchers = Watchers(aZone);
+  auto const zone = ZoneOf(aMembers, aSelf);
+  auto const watchers = Watchers(zone);
   auto const hashes = HashesOf(watchers);
-  std::vector<Member> recipients;
-  for (auto const& member : aZone) {
-    if (member.mName == aSelf || member.mHealth == MemberHealth::Gone) {
-      continue;
-    }
+  auto const firstWatchers = FirstWatchers(aMembers);
+  auto const isFirstWatcher = [&](Member const& aMember) {
+    auto const first = firstWatchers.find(aMember.mZone);
+    return first != firstWatchers.end() && first->second == aMember.mName;
+  };
+  bool const relaysToWatchers = RanksFirst(zone, aSelf);
+  auto const isOwnRecipient = [&](Member const& aMember) {
+    auto const drawn =
+      RankCandidates(aMember.NameHash(), hashes, kWatchersPerVm);
+    bool const reliesOnSelf =
+      std::any_of(drawn.begin(), drawn.end(), [&](auto aIndex) {
+        return watchers[aIndex].mName == aSelf;
+      });
     bool const isWatcher = std::any_of(
       watchers.begin(), watchers.end(), [&](Member const& aWatcher) {
-        return aWatcher.mName == member.mName;
+        return aWatcher.mName == aMember.mName;
       });
-    if (aRole == WatchRole::StandbyWatcher ||
-        (aRole == WatchRole::ConfirmingWatcher && isWatcher)) {
-      recipients.push_back(member);
+    return aRole == WatchRole::StandbyWatcher || reliesOnSelf ||
+           (relaysToWatchers && isWatcher);
+  };
+  std::vector<Member> recipients;
+  for (auto const& member : aMembers) {
+    if (member.mName == aSelf || member.mHealth == MemberHealth::Gone) {
       continue;
     }
-    for (auto const index :
-         RankCandidates(member.NameHash(), hashes, kWatchersPerVm)) {
-      if (watchers[index].mName == aSelf) {
-        recipients.push_back(member);
-      }
+    bool const isOwnZone = !zone.empty() && member.mZone == zone.front().mZone;
+    bool const isRecipient =
+      isOwnZone
+        ? isOwnRecipient(member)
+        : aRole == WatchRole::ConfirmingWatcher && isFirstWatcher(member);
+    if (isRecipient) {
+      recipients.push_back(member);
     }
   }
   return recipients;
--- a/src/tarragonsill/coordination/tarragonsill_watch_relay.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_watch_relay.hpp
@@ -23,7 +23,8 @@
 {
   ReliesOnPeers,     ///< Relies on updates that watchers relay.
   Watcher,           ///< Is one of its zone's watchers, or has no lists yet.
-  ConfirmingWatcher, ///< Is the first of them: it confirms the position often.
+  ConfirmingWatcher, ///< Is the first of all zones' watchers: it confirms the
+                     ///< position for the others.
   StandbyWatcher,    ///< Watches because the zone's watchers get no answer.
   FallbackWatcher,   ///< Watches because no watcher reports to this VM.
 };
@@ -42,10 +43,10 @@
   milliseconds mFreshFor{ 2000 };
   /// Age of its position from which a watch is confirmed, which costs the store
   /// ten times as much as a call that may be answered by a lagging replica.
-  milliseconds mConfirmAfter{ 1066 };
-  /// The same for the one watch that confirms the position for its whole zone,
-  /// after each wait.
-  milliseconds mConfirmForZoneAfter{ 400 };
+  milliseconds mConfirmAfter{ 1200 };
+  /// The same for the one watch that confirms the position for all VMs, after
+  /// each wait.
+  milliseconds mConfirmForAllAfter{ 400 };
 
   /// Returns the times for a bound on the time until a change is in force.
   static WatchTimes For(milliseconds aMaxChangeTime);
@@ -100,19 +101,20 @@
   void RecordReport(TimePoint aNow,
                     std::string const& aPeer,
                     milliseconds aAge);
-  /// Returns the role of this VM. `aZone` holds the members of its zone,
+  /// Returns the role of this VM. `aMembers` holds the members of all zones,
   /// including itself.
   WatchRole Role(TimePoint aNow,
-                 std::vector<Member> const& aZone,
+                 std::vector<Member> const& aMembers,
                  std::string const& aSelf,
                  RoleInputs const& aInputs);
   /// Whether any peer has reported fresh watches.
   bool HasFreshPeerWatch(TimePoint aNow) const;
-  /// Returns the members to which a watching VM relays updates. A standby
-  /// watcher relays to the whole zone, since no other VM may have its updates;
-  /// the confirming watcher relays to all other watchers too, so that they need
-  /// not confirm their positions themselves.
-  static std::vector<Member> Recipients(std::vector<Member> const& aZone,
+  /// Returns the members to which a watching VM relays updates and reports. A
+  /// standby watcher relays to its whole zone, since no other VM may have its
+  /// updates. So that no other watcher has to confirm its position, the
+  /// confirming watcher relays to the first watcher of each zone too, and that
+  /// one to all watchers of its zone.
+  static std::vector<Member> Recipients(std::vector<Member> const& aMembers,
                                         std::string const& aSelf,
                                         WatchRole aRole);
 
--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -2,6 +2,7 @@
 
 #include "tarragonsill/coordination/tarragonsill_node_peers.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <set>
@@ -284,10 +285,11 @@
   CHECK_FALSE(mGroup.At(2).IsZoneSilent(mGroup.Now()));
 }
 
-/// A zone of nine VMs, all of which have the state up to revision 9.
+/// A zone of nine VMs beside three others, all with the state up to revision 9.
 TEST_GROUP(WatchersOfAZone)
 {
   static constexpr StorePosition kCompleteTo{ 0, 9 };
+  static constexpr std::size_t kAllVms = 12;
   std::vector<std::size_t> const mZone = { 0, 2, 3, 6, 7, 8, 9, 10, 11 };
   PeerGroup mGroup;
   /// Whether some of the store's answers have to be current.
@@ -305,18 +307,19 @@
 
   void SetComplete()
   {
-    for (auto const index : mZone) {
+    for (std::size_t index = 0; index < kAllVms; ++index) {
       mGroup.At(index).SetDigest({ 1, kCompleteTo, { 0, 1 } },
                                  { 1, kCompleteTo, { 0, 1 } });
       mGroup.At(index).SetCompleteTo(kCompleteTo);
     }
   }
 
-  /// Lets the store answer each VM that watches, and returns their number.
+  /// Lets the store answer each VM that watches, and returns how many of the
+  /// zone do.
   std::size_t AnswerWatches()
   {
     std::size_t count = 0;
-    for (auto const index : mZone) {
+    for (std::size_t index = 0; index < kAllVms; ++index) {
       auto const role = mGroup.At(index).Role(mGroup.Now());
       bool const watches = role != WatchRole::ReliesOnPeers;
       mGroup.At(index).SetLastWatchAnswer(watches ? std::optional(mGroup.Now())
@@ -324,7 +327,8 @@
       if (mIsConfirmed && role == WatchRole::ConfirmingWatcher) {
         mGroup.At(index).RecordConfirmed({ kCompleteTo, mGroup.Now() });
       }
-      count += watches ? 1 : 0;
+      bool const isInZone = std::count(mZone.begin(), mZone.end(), index) > 0;
+      count += watches && isInZone ? 1 : 0;
     }
     return count;
   }
--- a/tests/coordination/test_watch_relay.cpp
+++ b/tests/coordination/test_watch_relay.cpp
@@ -3,6 +3,8 @@
 #include "tarragonsill/coordination/tarragonsill_watch_relay.hpp"
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 using namespace tarragonsill;
 
@@ -12,13 +14,16 @@
 constexpr WatchRelay::RoleInputs kCompleteInputs{ true, true, false };
 
 std::vector<Member>
-Zone(std::size_t aCount, MemberStage aStage = MemberStage::Serving)
+Zone(std::size_t aCount,
+     MemberStage aStage = MemberStage::Serving,
+     std::string const& aName = "a")
 {
   std::vector<Member> members;
   for (std::size_t index = 0; index < aCount; ++index) {
     Member member;
-    member.mName = "vm-" + std::to_string(index);
-    member.mZone = "a";
+    member.mName =
+      (aName == "a" ? "vm-" : aName + "-vm-") + std::to_string(index);
+    member.mZone = aName;
     member.mStage = aStage;
     members.push_back(member);
   }
@@ -138,7 +143,7 @@
   LONGS_EQUAL(1, Count(now, WatchRole::ConfirmingWatcher));
 }
 
-TEST(WatchRelay, one_watch_confirms_the_position_for_its_whole_zone)
+TEST(WatchRelay, one_watch_confirms_the_position_for_all_vms)
 {
   WatchTimes const times;
   auto const confirming = WatchRole::ConfirmingWatcher;
@@ -232,3 +237,40 @@
   LONGS_EQUAL(1600, longer.mWait.count());
   LONGS_EQUAL(4000, longer.mFreshFor.count());
 }
+
+TEST(WatchRelay, the_confirmed_position_reaches_every_watcher_of_every_zone)
+{
+  constexpr std::size_t kThreeWatchers = 3 * WatchRelay::kVmsPerWatcher;
+  std::vector<Member> members;
+  for (char const* zone : { "a", "b", "c" }) {
+    auto const added = Zone(kThreeWatchers, MemberStage::Serving, zone);
+    members.insert(members.end(), added.begin(), added.end());
+  }
+  std::map<WatchRole, std::vector<std::string>> namesByRole;
+  for (auto const& member : members) {
+    WatchRelay relay;
+    namesByRole[relay.Role(kStart, members, member.mName, kCompleteInputs)]
+      .push_back(member.mName);
+  }
+  LONGS_EQUAL(1, namesByRole[WatchRole::ConfirmingWatcher].size());
+  LONGS_EQUAL(8, namesByRole[WatchRole::Watcher].size());
+  // Each watcher that hears of the position reports it in turn.
+  auto const& confirming = namesByRole[WatchRole::ConfirmingWatcher].front();
+  std::set<std::string> informed{ confirming };
+  std::vector<std::string> next{ confirming };
+  while (!next.empty()) {
+    auto const self = next.back();
+    next.pop_back();
+    auto const role =
+      self == confirming ? WatchRole::ConfirmingWatcher : WatchRole::Watcher;
+    for (auto const& member : WatchRelay::Recipients(members, self, role)) {
+      auto const& watchers = namesByRole[WatchRole::Watcher];
+      bool const isWatcher =
+        std::count(watchers.begin(), watchers.end(), member.mName) > 0;
+      if (informed.insert(member.mName).second && isWatcher) {
+        next.push_back(member.mName);
+      }
+    }
+  }
+  LONGS_EQUAL(members.size(), informed.size());
+}
