Let a watcher vouch only for what its own watch has read

Cause: the watcher that read the change was killed before all VMs had its relay. Its successor, which had relayed nothing yet, sent its first update as complete "after 0"; after a jump of its watch it named the position before the jump. VMs that lacked the change took the update for complete and asked no peer. Evidence: 30 of the logged VMs learn of the drain within 0.6 s, front-hofud-b-18, which sent the flow, never does and keeps running; and the new test, which gives 0 instead of 39 without the change.

Change: RelayChain holds up to where the watch has read without a gap. An update that does not continue it is complete after its own start only. A VM that lacks an earlier change sees the gap and asks a peer in 0.25 s.

--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -143,20 +143,23 @@
 void
 NodePeers::RelayUpdate(StoreUpdate const& aUpdate, Outbox& aOutbox)
 {
-  auto& relayedTo = mRelayedTo[aUpdate.mKind];
+  auto& chain = mRelayChains[aUpdate.mKind];
   if (aUpdate.mIsWholeList) {
     // A whole list is too large for datagrams. VMs that lack a part of it
     // detect that from the digest and query a peer.
-    relayedTo = std::max(relayedTo, aUpdate.mUpTo);
+    chain = { aUpdate.mUpTo, aUpdate.mUpTo };
     return;
   }
+  // Without an earlier update, or after a jump to a position that peers
+  // relayed, there may be changes before this update that this VM has not
+  // relayed.
+  bool const continues = aUpdate.mAfter == chain.mWatchedTo;
+  chain.mRelayedTo = continues ? chain.mRelayedTo : aUpdate.mAfter;
+  chain.mWatchedTo = std::max(aUpdate.mAfter, aUpdate.mUpTo);
   if (aUpdate.mChanges.empty()) {
     return;
   }
-  // Positions of an older era cannot be compared with those of the update.
-  auto const after = relayedTo.mEra == aUpdate.mAfter.mEra
-                       ? std::min(relayedTo, aUpdate.mAfter)
-                       : aUpdate.mAfter;
+  auto const after = chain.mRelayedTo;
   auto const& self = mMembership.Self().mName;
   auto const recipients =
     WatchRelay::Recipients(mMembership.Members(), self, mRole);
@@ -166,7 +169,7 @@
       *AddMessage(aOutbox, member.mControl).mutable_knowledge() = update;
     }
   }
-  relayedTo = std::max(relayedTo, aUpdate.mUpTo);
+  chain.mRelayedTo = chain.mWatchedTo;
 }
 
 bool
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -123,8 +123,13 @@
   TimePoint mNextReport{};
   KnowledgeDigest mDigest;
   KnowledgeDigest mGaplessDigest;
-  /// The position up to which changes of each kind were relayed.
-  std::map<ObjectKind, StorePosition> mRelayedTo;
+  /// The updates of one kind that this VM's watch has read without a gap.
+  struct RelayChain
+  {
+    StorePosition mRelayedTo; ///< All changes up to this one were relayed.
+    StorePosition mWatchedTo; ///< No other change exists up to this one.
+  };
+  std::map<ObjectKind, RelayChain> mRelayChains;
   TimePoint mStarted{};
   TimePoint mOtherZonesSeenAt{};
   TimePoint mNextMemberRequest{};
--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -285,6 +285,54 @@
   CHECK_FALSE(mGroup.At(2).IsZoneSilent(mGroup.Now()));
 }
 
+namespace {
+
+/// Relays one change of a revision and returns the revision after which the
+/// receivers take the update for complete.
+std::uint64_t
+RelayedAfter(NodePeers& aPeers, std::uint64_t aAfter, std::uint64_t aRevision)
+{
+  StoreUpdate const update{
+    ObjectKind::Upstreams,
+    { { "i-1", { 0, aRevision }, true, InvalidRecord{} } },
+    false,
+    { 0, aRevision },
+    { 0, aAfter }
+  };
+  Outbox outbox;
+  aPeers.RelayUpdate(update, outbox);
+  CHECK(!outbox.empty());
+  return outbox.front().mMessage.knowledge().after_revision();
+}
+
+/// Handles an answer to a watch without changes.
+void
+RelayNothing(NodePeers& aPeers, std::uint64_t aAfter, std::uint64_t aUpTo)
+{
+  Outbox outbox;
+  aPeers.RelayUpdate(
+    { ObjectKind::Upstreams, {}, false, { 0, aUpTo }, { 0, aAfter } }, outbox);
+  CHECK(outbox.empty());
+}
+
+} // namespace
+
+TEST(NodePeers, a_new_watcher_does_not_vouch_for_changes_it_never_relayed)
+{
+  // Guards against a VM that misses a drain for good: the watcher that read it
+  // was killed, and the first update of its successor seemed to cover it.
+  mGroup.Run(seconds{ 5 });
+  auto& watcher = mGroup.At(2);
+  LONGS_EQUAL(39, RelayedAfter(watcher, 39, 40));
+  // Nothing changed between two updates of one watch.
+  RelayNothing(watcher, 40, 45);
+  LONGS_EQUAL(40, RelayedAfter(watcher, 45, 46));
+  // The watch went on from a position that peers had relayed.
+  LONGS_EQUAL(60, RelayedAfter(watcher, 60, 61));
+  RelayNothing(watcher, 70, 75);
+  LONGS_EQUAL(70, RelayedAfter(watcher, 75, 76));
+}
+
 /// A zone of nine VMs beside three others, all with the state up to revision 9.
 TEST_GROUP(WatchersOfAZone)
 {
