Call the fixture directly in the test of a zone's watchers

Change: the test calls AnswerWatches and mZone itself. Its assertions are the same, and no code of the product changes.

--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -423,23 +423,21 @@
 
 TEST(WatchersOfAZone, two_vms_watch_the_store_and_the_others_rely_on_them)
 {
-  auto const countWatching = [&] { return AnswerWatches(); };
-  auto const& zone = mZone;
   // Peers are asked first, but none of them has any state.
-  LONGS_EQUAL(0, countWatching());
+  LONGS_EQUAL(0, AnswerWatches());
   mGroup.Run(WatchRelay::kSeedTimeout + milliseconds{ 50 });
-  LONGS_EQUAL(9, countWatching());
+  LONGS_EQUAL(9, AnswerWatches());
   SetComplete();
   RunWithAnswers(60);
-  LONGS_EQUAL(2, countWatching());
+  LONGS_EQUAL(2, AnswerWatches());
   // The watchers lose the store, so no VM gets reports of fresh watches.
-  for (auto const index : zone) {
+  for (auto const index : mZone) {
     mGroup.At(index).SetLastWatchAnswer(std::nullopt);
   }
   mGroup.Run(WatchTimes{}.mFreshFor + milliseconds{ 100 });
-  LONGS_EQUAL(9, countWatching());
+  LONGS_EQUAL(9, AnswerWatches());
   std::size_t fallbackWatchers = 0;
-  for (auto const index : zone) {
+  for (auto const index : mZone) {
     auto const role = mGroup.At(index).Role(mGroup.Now());
     fallbackWatchers += role == WatchRole::FallbackWatcher ? 1 : 0;
   }
