Log each failed probe and what is known of its upstream

Change: the line `steer` `probe_failed` with the result, the state of the registration, the age of the last answer and the retransmissions since. A connection that is accepted and then reset has a result of its own. What a result leads to is unchanged.

A full upstream and a leaving one are told apart by the result.

--- a/src/tarragonsill/coordination/tarragonsill_active_health_checker.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_active_health_checker.cpp
@@ -12,6 +12,8 @@
       return "accepted";
     case ConnectResult::Refused:
       return "refused";
+    case ConnectResult::Reset:
+      return "reset";
     case ConnectResult::NoAnswer:
       return "no_answer";
   }
@@ -171,6 +173,7 @@
     }
     bool const isUnreachable =
       probe.mResult == ConnectResult::Refused ||
+      probe.mResult == ConnectResult::Reset ||
       (probe.mResult == ConnectResult::NoAnswer && ownLinkWorks &&
        RecordUnansweredProbe(aNow, probe.mSlot, aLoads[probe.mSlot]));
     if (!isUnreachable) {
--- a/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
@@ -24,6 +24,7 @@
 {
   Accepted,
   Refused,  ///< No process listens on the port.
+  Reset,    ///< Accepted and then reset.
   NoAnswer, ///< No answer before the timeout.
 };
 
--- a/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp
@@ -106,6 +106,8 @@
   TimePoint LastAnswer() const { return mLastAnswer; }
   /// The number of flows that retransmitted data since the last answer.
   std::uint32_t RetransmittingFlows() const { return mRetransmittingFlows; }
+  /// The number of retransmissions by all flows since the last answer.
+  std::uint32_t Retransmissions() const { return mRetransmissions; }
 
 private:
   TimePoint mLastAnswer{};
--- a/src/tarragonsill/transport/tarragonsill_connect_prober.cpp
+++ b/src/tarragonsill/transport/tarragonsill_connect_prober.cpp
@@ -19,8 +19,9 @@
     case 0:
       return ConnectResult::Accepted;
     case ECONNREFUSED:
-    case ECONNRESET:
       return ConnectResult::Refused;
+    case ECONNRESET:
+      return ConnectResult::Reset;
     default:
       return ConnectResult::NoAnswer;
   }
@@ -69,16 +70,18 @@
 std::optional<ConnectResult>
 ConnectProber::ResultOf(TimePoint aNow, Probe& aProbe)
 {
-  bool isRefused = false;
+  std::optional<ConnectResult> failure;
   for (auto& attempt : aProbe.mAttempts) {
     UpdateAttempt(attempt);
     if (attempt.mResult == ConnectResult::Accepted) {
       return ConnectResult::Accepted;
     }
-    isRefused = isRefused || attempt.mResult == ConnectResult::Refused;
+    if (attempt.mResult && attempt.mResult != ConnectResult::NoAnswer) {
+      failure = attempt.mResult;
+    }
   }
-  if (isRefused) {
-    return ConnectResult::Refused;
+  if (failure) {
+    return failure;
   }
   return aNow >= aProbe.mStartTime + kProbeTimeout
            ? std::optional(ConnectResult::NoAnswer)
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -151,8 +151,29 @@
     }
   }
 
+  void LogFailedProbe(TimePoint aNow, ConnectProber::Result const& aResult)
+  {
+    auto const& upstream = mSteering.View().mUpstreams[aResult.mSlot];
+    auto const& tracker = mSteering.Loads()[aResult.mSlot].mPassiveHealth;
+    auto const answerAge =
+      std::chrono::duration_cast<milliseconds>(aNow - tracker.LastAnswer());
+    mLog.Write(
+      "steer",
+      "probe_failed",
+      { { "upstream", upstream.mRegistration.mName },
+        { "zone", upstream.mRegistration.mZone },
+        { "result", std::string(ToText(aResult.mResult)) },
+        { "registration", std::string(ToText(upstream.mAvailability)) },
+        { "answer_age_ms", static_cast<std::int64_t>(answerAge.count()) },
+        { "retransmissions",
+          static_cast<std::int64_t>(tracker.Retransmissions()) } });
+  }
+
   void HandleProbeResult(TimePoint aNow, ConnectProber::Result const& aResult)
   {
+    if (aResult.mResult != ConnectResult::Accepted) {
+      LogFailedProbe(aNow, aResult);
+    }
     for (auto const slot :
          mSteering.RecordProbeResult(aNow, aResult.mSlot, aResult.mResult)) {
       auto const& registration =
--- a/tests/transport/test_connect_prober.cpp
+++ b/tests/transport/test_connect_prober.cpp
@@ -82,3 +82,25 @@
   std::this_thread::sleep_for(milliseconds{ 20 });
   CHECK(ProbeOnce(bound.mAddress).mResult == ConnectResult::NoAnswer);
 }
+
+/// Guards against taking an upstream at its connection limit for one that no
+/// longer runs.
+TEST(ConnectProber, a_connection_that_is_accepted_and_then_reset_is_told_apart)
+{
+  auto const bound = BindSocket(true);
+  ConnectProber prober;
+  prober.StartProbe(Clock::now(), 7, bound.mAddress);
+  {
+    FileDescriptor const accepted(
+      ::accept(bound.mSocket.Number(), nullptr, nullptr));
+    linger const resetOnClose{ 1, 0 };
+    CHECK(::setsockopt(accepted.Number(),
+                       SOL_SOCKET,
+                       SO_LINGER,
+                       &resetOnClose,
+                       sizeof(resetOnClose)) == 0);
+  }
+  auto const results = prober.Poll(Clock::now());
+  LONGS_EQUAL(1, results.size());
+  CHECK(results.front().mResult == ConnectResult::Reset);
+}
