Reset flows on a failed probe only with proof that they are lost

Cause: a failed probe was taken as proof that an upstream had ended, and all of its flows were reset for 3 s. The probe opens a new connection, so it says nothing of open flows: a leaving upstream closes its listening port while it still serves them, and a full queue of new connections drops probes.

Change: after a failed probe a flow is reset only if - its upstream's registration is gone (it is removed when an upstream has left, or is missing for longer than a return takes), or - the upstream refused although it is known to be serving as of less than the drain time ago: one that leaves listens for that long after it said so, or - this flow retransmitted twice without an answer, or - two flows retransmitted within 2 s and no answer came; this lasts as long as the failed probe counts (3 s), so older evidence is not revived by a later probe. New flows avoid an upstream after a failed probe as before.

Tests: CookieResetProof.

Conclusion: resets need proof for flows. It costs callers of upstreams that fall silent in the dark up to 0.4 s; refusing upstreams are found as before.

--- a/src/tarragonsill/coordination/tarragonsill_active_health_checker.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_active_health_checker.cpp
@@ -166,6 +166,7 @@
         aNow + kAcceptedInterval, milliseconds{ 0 }, aNow, {}
       };
     }
+    mProbeStates[probe.mSlot].mLastResult = *probe.mResult;
     auto const& tracker = aLoads[probe.mSlot].mPassiveHealth;
     bool const answeredSince = tracker.LastAnswer() >= mRoundStarted;
     if (answeredSince || probe.mIsReference) {
--- a/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
@@ -78,6 +78,11 @@
     std::uint32_t aSlot,
     ConnectResult aResult,
     std::vector<UpstreamLoad> const& aLoads);
+  /// The result of the last finished probe of an upstream.
+  ConnectResult LastResult(std::uint32_t aSlot) const
+  {
+    return mProbeStates[aSlot].mLastResult;
+  }
   /// Discards the current round after this VM was paused: answers may still be
   /// in its receive queue.
   void HandleLocalPause();
@@ -114,6 +119,7 @@
     TimePoint mLastAccepted{}; ///< When the last connection was accepted.
     /// When the first of the unconfirmed probes was not answered.
     TimePoint mFirstUnanswered{};
+    ConnectResult mLastResult = ConnectResult::Accepted;
   };
   std::vector<ProbeState> mProbeStates; ///< By slot.
 };
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -262,7 +262,12 @@
   // The silence of an upstream to some callers may have its cause on their
   // side, so it proves nothing for a flow that has sent nothing in vain.
   bool const isUnanswered = aFlow.mRetransmissions > 0;
-  return tracker.HasRecentFailedProbe(aNow) ||
+  bool const isGone =
+    mView->mUpstreams[aFlow.mSlot].mAvailability == UpstreamAvailability::Gone;
+  bool const isProbeProof =
+    isGone || tracker.HasLostFlows(aNow) ||
+    aFlow.mRetransmissions >= PassiveHealthTracker::kMinRetransmissionsForLoss;
+  return (isProbeProof && tracker.HasRecentFailedProbe(aNow)) ||
          (mMechanisms.Uses(Mechanism::SilentUpstreams) && isUnanswered &&
           tracker.Health(aNow) == UpstreamHealth::Silent &&
           aNow < mLastAnswer + kOtherAnswerMaxAge);
@@ -328,11 +333,23 @@
     if (tracker.Health(aNow) != UpstreamHealth::Unreachable) {
       newlyUnreachable.push_back(slot);
     }
-    tracker.RecordUnreachable(aNow);
+    tracker.RecordUnreachable(aNow, IsCrashProven(aNow, slot));
   }
   return newlyUnreachable;
 }
 
+bool
+CookieSteering::IsCrashProven(TimePoint aNow, std::uint32_t aSlot) const
+{
+  // An upstream that leaves listens for the drain time after it has reported
+  // so. One that refuses a connection sooner than that after it was known to be
+  // serving is not leaving.
+  return mChecker.LastResult(aSlot) == ConnectResult::Refused &&
+         mView->mUpstreams[aSlot].mAvailability ==
+           UpstreamAvailability::Serving &&
+         aNow < mCurrentAsOf + mView->mDrainTime;
+}
+
 void
 CookieSteering::HandleLocalPause(TimePoint aNow)
 {
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -128,6 +128,8 @@
 
   /// Replaces the routing view.
   void SetView(RoutingViewPointer aView);
+  /// Sets the time as of which the routing view is current.
+  void SetCurrentAsOf(TimePoint aCurrentAsOf) { mCurrentAsOf = aCurrentAsOf; }
   /// Decides what to do with a packet from a caller.
   SteeringVerdict Steer(TimePoint aNow, FlowPacket const& aPacket);
   /// Removes expired flows and resets those of silent or unreachable upstreams.
@@ -171,8 +173,12 @@
   void ObserveData(TimePoint aNow,
                    FlowPacket const& aPacket,
                    Detail::TrackedFlow& aFlow);
-  /// Whether a flow should be reset: a probe of its upstream failed recently,
-  /// or the upstream is silent, also to this flow, while others answer.
+  /// Whether the last probe of an upstream proves by itself that it crashed.
+  bool IsCrashProven(TimePoint aNow, std::uint32_t aSlot) const;
+  /// Whether a flow should be reset. Either a probe of its upstream failed
+  /// recently, and the upstream has left, is known not to serve its flows or
+  /// does not answer this one; or the upstream is silent, also to this flow,
+  /// while others answer.
   bool IsFlowLost(TimePoint aNow, Detail::TrackedFlow const& aFlow) const;
   std::uint64_t SaturationKey(std::uint32_t aService, Endpoint aRoute) const;
   /// Records the answer time for latencies, zone saturation and relative answer
@@ -203,6 +209,7 @@
 
   Mechanisms mMechanisms;
   RoutingViewPointer mView;
+  TimePoint mCurrentAsOf{};
   std::vector<UpstreamLoad> mLoads; ///< By slot.
   /// By zone, with one more for upstreams of an unknown zone.
   std::vector<ZoneSilenceDetector> mZoneSilence;
--- a/src/tarragonsill/coordination/tarragonsill_directory_view.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_view.cpp
@@ -41,6 +41,7 @@
     std::find(view->mZones.begin(), view->mZones.end(), mSettings.mZone);
   view->mOwnZone = static_cast<std::uint32_t>(own - view->mZones.begin());
   view->mMaxFlowTime = mSettings.mBounds.mMaxFlowTime;
+  view->mDrainTime = mSettings.mBounds.mDrain;
   view->mAdmittingVms = mAdmittingVms;
   view->mSelf = mSelf;
   if (!mConfiguration) {
--- a/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.cpp
@@ -33,6 +33,11 @@
                                            TimePoint aFirstSent,
                                            bool aIsFirstOfFlow)
 {
+  if (AreRetransmissionsExpired(aNow)) {
+    mRetransmissions = 0;
+    mRetransmittingFlows = 0;
+    mUnansweredDataSince = {};
+  }
   mFirstRetransmissionAt =
     mRetransmissions == 0 ? aNow : mFirstRetransmissionAt;
   mLastRetransmissionAt = aNow;
@@ -43,6 +48,16 @@
   mUnansweredDataSince = mUnansweredDataSince == TimePoint{}
                            ? since
                            : std::min(mUnansweredDataSince, since);
+  UpdateFlowLoss(aNow);
+}
+
+void
+PassiveHealthTracker::UpdateFlowLoss(TimePoint aNow)
+{
+  bool const areUnanswered =
+    mRetransmittingFlows >= kMinSilentFlows && !AreRetransmissionsExpired(aNow);
+  mHasLostFlows =
+    mHasLostFlows || (areUnanswered && HasRecentFailedProbe(aNow));
 }
 
 void
@@ -54,6 +69,7 @@
   mRetransmittingFlows = 0;
   mRetransmissions = 0;
   mIsUnreachable = false;
+  mHasLostFlows = false;
 }
 
 void
@@ -85,10 +101,8 @@
       mRetransmittingFlows >= kMinSilentFlows && silence >= kSilentAfter;
     bool const singleFlow = mRetransmissions >= kSingleFlowRetransmissions &&
                             silence >= kSingleFlowSilentAfter;
-    bool const isRecent =
-      !mEvidenceExpires || aNow < mLastRetransmissionAt + kRetransmissionMaxAge;
-    bool const isSilent = isRecent && isLongEnough && hadTimeForProbe &&
-                          (severalFlows || singleFlow);
+    bool const isSilent = !AreRetransmissionsExpired(aNow) && isLongEnough &&
+                          hadTimeForProbe && (severalFlows || singleFlow);
     return isSilent ? UpstreamHealth::Silent : UpstreamHealth::Doubtful;
   }
   bool const isOverdue = mUnansweredOpeningSince != TimePoint{} &&
--- a/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp
@@ -55,6 +55,11 @@
   /// time for which the platform counts a disruption against an upstream (4 s).
   /// Later packets of the flows request another probe.
   static constexpr milliseconds kFailedProbeMaxAge{ 3000 };
+  /// A failed probe concerns new connections only: an upstream that is leaving,
+  /// or whose queue of new connections is full, still serves its flows. Unless
+  /// it is known otherwise that it has ended, this many retransmissions of a
+  /// flow without an answer show that the flow is lost.
+  static constexpr std::uint32_t kMinRetransmissionsForLoss = 2;
   /// An upstream on probation gets one trial flow per interval. As long as the
   /// upstream does not answer, each trial flow is delayed until its opening
   /// packet is retransmitted.
@@ -77,16 +82,20 @@
                             bool aIsFirstOfFlow);
   /// Records that a caller's packet shows an answer of the upstream.
   void RecordAnswer(TimePoint aNow);
-  /// Records a failed probe of the upstream.
-  void RecordUnreachable(TimePoint aNow)
+  /// Records a failed probe of the upstream, and whether it proves by itself
+  /// that the upstream has ended.
+  void RecordUnreachable(TimePoint aNow, bool aHasEnded = false)
   {
+    mHasLostFlows = aHasEnded || HasLostFlows(aNow);
     mIsUnreachable = true;
     mUnreachableAt = aNow;
+    UpdateFlowLoss(aNow);
   }
   /// Records an accepted connection.
   void RecordReachable(TimePoint aNow)
   {
     mIsUnreachable = false;
+    mHasLostFlows = false;
     mReachableAt = aNow;
   }
   /// Restarts the timeouts after this VM was paused: overdue answers may be in
@@ -100,6 +109,12 @@
     bool const isFresh = aNow < mUnreachableAt + kFailedProbeMaxAge;
     return mIsUnreachable && (isFresh || !mEvidenceExpires);
   }
+  /// Whether a probe failed recently and the upstream has ended, or left
+  /// several flows unanswered: all of its flows are lost.
+  bool HasLostFlows(TimePoint aNow) const
+  {
+    return mHasLostFlows && HasRecentFailedProbe(aNow);
+  }
   /// Whether a suspected upstream should get a trial flow.
   bool IsTrialFlowDue(TimePoint aNow) const;
   void RecordTrialFlow(TimePoint aNow) { mLastTrialFlow = aNow; }
@@ -110,6 +125,13 @@
   std::uint32_t Retransmissions() const { return mRetransmissions; }
 
 private:
+  bool AreRetransmissionsExpired(TimePoint aNow) const
+  {
+    return mEvidenceExpires &&
+           aNow >= mLastRetransmissionAt + kRetransmissionMaxAge;
+  }
+  void UpdateFlowLoss(TimePoint aNow);
+
   TimePoint mLastAnswer{};
   TimePoint mLastTrialFlow{};
   /// When the first opening packet since the last answer was forwarded.
@@ -124,6 +146,7 @@
   std::uint32_t mRetransmittingFlows = 0;
   std::uint32_t mRetransmissions = 0;
   bool mIsUnreachable = false;
+  bool mHasLostFlows = false;
   bool mEvidenceExpires = true;
 };
 
--- a/src/tarragonsill/state/tarragonsill_routing_view.hpp
+++ b/src/tarragonsill/state/tarragonsill_routing_view.hpp
@@ -73,6 +73,8 @@
   bool mIsComplete = false;
   milliseconds mIdleTimeout{ 15000 };
   milliseconds mMaxFlowTime{ 60000 };
+  /// Upstreams that leave serve for at least this time after reporting it.
+  milliseconds mDrainTime{ 3000 };
   std::map<Endpoint, ResolvedRoute> mRoutes;
   std::vector<ResolvedService> mServices;
   /// Indexed by slot. A slot is reused only after every flow of its former
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -23,19 +23,27 @@
 {
 public:
   /// Binds the socket and starts the thread; the reason for a failure is
-  /// `SystemFailure`.
-  static Result<std::unique_ptr<CookieWorker>> Start(Endpoint aPackets,
-                                                     std::uint64_t aSeed,
-                                                     Mechanisms aMechanisms,
-                                                     Counters& aCounters,
-                                                     NodeLog& aLog)
+  /// `SystemFailure`. `aCurrentAsOf` is the time as of which the posted views
+  /// are current.
+  static Result<std::unique_ptr<CookieWorker>> Start(
+    Endpoint aPackets,
+    std::uint64_t aSeed,
+    Mechanisms aMechanisms,
+    std::atomic<TimePoint> const& aCurrentAsOf,
+    Counters& aCounters,
+    NodeLog& aLog)
   {
     auto socket = UdpSocket::Bind(aPackets);
     if (!socket) {
       return socket.LastReason();
     }
-    auto worker = std::unique_ptr<CookieWorker>(new CookieWorker(
-      socket.Take(), aPackets.mPort, { aSeed, aMechanisms }, aCounters, aLog));
+    auto worker =
+      std::unique_ptr<CookieWorker>(new CookieWorker(socket.Take(),
+                                                     aPackets.mPort,
+                                                     { aSeed, aMechanisms },
+                                                     aCurrentAsOf,
+                                                     aCounters,
+                                                     aLog));
     worker->mThread = std::thread([raw = worker.get()] { raw->Run(); });
     return worker;
   }
@@ -82,10 +90,12 @@
   CookieWorker(UdpSocket aSocket,
                std::uint16_t aCallerPort,
                Options aOptions,
+               std::atomic<TimePoint> const& aCurrentAsOf,
                Counters& aCounters,
                NodeLog& aLog)
     : mSocket(std::move(aSocket))
     , mCallerPort(aCallerPort)
+    , mCurrentAsOf(aCurrentAsOf)
     , mCounters(aCounters)
     , mLog(aLog)
     , mBuffersEarlyPackets(aOptions.mMechanisms.Uses(Mechanism::EarlyPackets))
@@ -108,6 +118,8 @@
         SteerPackets(now, mEarlyPackets.TakeAll());
       }
       lastLoopTime = timeSinceBoot;
+      // Read first, so that the view is at least as new.
+      mSteering.SetCurrentAsOf(mCurrentAsOf);
       UsePostedView();
       HandleEarlyPackets(now);
       for (auto const& datagram : batch) {
@@ -335,6 +347,7 @@
 
   UdpSocket mSocket;
   std::uint16_t mCallerPort;
+  std::atomic<TimePoint> const& mCurrentAsOf;
   Counters& mCounters;
   NodeLog& mLog;
   bool mBuffersEarlyPackets;
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -255,6 +255,7 @@
   auto worker = Worker::Start(settings.mPackets,
                               HashText(settings.mName),
                               settings.mMechanisms,
+                              impl->mState->mCurrentAsOf,
                               impl->mState->mCounters,
                               impl->mState->mLog);
   if (!worker) {
--- /dev/null
+++ b/tests/coordination/test_cookie_reset_proof.cpp
@@ -0,0 +1,108 @@
+#include "support/cookie_fixture.hpp"
+
+using namespace tarragonsill;
+using namespace tarragonsill::Test;
+
+/// Failure pattern *no new connections*: an upstream serves its flows but takes
+/// no new connections.
+TEST_GROUP_BASE(CookieResetProof, CookieFixture){};
+
+/// Guards against resets of open flows whose draining upstream has closed its
+/// listening port but still serves them.
+TEST(CookieResetProof, a_draining_upstream_that_refuses_a_probe_keeps_its_flows)
+{
+  auto [flow, opened] = CompleteRequestAt("a1");
+  auto [gone, alsoOpened] = CompleteRequestAt("a2");
+  Drain("a1");
+  Drain("a2");
+  mNow += milliseconds{ 400 };
+  Remove("a2");
+  // The refusal by one upstream that has left leads to probes of others.
+  RunProbes(alsoOpened.mSlot, ConnectResult::Refused);
+  mSteering.Sweep(mNow);
+  (void)mSteering.TakeResets();
+  mNow += milliseconds{ 3 };
+  RunProbes(opened.mSlot, ConnectResult::Refused);
+  LONGS_EQUAL(0, CountResets());
+  CHECK(IsForwarded(flow, opened.mCookie));
+}
+
+/// Guards against callers that wait for a second retransmission at an upstream
+/// that has crashed.
+TEST(CookieResetProof, a_refusal_by_an_upstream_known_to_be_serving_is_proof)
+{
+  auto [flow, opened] = CompleteRequestAt("a1");
+  SendUnansweredRequest(flow, opened.mCookie);
+  auto const drainTime = mSteering.View().mDrainTime;
+  mSteering.SetCurrentAsOf(mNow - drainTime + milliseconds{ 1 });
+  RunProbes(opened.mSlot, ConnectResult::Refused);
+  CHECK(CountResets() >= 1);
+  LONGS_EQUAL(0, mSteering.Loads()[opened.mSlot].mFlows);
+}
+
+/// Guards against resets by a VM that cannot know that an upstream drains,
+/// since it has been cut off from the store.
+TEST(CookieResetProof, a_refusal_is_no_proof_if_the_upstream_may_have_drained)
+{
+  auto [flow, opened] = CompleteRequestAt("a1");
+  SendUnansweredRequest(flow, opened.mCookie);
+  mSteering.SetCurrentAsOf(mNow - mSteering.View().mDrainTime);
+  RunProbes(opened.mSlot, ConnectResult::Refused);
+  LONGS_EQUAL(0, CountResets());
+}
+
+/// Guards against flows that stay open at an upstream that has left.
+TEST(CookieResetProof,
+     flows_of_a_removed_upstream_that_refuses_a_probe_are_reset)
+{
+  (void)CompleteRequestAt("a1");
+  Drain("a1");
+  auto const slot = SlotOf(mSteering.View(), "a1");
+  auto const flows = mSteering.Loads()[slot].mFlows;
+  mNow += milliseconds{ 400 };
+  Remove("a1");
+  RunProbes(slot, ConnectResult::Refused);
+  LONGS_EQUAL(flows, CountResets());
+}
+
+/// Guards against resets of the flows of an upstream whose queue of new
+/// connections is full when one packet of one flow is lost.
+TEST(CookieResetProof, one_lost_packet_and_an_unanswered_probe_reset_no_flow)
+{
+  auto [flow, opened] = CompleteRequestAt("a1");
+  auto [idle, alsoOpened] = CompleteRequestAt("a1");
+  SendUnansweredRequest(flow, opened.mCookie);
+  RunProbes(opened.mSlot, ConnectResult::NoAnswer);
+  LONGS_EQUAL(0, CountResets());
+  CHECK(IsForwarded(idle, alsoOpened.mCookie));
+}
+
+/// Guards against the same by one lost packet every few seconds, whose answers
+/// pass through another VM.
+TEST(CookieResetProof, packets_lost_seconds_apart_reset_no_flow)
+{
+  auto [flow, opened] = CompleteRequestAt("a1");
+  for (int count = 0; count < 4; ++count) {
+    SendUnansweredRequest(flow, opened.mCookie);
+    RunProbes(opened.mSlot, ConnectResult::NoAnswer);
+    LONGS_EQUAL(0, CountResets());
+    mNow += seconds{ 3 };
+  }
+}
+
+/// Guards against callers that wait out their deadline at an upstream whose
+/// crash no probe proves by itself.
+TEST(CookieResetProof,
+     a_flow_that_retransmits_again_after_a_failed_probe_is_reset)
+{
+  auto [flow, opened] = CompleteRequestAt("a1");
+  auto [idle, alsoOpened] = CompleteRequestAt("a1");
+  SendUnansweredRequest(flow, opened.mCookie);
+  RunProbes(opened.mSlot, ConnectResult::NoAnswer);
+  mNow += milliseconds{ 400 };
+  auto const verdict = mSteering.Steer(mNow, flow.Data(opened.mCookie, true));
+  CHECK(verdict.mAction == SteeringAction::Reset);
+  // The cause may be on the side of this caller.
+  LONGS_EQUAL(0, CountResets());
+  CHECK(IsForwarded(idle, alsoOpened.mCookie));
+}
--- a/tests/support/cookie_fixture.hpp
+++ b/tests/support/cookie_fixture.hpp
@@ -39,6 +39,25 @@
     mSteering.SetView(mStore.View(mNow));
   }
 
+  void Drain(std::string const& aName)
+  {
+    auto registration = SampleUpstream(aName, "a");
+    registration.mDraining = true;
+    mStore.Register(mNow, registration);
+    RefreshView();
+  }
+
+  void Remove(std::string const& aName)
+  {
+    mStore.Remove(mNow, aName);
+    RefreshView();
+  }
+
+  UpstreamHealth HealthOf(std::uint32_t aSlot) const
+  {
+    return mSteering.Loads()[aSlot].mPassiveHealth.Health(mNow);
+  }
+
   std::string UpstreamOf(SteeringVerdict const& aVerdict) const
   {
     return mSteering.View().mUpstreams[aVerdict.mSlot].mRegistration.mName;
@@ -56,6 +75,38 @@
     return opened;
   }
 
+  /// Runs the probes that are due; one upstream has the given result, the
+  /// others accept.
+  void RunProbes(std::uint32_t aSlot, ConnectResult aResult)
+  {
+    mSteering.Sweep(mNow);
+    for (auto const slot : mSteering.StartProbeRound(mNow)) {
+      (void)mSteering.RecordProbeResult(
+        mNow, slot, slot == aSlot ? aResult : ConnectResult::Accepted);
+    }
+  }
+
+  /// Sends a request that gets no answer, and its retransmission.
+  void SendUnansweredRequest(SampleFlow & aFlow, std::uint32_t aCookie)
+  {
+    (void)mSteering.Steer(mNow, aFlow.Data(aCookie));
+    mNow += milliseconds{ 200 };
+    (void)mSteering.Steer(mNow, aFlow.Data(aCookie, true));
+  }
+
+  /// Whether a new request of a flow is forwarded.
+  bool IsForwarded(SampleFlow & aFlow, std::uint32_t aCookie)
+  {
+    auto const verdict = mSteering.Steer(mNow, aFlow.Data(aCookie));
+    return verdict.mAction == SteeringAction::Forward;
+  }
+
+  std::size_t CountResets()
+  {
+    mSteering.Sweep(mNow);
+    return mSteering.TakeResets().size();
+  }
+
   /// Completes requests of new flows until a flow reaches the given upstream.
   std::pair<SampleFlow, SteeringVerdict> CompleteRequestAt(
     std::string const& aName)
