Take a reset of a new connection as a sign that the upstream runs

Cause: an upstream at its limit accepts a new connection and resets it. The prober took that like a port without a listener, and one such probe ended all flows of the upstream.

Change: `Reset` shows that the process runs. It ends no flow, counts as an answer on the way of this VM, and is repeated no sooner than after an accepted connection. New flows go elsewhere until a connection is accepted.

--- a/src/tarragonsill/coordination/tarragonsill_active_health_checker.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_active_health_checker.cpp
@@ -20,6 +20,12 @@
   return "unknown";
 }
 
+bool
+IsRunning(ConnectResult aResult)
+{
+  return aResult == ConnectResult::Accepted || aResult == ConnectResult::Reset;
+}
+
 void
 ActiveHealthChecker::ReviewUpstreams(TimePoint aNow,
                                      RoutingView const& aView,
@@ -156,12 +162,12 @@
 {
   bool const ownLinkWorks =
     std::any_of(mRound.begin(), mRound.end(), [](Probe const& aProbe) {
-      return aProbe.mResult == ConnectResult::Accepted;
+      return IsRunning(*aProbe.mResult);
     });
   std::vector<std::uint32_t> unreachable;
   bool hasNewUnreachable = false;
   for (auto const& probe : mRound) {
-    if (probe.mResult == ConnectResult::Accepted) {
+    if (IsRunning(*probe.mResult)) {
       mProbeStates[probe.mSlot] = {
         aNow + kAcceptedInterval, milliseconds{ 0 }, aNow, {}
       };
@@ -174,7 +180,6 @@
     }
     bool const isUnreachable =
       probe.mResult == ConnectResult::Refused ||
-      probe.mResult == ConnectResult::Reset ||
       (probe.mResult == ConnectResult::NoAnswer && ownLinkWorks &&
        RecordUnansweredProbe(aNow, probe.mSlot, aLoads[probe.mSlot]));
     if (!isUnreachable) {
--- a/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
@@ -23,12 +23,16 @@
 enum class ConnectResult : std::uint8_t
 {
   Accepted,
-  Refused,  ///< No process listens on the port.
-  Reset,    ///< Accepted and then reset.
+  Refused, ///< No process listens on the port.
+  /// Accepted and then reset, as by an upstream at its connection limit. It
+  /// runs, and serves the flows that it has.
+  Reset,
   NoAnswer, ///< No answer before the timeout.
 };
 
 std::string_view ToText(ConnectResult aResult);
+/// Whether the result shows that the upstream's process runs.
+bool IsRunning(ConnectResult aResult);
 
 class ActiveHealthChecker
 {
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -325,6 +325,9 @@
   if (aResult == ConnectResult::Accepted) {
     mLoads[aSlot].mPassiveHealth.RecordReachable(aNow);
   }
+  if (aResult == ConnectResult::Reset) {
+    mLoads[aSlot].mPassiveHealth.RecordTurnedAway(aNow);
+  }
   mLoads[aSlot].mIsInSilentZone = mMechanisms.Uses(Mechanism::SilentZones) &&
                                   ZoneSilenceOf(aSlot).IsSilent(aNow);
   std::vector<std::uint32_t> newlyUnreachable;
--- a/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp
@@ -98,6 +98,14 @@
     mHasLostFlows = false;
     mReachableAt = aNow;
   }
+  /// Records an accepted connection that was reset: the upstream runs but takes
+  /// no new flows.
+  void RecordTurnedAway(TimePoint aNow)
+  {
+    RecordReachable(aNow);
+    mIsUnreachable = true;
+    mUnreachableAt = {};
+  }
   /// Restarts the timeouts after this VM was paused: overdue answers may be in
   /// its receive queue.
   void HandleLocalPause(TimePoint aNow);
--- a/tests/coordination/test_cookie_reset_proof.cpp
+++ b/tests/coordination/test_cookie_reset_proof.cpp
@@ -51,6 +51,25 @@
   LONGS_EQUAL(0, CountResets());
 }
 
+/// Guards against resets of the flows of an upstream at its connection limit,
+/// which turns new connections away.
+TEST(CookieResetProof, an_upstream_that_resets_new_connections_keeps_its_flows)
+{
+  auto [flow, opened] = CompleteRequestAt("a1");
+  mSteering.SetCurrentAsOf(mNow);
+  SendUnansweredRequest(flow, opened.mCookie);
+  RunProbes(opened.mSlot, ConnectResult::Reset);
+  mNow += milliseconds{ 400 };
+  auto const verdict = mSteering.Steer(mNow, flow.Data(opened.mCookie, true));
+  CHECK(verdict.mAction == SteeringAction::Forward);
+  LONGS_EQUAL(0, CountResets());
+  // New flows go elsewhere.
+  for (std::uint16_t port = 60000; port < 60020; ++port) {
+    SampleFlow fresh(CallerAt(port));
+    CHECK(mSteering.Steer(mNow, fresh.Opening()).mSlot != opened.mSlot);
+  }
+}
+
 /// Guards against flows that stay open at an upstream that has left.
 TEST(CookieResetProof,
      flows_of_a_removed_upstream_that_refuses_a_probe_are_reset)
