--- a/tests/coordination/test_cookie_silence.cpp
+++ b/tests/coordination/test_cookie_silence.cpp
@@ -237,3 +237,25 @@
   auto const retransmission = mSteering.Steer(mNow, flow.Opening(1));
   CHECK(retransmission.mAction == SteeringAction::Forward);
 }
+
+// One lost packet reset a flow of an upstream that serves, because of other
+// flows' losses long before.
+TEST(CookieSilence, a_repetition_does_not_revive_expired_ones)
+{
+  auto [other, elsewhere] = CompleteRequestAt("a1");
+  auto [first, opened] = CompleteRequestAt("a2");
+  auto [second, alsoOpened] = CompleteRequestAt("a2");
+  for (bool const isRetransmission : { false, true }) {
+    (void)mSteering.Steer(mNow, first.Data(opened.mCookie, isRetransmission));
+    (void)mSteering.Steer(mNow, second.Data(opened.mCookie, isRetransmission));
+    mNow += milliseconds{ 200 };
+  }
+  // The callers see the answers through other VMs.
+  mNow += seconds{ 9 };
+  SampleFlow later(CallerAt(mNextPort++));
+  (void)mSteering.Steer(mNow, later.Data(opened.mCookie));
+  mNow += milliseconds{ 200 };
+  Answer(other, elsewhere.mCookie);
+  CHECK(mSteering.Steer(mNow, later.Data(opened.mCookie, true)).mAction ==
+        SteeringAction::Forward);
+}
--- a/tests/support/cookie_fixture.hpp
+++ b/tests/support/cookie_fixture.hpp
@@ -21,6 +21,7 @@
   SampleStore mStore;
   CookieSteering mSteering{ 1 };
   TimePoint mNow = kStart;
+  std::uint16_t mNextPort = 50000; ///< Each new flow has a port of its own.
 
   void setup() override
   {
@@ -101,6 +102,13 @@
     return verdict.mAction == SteeringAction::Forward;
   }
 
+  /// Lets an upstream answer a flow that it already holds.
+  void Answer(SampleFlow & aFlow, std::uint32_t aCookie)
+  {
+    (void)mSteering.Steer(mNow, aFlow.Data(aCookie));
+    (void)mSteering.Steer(mNow, aFlow.Acknowledge(aCookie));
+  }
+
   std::size_t CountResets()
   {
     mSteering.Sweep(mNow);
@@ -111,8 +119,8 @@
   std::pair<SampleFlow, SteeringVerdict> CompleteRequestAt(
     std::string const& aName)
   {
-    for (std::uint16_t port = 50000; port < 50100; ++port) {
-      SampleFlow flow(CallerAt(port));
+    for (int count = 0; count < 100; ++count) {
+      SampleFlow flow(CallerAt(mNextPort++));
       auto const verdict = CompleteRequest(flow);
       if (UpstreamOf(verdict) == aName) {
         return { flow, verdict };
