Count no repetitions that were queued during a local pause

Cause: the tracker restarts its timeouts after a pause, but repetitions read from the queue afterwards carry the time at which their data was sent before the pause. They set the start of the silence back, and count as a flow each.

Evidence: two requests are forwarded, the VM starves for 2 s, and reads the repetitions.

Why it works: data counts as sent at the end of the pause at the earliest, so what comes in the backlog is too early to be a repetition, and silence is counted from the end of the pause.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -2,6 +2,8 @@
 
 #include "tarragonsill/state/tarragonsill_placement.hpp"
 
+#include <algorithm>
+
 namespace tarragonsill {
 
 namespace {
@@ -146,14 +148,16 @@
   // this VM.
   bool const isNew = !aFlow.mHasSentData || IsAfter(end, aFlow.mDataEnd);
   if (!isNew) {
-    bool const isReordered = aNow < aFlow.mDataSent + kMinRetransmissionDelay;
+    // What was queued during a local pause says nothing about the upstream.
+    auto const sent = std::max(aFlow.mDataSent, mResumedAt);
+    bool const isReordered = aNow < sent + kMinRetransmissionDelay;
     // A caller that abandoned a flow retransmits its closing packet without
     // waiting for an answer.
     if (isReordered || aFlow.mIsClosed) {
       return;
     }
     load.mPassiveHealth.RecordRetransmission(
-      aNow, aFlow.mDataSent, aFlow.mRetransmissions == 0);
+      aNow, sent, aFlow.mRetransmissions == 0);
     ZoneSilenceOf(aFlow.mSlot).RecordAttempt(aNow, aFlow.mSlot);
     mChecker.RequestProbe(aFlow.mSlot);
     ++aFlow.mRetransmissions;
--- a/tests/coordination/test_cookie_silence.cpp
+++ b/tests/coordination/test_cookie_silence.cpp
@@ -259,3 +259,21 @@
   CHECK(mSteering.Steer(mNow, later.Data(opened.mCookie, true)).mAction ==
         SteeringAction::Forward);
 }
+
+// Repetitions that a starved VM read late made an upstream silent, and its
+// flows were reset although they went on through other VMs.
+TEST(CookieSilence, repetitions_queued_during_a_local_pause_are_no_silence)
+{
+  auto [other, elsewhere] = CompleteRequestAt("a1");
+  auto [first, opened] = CompleteRequestAt("a2");
+  auto [second, alsoOpened] = CompleteRequestAt("a2");
+  (void)mSteering.Steer(mNow, first.Data(opened.mCookie));
+  (void)mSteering.Steer(mNow, second.Data(opened.mCookie));
+  mNow += seconds{ 2 };
+  mSteering.HandleLocalPause(mNow);
+  (void)mSteering.Steer(mNow, first.Data(opened.mCookie, true));
+  (void)mSteering.Steer(mNow, second.Data(opened.mCookie, true));
+  mNow += milliseconds{ 400 };
+  Answer(other, elsewhere.mCookie);
+  LONGS_EQUAL(0, ResetsOfSweep());
+}
