Reset no flow for silence whose caller has stopped repeating

Cause: a flow that repeated once counts as unanswered until its caller acknowledges more of the answer. An acknowledgement by the upstream stops the repetitions, but doesn't pass through this VM.

Evidence: two requests take long, a packet of each is lost and repeated once, and the upstream accepts connections.

Why it works: callers at most double their interval, so a flow whose next repetition is overdue has been acknowledged, or passes through another VM. It isn't reset by this VM. The flows of an upstream that has ended repeat on and are reset as before.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -261,14 +261,16 @@
   auto const& tracker = mLoads[aFlow.mSlot].mPassiveHealth;
   // The silence of an upstream to some callers may have its cause on their
   // side, so it proves nothing for a flow that has sent nothing in vain.
-  bool const isUnanswered = aFlow.mRetransmissions > 0;
+  bool const isRepeating = IsRepeating(aNow, aFlow);
   bool const isGone =
     mView->mUpstreams[aFlow.mSlot].mAvailability == UpstreamAvailability::Gone;
-  bool const isProbeProof =
-    isGone || tracker.HasLostFlows(aNow) ||
+  bool const isUnanswered =
+    isRepeating &&
     aFlow.mRetransmissions >= PassiveHealthTracker::kMinRetransmissionsForLoss;
+  bool const isProbeProof =
+    isGone || tracker.HasLostFlows(aNow) || isUnanswered;
   return (isProbeProof && tracker.HasRecentFailedProbe(aNow)) ||
-         (mMechanisms.Uses(Mechanism::SilentUpstreams) && isUnanswered &&
+         (mMechanisms.Uses(Mechanism::SilentUpstreams) && isRepeating &&
           tracker.Health(aNow) == UpstreamHealth::Silent &&
           aNow < mLastAnswer + kOtherAnswerMaxAge);
 }
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -106,7 +106,8 @@
   std::uint32_t mDataEnd = 0; ///< The sequence number after the last byte seen.
   std::uint32_t mAcknowledged = 0;
   TimePoint mLastSeen{};
-  TimePoint mDataSent{}; ///< When the newest data was first forwarded.
+  TimePoint mDataSent{};   ///< When the newest data was first forwarded.
+  TimePoint mRepeatedAt{}; ///< When the caller last retransmitted data.
   std::uint8_t mRetransmissions = 0;
   bool mIsOpening = false;       ///< Only the opening packet has been seen.
   bool mCountsAsOpening = false; ///< Counted in `UpstreamLoad::mOpeningFlows`.
@@ -180,6 +181,8 @@
   /// does not answer this one; or the upstream is silent, also to this flow,
   /// while others answer.
   bool IsFlowLost(TimePoint aNow, Detail::TrackedFlow const& aFlow) const;
+  /// Whether the caller still retransmits data of the flow.
+  bool IsRepeating(TimePoint aNow, Detail::TrackedFlow const& aFlow) const;
   std::uint64_t SaturationKey(std::uint32_t aService, Endpoint aRoute) const;
   /// Records the answer time for latencies, zone saturation and relative answer
   /// time.
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -161,6 +161,7 @@
     ZoneSilenceOf(aFlow.mSlot).RecordAttempt(aNow, aFlow.mSlot);
     mChecker.RequestProbe(aFlow.mSlot);
     ++aFlow.mRetransmissions;
+    aFlow.mRepeatedAt = aNow;
     return;
   }
   aFlow.mDataEnd = IsAfter(end, aFlow.mDataEnd) ? end : aFlow.mDataEnd;
@@ -176,6 +177,19 @@
   }
 }
 
+bool
+CookieSteering::IsRepeating(TimePoint aNow,
+                            Detail::TrackedFlow const& aFlow) const
+{
+  if (aFlow.mRetransmissions == 0 || aFlow.mRepeatedAt < mResumedAt) {
+    return false;
+  }
+  // Callers at most double their interval. An acknowledgement stops them, and
+  // does not pass through this VM.
+  auto const waited = aFlow.mRepeatedAt - aFlow.mDataSent;
+  return aNow <= aFlow.mRepeatedAt + 2 * waited;
+}
+
 Detail::TrackedFlow&
 CookieSteering::TrackFlow(TimePoint aNow,
                           FlowPacket const& aPacket,
--- a/tests/coordination/test_cookie_silence.cpp
+++ b/tests/coordination/test_cookie_silence.cpp
@@ -275,5 +275,24 @@
   (void)mSteering.Steer(mNow, second.Data(opened.mCookie, true));
   mNow += milliseconds{ 400 };
   Answer(other, elsewhere.mCookie);
-  LONGS_EQUAL(0, ResetsOfSweep());
+  LONGS_EQUAL(0, CountResets());
+}
+
+// Two requests that took long, and of which a packet was lost, were reset while
+// their upstream worked on them.
+TEST(CookieSilence, a_flow_whose_caller_stopped_repeating_is_not_lost)
+{
+  auto [other, elsewhere] = CompleteRequestAt("a1");
+  auto [first, opened] = CompleteRequestAt("a2");
+  auto [second, alsoOpened] = CompleteRequestAt("a2");
+  for (bool const isRetransmission : { false, true }) {
+    (void)mSteering.Steer(mNow, first.Data(opened.mCookie, isRetransmission));
+    (void)mSteering.Steer(mNow, second.Data(opened.mCookie, isRetransmission));
+    mNow += milliseconds{ 200 };
+  }
+  (void)mSteering.RecordProbeResult(
+    mNow, opened.mSlot, ConnectResult::Accepted);
+  mNow += PassiveHealthTracker::kReachableSilentAfter;
+  Answer(other, elsewhere.mCookie);
+  LONGS_EQUAL(0, CountResets());
 }
