Don't reset a flow of a reachable upstream for one lost packet

Cause: once an upstream counts as silent, the first repetition of any of its flows is enough to reset that flow, also while the upstream accepts connections and the silence is on the side of other callers.

Why it works: while the upstream accepts connections, the flow itself has to be unanswered for as long as the upstream's silence has to last.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -257,22 +257,40 @@
 bool
 CookieSteering::IsFlowLost(TimePoint aNow,
                            Detail::TrackedFlow const& aFlow) const
+{
+  return IsLostByProbe(aNow, aFlow) || IsLostBySilence(aNow, aFlow);
+}
+
+bool
+CookieSteering::IsLostByProbe(TimePoint aNow,
+                              Detail::TrackedFlow const& aFlow) const
 {
   auto const& tracker = mLoads[aFlow.mSlot].mPassiveHealth;
-  // The silence of an upstream to some callers may have its cause on their
-  // side, so it proves nothing for a flow that has sent nothing in vain.
-  bool const isRepeating = IsRepeating(aNow, aFlow);
   bool const isGone =
     mView->mUpstreams[aFlow.mSlot].mAvailability == UpstreamAvailability::Gone;
   bool const isUnanswered =
-    isRepeating &&
-    aFlow.mRetransmissions >= PassiveHealthTracker::kMinRetransmissionsForLoss;
-  bool const isProbeProof =
-    isGone || tracker.HasLostFlows(aNow) || isUnanswered;
-  return (isProbeProof && tracker.HasRecentFailedProbe(aNow)) ||
-         (mMechanisms.Uses(Mechanism::SilentUpstreams) && isRepeating &&
-          tracker.Health(aNow) == UpstreamHealth::Silent &&
-          aNow < mLastAnswer + kOtherAnswerMaxAge);
+    aFlow.mRetransmissions >=
+      PassiveHealthTracker::kMinRetransmissionsForLoss &&
+    IsRepeating(aNow, aFlow);
+  return tracker.HasRecentFailedProbe(aNow) &&
+         (isGone || isUnanswered || tracker.HasLostFlows(aNow));
+}
+
+bool
+CookieSteering::IsLostBySilence(TimePoint aNow,
+                                Detail::TrackedFlow const& aFlow) const
+{
+  auto const& tracker = mLoads[aFlow.mSlot].mPassiveHealth;
+  // While the upstream accepts connections, one lost packet proves nothing.
+  bool const hasWaited =
+    !tracker.IsReachable() ||
+    aNow >= aFlow.mDataSent + PassiveHealthTracker::kReachableSilentAfter;
+  // The silence of an upstream to some callers may have its cause on their
+  // side, so it proves nothing for a flow that has sent nothing in vain.
+  return mMechanisms.Uses(Mechanism::SilentUpstreams) && hasWaited &&
+         IsRepeating(aNow, aFlow) &&
+         tracker.Health(aNow) == UpstreamHealth::Silent &&
+         aNow < mLastAnswer + kOtherAnswerMaxAge;
 }
 
 SteeringVerdict
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -176,11 +176,14 @@
                    Detail::TrackedFlow& aFlow);
   /// Whether the last probe of an upstream proves by itself that it crashed.
   bool IsCrashProven(TimePoint aNow, std::uint32_t aSlot) const;
-  /// Whether a flow should be reset. Either a probe of its upstream failed
-  /// recently, and the upstream has left, is known not to serve its flows or
-  /// does not answer this one; or the upstream is silent, also to this flow,
-  /// while others answer.
+  /// Whether a flow should be reset.
   bool IsFlowLost(TimePoint aNow, Detail::TrackedFlow const& aFlow) const;
+  /// Whether a probe of the flow's upstream failed recently, and the upstream
+  /// has left, is known not to serve its flows, or does not answer this one.
+  bool IsLostByProbe(TimePoint aNow, Detail::TrackedFlow const& aFlow) const;
+  /// Whether the flow's upstream is silent, also to this flow, while others
+  /// answer.
+  bool IsLostBySilence(TimePoint aNow, Detail::TrackedFlow const& aFlow) const;
   /// Whether the caller still retransmits data of the flow.
   bool IsRepeating(TimePoint aNow, Detail::TrackedFlow const& aFlow) const;
   std::uint64_t SaturationKey(std::uint32_t aService, Endpoint aRoute) const;
--- a/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.cpp
@@ -94,8 +94,8 @@
     mUnansweredDataSince != TimePoint{} && mRetransmissions > 0;
   if (hasRetransmissions) {
     auto const silence = aNow - mUnansweredDataSince;
-    bool const isReachable = mReachableAt > mUnansweredDataSince;
-    bool const isLongEnough = !isReachable || silence >= kReachableSilentAfter;
+    bool const isLongEnough =
+      !IsReachable() || silence >= kReachableSilentAfter;
     bool const hadTimeForProbe = aNow >= mFirstRetransmissionAt + kProbeTime;
     bool const severalFlows =
       mRetransmittingFlows >= kMinSilentFlows && silence >= kSilentAfter;
--- a/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp
@@ -123,6 +123,8 @@
   {
     return mHasLostFlows && HasRecentFailedProbe(aNow);
   }
+  /// Whether a connection was accepted since the unanswered data was sent.
+  bool IsReachable() const { return mReachableAt > mUnansweredDataSince; }
   /// Whether a suspected upstream should get a trial flow.
   bool IsTrialFlowDue(TimePoint aNow) const;
   void RecordTrialFlow(TimePoint aNow) { mLastTrialFlow = aNow; }
--- a/tests/coordination/test_cookie_silence.cpp
+++ b/tests/coordination/test_cookie_silence.cpp
@@ -296,3 +296,29 @@
   Answer(other, elsewhere.mCookie);
   LONGS_EQUAL(0, CountResets());
 }
+
+// Two callers that hear nothing cost a third one its flow at the first packet
+// that it lost, although the upstream accepted connections all the while.
+TEST(CookieSilence, callers_that_hear_nothing_do_not_condemn_another_flow)
+{
+  auto [other, elsewhere] = CompleteRequestAt("a1");
+  auto [first, opened] = CompleteRequestAt("a2");
+  auto [second, alsoOpened] = CompleteRequestAt("a2");
+  auto [sound, soundOpened] = CompleteRequestAt("a2");
+  (void)mSteering.Steer(mNow, first.Data(opened.mCookie));
+  (void)mSteering.Steer(mNow, second.Data(opened.mCookie));
+  for (int const delay : { 200, 400, 800 }) {
+    mNow += milliseconds{ delay };
+    (void)mSteering.Steer(mNow, first.Data(opened.mCookie, true));
+    (void)mSteering.Steer(mNow, second.Data(opened.mCookie, true));
+    (void)mSteering.RecordProbeResult(
+      mNow, opened.mSlot, ConnectResult::Accepted);
+  }
+  (void)mSteering.Steer(mNow, sound.Data(opened.mCookie));
+  mNow += milliseconds{ 200 };
+  Answer(other, elsewhere.mCookie);
+  CHECK(mSteering.Loads()[opened.mSlot].mPassiveHealth.Health(mNow) ==
+        UpstreamHealth::Silent);
+  CHECK(mSteering.Steer(mNow, sound.Data(opened.mCookie, true)).mAction ==
+        SteeringAction::Forward);
+}
