Wait for a due probe before an upstream counts as silent

Cause: silence counts only after there was time for a probe. But an upstream that has accepted a connection isn't probed again for two seconds. For data sent in that time, the lack of a probe counted like a probe without result.

Why it works: the time for a probe begins when one is due. An upstream that has really ended shortly after it accepted a connection is found by that probe.

--- a/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
@@ -47,7 +47,8 @@
   /// of that moment.
   static constexpr milliseconds kConfirmationTime{ 4000 };
   /// The interval after an accepted connection.
-  static constexpr milliseconds kAcceptedInterval{ 2000 };
+  static constexpr milliseconds kAcceptedInterval =
+    PassiveHealthTracker::kAcceptedInterval;
   /// One event can make many upstreams unreachable at once. Upstreams that
   /// accepted a connection within this time are exempt from follow-up probes.
   static constexpr milliseconds kFollowUpInterval{ 6000 };
--- a/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.cpp
@@ -96,7 +96,11 @@
     auto const silence = aNow - mUnansweredDataSince;
     bool const isLongEnough =
       !IsReachable() || silence >= kReachableSilentAfter;
-    bool const hadTimeForProbe = aNow >= mFirstRetransmissionAt + kProbeTime;
+    auto const probeDue =
+      IsReachable()
+        ? mFirstRetransmissionAt
+        : std::max(mFirstRetransmissionAt, mReachableAt + kAcceptedInterval);
+    bool const hadTimeForProbe = aNow >= probeDue + kProbeTime;
     bool const severalFlows =
       mRetransmittingFlows >= kMinSilentFlows && silence >= kSilentAfter;
     bool const singleFlow = mRetransmissions >= kSingleFlowRetransmissions &&
--- a/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp
@@ -41,6 +41,8 @@
   /// count only after there was time to probe whether the upstream accepts
   /// connections.
   static constexpr milliseconds kProbeTime{ 200 };
+  /// The interval between probes after an accepted connection.
+  static constexpr milliseconds kAcceptedInterval{ 2000 };
   /// An upstream that accepts connections is alive, so this limit is longer.
   /// Callers have retransmitted three times by then (after 0.2, 0.6 and 1.4 s,
   /// operators' platform).
--- a/tests/coordination/test_cookie_silence.cpp
+++ b/tests/coordination/test_cookie_silence.cpp
@@ -322,3 +322,28 @@
   CHECK(mSteering.Steer(mNow, sound.Data(opened.mCookie, true)).mAction ==
         SteeringAction::Forward);
 }
+
+// A second probe is due only some time after an accepted one. Until then, the
+// lack of a probe counted as if the upstream had not accepted it.
+TEST(CookieSilence, an_upstream_is_not_silent_before_a_probe_was_due)
+{
+  auto [other, elsewhere] = CompleteRequestAt("a1");
+  auto [first, opened] = CompleteRequestAt("a2");
+  auto [second, alsoOpened] = CompleteRequestAt("a2");
+  (void)mSteering.Steer(mNow, first.Data(opened.mCookie));
+  mNow += milliseconds{ 200 };
+  (void)mSteering.Steer(mNow, first.Data(opened.mCookie, true));
+  for (auto const slot : mSteering.StartProbeRound(mNow)) {
+    (void)mSteering.RecordProbeResult(mNow, slot, ConnectResult::Accepted);
+  }
+  (void)mSteering.Steer(mNow, first.Acknowledge(opened.mCookie));
+  for (int count = 0; count < 3; ++count) {
+    mNow += milliseconds{ 200 };
+    bool const isRetransmission = count > 0;
+    (void)mSteering.Steer(mNow, first.Data(opened.mCookie, isRetransmission));
+    (void)mSteering.Steer(mNow, second.Data(opened.mCookie, isRetransmission));
+    LONGS_EQUAL(0, mSteering.StartProbeRound(mNow).size());
+  }
+  Answer(other, elsewhere.mCookie);
+  LONGS_EQUAL(0, CountResets());
+}
