Count a flow that repeats several times once

Cause: new data of a flow sets its count of repetitions to 0, and the next repetition counts as one of another flow. New data acknowledged in between shows no answer, as the upstream of an upload sends no data.

Why it works: a flow counts again only if its last repetition is older than the upstream's last answer, the last local pause or the age limit, which are the moments at which the tracker's count starts anew.

The test failed before the fix (run on with the tests only) and holds with it.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -156,8 +156,12 @@
     if (isReordered || aFlow.mIsClosed) {
       return;
     }
+    auto const countedFrom =
+      std::max({ load.mPassiveHealth.LastAnswer(),
+                 mResumedAt,
+                 aNow - PassiveHealthTracker::kRetransmissionMaxAge });
     load.mPassiveHealth.RecordRetransmission(
-      aNow, sent, aFlow.mRetransmissions == 0);
+      aNow, sent, aFlow.mRepeatedAt <= countedFrom);
     ZoneSilenceOf(aFlow.mSlot).RecordAttempt(aNow, aFlow.mSlot);
     mChecker.RequestProbe(aFlow.mSlot);
     ++aFlow.mRetransmissions;
--- a/tests/coordination/test_cookie_silence.cpp
+++ b/tests/coordination/test_cookie_silence.cpp
@@ -347,3 +347,19 @@
   Answer(other, elsewhere.mCookie);
   LONGS_EQUAL(0, CountResets());
 }
+
+// An upload that lost two packets counted as two flows without an answer.
+TEST(CookieSilence, one_flow_that_repeats_twice_does_not_count_as_two)
+{
+  auto [other, elsewhere] = CompleteRequestAt("a1");
+  auto [upload, opened] = CompleteRequestAt("a2");
+  for (int count = 0; count < 2; ++count) {
+    (void)mSteering.Steer(mNow, upload.Data(opened.mCookie));
+    mNow += milliseconds{ 200 };
+    (void)mSteering.Steer(mNow, upload.Data(opened.mCookie, true));
+  }
+  LONGS_EQUAL(
+    1, mSteering.Loads()[opened.mSlot].mPassiveHealth.RetransmittingFlows());
+  Answer(other, elsewhere.mCookie);
+  LONGS_EQUAL(0, ResetsOfSweep());
+}
