Don't hold a probe of an earlier process against its successor

Cause: a view with a new process in a slot replaces the health of the slot, but a probe of the earlier process that is still under way, its backoff and its first unanswered probe stay, and mark the new process.

Evidence: a probe is under way when the upstream registers with a later start. It is refused, and a flow that another VM opened at the new process is reset with its first packet here (FLOW a).

Why it works: the checker forgets the slot; a late result completes its round but says nothing about the upstream.

--- a/src/tarragonsill/coordination/tarragonsill_active_health_checker.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_active_health_checker.cpp
@@ -175,7 +175,7 @@
     mProbeStates[probe.mSlot].mLastResult = *probe.mResult;
     auto const& tracker = aLoads[probe.mSlot].mPassiveHealth;
     bool const answeredSince = tracker.LastAnswer() >= mRoundStarted;
-    if (answeredSince || probe.mIsReference) {
+    if (answeredSince || probe.mIsReference || probe.mIsObsolete) {
       continue;
     }
     bool const isUnreachable =
@@ -196,6 +196,18 @@
   return unreachable;
 }
 
+void
+ActiveHealthChecker::ForgetUpstream(std::uint32_t aSlot)
+{
+  mProbeRequests.erase(aSlot);
+  if (aSlot < mProbeStates.size()) {
+    mProbeStates[aSlot] = {};
+  }
+  for (auto& probe : mRound) {
+    probe.mIsObsolete = probe.mIsObsolete || probe.mSlot == aSlot;
+  }
+}
+
 void
 ActiveHealthChecker::HandleLocalPause()
 {
--- a/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
@@ -88,6 +88,8 @@
   {
     return mProbeStates[aSlot].mLastResult;
   }
+  /// Ignores pending results for a slot that another process has taken over.
+  void ForgetUpstream(std::uint32_t aSlot);
   /// Discards the current round after this VM was paused: answers may still be
   /// in its receive queue.
   void HandleLocalPause();
@@ -98,6 +100,7 @@
     std::uint32_t mSlot = 0;
     bool mIsReference = false;
     std::optional<ConnectResult> mResult;
+    bool mIsObsolete = false; ///< Of a process that was replaced meanwhile.
   };
 
   bool IsFollowUpDue(TimePoint aNow, std::uint32_t aSlot) const;
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -58,6 +58,7 @@
         previous.mStartMark != current.mStartMark) {
       mLoads[slot].mPassiveHealth = NewLoad().mPassiveHealth;
       mLoads[slot].mAnswerTime = {};
+      mChecker.ForgetUpstream(static_cast<std::uint32_t>(slot));
       replaced.push_back(static_cast<std::uint32_t>(slot));
     }
   }
--- a/tests/coordination/test_cookie_silence.cpp
+++ b/tests/coordination/test_cookie_silence.cpp
@@ -363,3 +363,27 @@
   Answer(other, elsewhere.mCookie);
   LONGS_EQUAL(0, ResetsOfSweep());
 }
+
+// A probe sent to a process that had ended was held against its successor.
+TEST(CookieSilence, a_probe_of_an_earlier_process_does_not_count)
+{
+  auto [flow, opened] = CompleteRequestAt("a2");
+  (void)mSteering.Steer(mNow, flow.Data(opened.mCookie));
+  mNow += milliseconds{ 200 };
+  (void)mSteering.Steer(mNow, flow.Data(opened.mCookie, true));
+  auto const probed = mSteering.StartProbeRound(mNow);
+  auto successor = SampleUpstream("a2", "a");
+  successor.mStartMark = 2;
+  mStore.Register(mNow, successor);
+  RefreshView();
+  for (auto const slot : probed) {
+    (void)mSteering.RecordProbeResult(
+      mNow,
+      slot,
+      slot == opened.mSlot ? ConnectResult::Refused : ConnectResult::Accepted);
+  }
+  // The flow was opened through another VM.
+  SampleFlow later(CallerAt(mNextPort++));
+  CHECK(mSteering.Steer(mNow, later.Data(opened.mCookie)).mAction ==
+        SteeringAction::Forward);
+}
