Count what one timeout repeats once, and know nothing across a local pause

Comments that still told the old belief are corrected.

Tests: CookieResetProof, packets_that_are_repeated_together_count_once and a_refusal_after_a_local_pause_is_no_proof_by_itself; both fail before.

--- a/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
@@ -14,9 +14,9 @@
 /// Passive health checks suspect an upstream when callers retransmit, but a
 /// single flow has to retransmit for more than a second before that proves a
 /// crash. A refused or unanswered connection, while another upstream accepts
-/// one, proves it much sooner. Upstreams often become unreachable in groups, so
-/// once one is found, other silent upstreams are probed before their callers
-/// notice.
+/// one, keeps new flows away much sooner. Upstreams often become unreachable in
+/// groups, so once one is found, other silent upstreams are probed before their
+/// callers notice.
 namespace tarragonsill {
 
 /// The outcome of a connection attempt to an upstream.
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -367,8 +367,10 @@
 {
   // An upstream that leaves listens for the drain time after it has reported
   // so. One that refuses a connection sooner than that after it was known to be
-  // serving is not leaving.
-  return mChecker.LastResult(aSlot) == ConnectResult::Refused &&
+  // serving is not leaving. The steady clock stops while this VM is suspended,
+  // so nothing is known of that time.
+  return mCurrentAsOf > mResumedAt &&
+         mChecker.LastResult(aSlot) == ConnectResult::Refused &&
          mView->mUpstreams[aSlot].mAvailability ==
            UpstreamAvailability::Serving &&
          aNow < mCurrentAsOf + mView->mDrainTime;
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -129,7 +129,7 @@
 
   /// Replaces the routing view.
   void SetView(RoutingViewPointer aView);
-  /// Sets the time as of which the routing view is current.
+  /// Sets the time as of which the routing view has all acknowledged changes.
   void SetCurrentAsOf(TimePoint aCurrentAsOf) { mCurrentAsOf = aCurrentAsOf; }
   /// Decides what to do with a packet from a caller.
   SteeringVerdict Steer(TimePoint aNow, FlowPacket const& aPacket);
@@ -139,7 +139,7 @@
   /// Starts a round of probes if any are due; returns the slots to probe.
   std::vector<std::uint32_t> StartProbeRound(TimePoint aNow);
   /// Records the result of a probe. Returns upstreams that have become
-  /// unreachable; the next sweep resets their flows.
+  /// unreachable; the next sweep resets those of their flows that are lost.
   std::vector<std::uint32_t> RecordProbeResult(TimePoint aNow,
                                                std::uint32_t aSlot,
                                                ConnectResult aResult);
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -151,9 +151,12 @@
     // What was queued during a local pause says nothing about the upstream.
     auto const sent = std::max(aFlow.mDataSent, mResumedAt);
     bool const isReordered = aNow < sent + kMinRetransmissionDelay;
+    // A caller retransmits all unacknowledged packets after one timeout.
+    bool const isSameTimeout =
+      aNow < aFlow.mRepeatedAt + kMinRetransmissionDelay;
     // A caller that abandoned a flow retransmits its closing packet without
     // waiting for an answer.
-    if (isReordered || aFlow.mIsClosed) {
+    if (isReordered || isSameTimeout || aFlow.mIsClosed) {
       return;
     }
     auto const countedFrom =
--- a/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp
@@ -18,8 +18,8 @@
   Answering,
   /// An answer is overdue. New flows go to other upstreams if possible.
   Doubtful,
-  /// Flows retransmit and no answer arrives for any flow. All flows of this
-  /// upstream count as lost.
+  /// Flows retransmit and no answer arrives for any flow. The retransmitting
+  /// flows count as lost.
   Silent,
   /// It accepts no connections, while another upstream does.
   Unreachable,
@@ -53,7 +53,7 @@
   /// Flows whose last retransmission is older have ended or pass through other
   /// VMs.
   static constexpr milliseconds kRetransmissionMaxAge{ 2000 };
-  /// Flows are reset on a failed probe of at most this age. It is less than the
+  /// A failed probe counts against flows up to this age. It is less than the
   /// time for which the platform counts a disruption against an upstream (4 s).
   /// Later packets of the flows request another probe.
   static constexpr milliseconds kFailedProbeMaxAge{ 3000 };
--- a/tests/coordination/test_cookie_expired_evidence.cpp
+++ b/tests/coordination/test_cookie_expired_evidence.cpp
@@ -40,11 +40,12 @@
   SendUnansweredRequest(laterFlow, opened.mCookie);
   RunProbes(opened.mSlot, ConnectResult::Refused);
   LONGS_EQUAL(0, CountResets());
-  SendUnansweredRequest(flow, opened.mCookie);
-  // All flows that this VM tracks at the upstream.
-  auto const flows = mSteering.Loads()[opened.mSlot].mFlows;
-  CHECK(flows >= 2);
-  LONGS_EQUAL(flows, CountResets());
+  (void)mSteering.Steer(mNow, flow.Data(opened.mCookie));
+  mNow += milliseconds{ 200 };
+  auto const verdict = mSteering.Steer(mNow, flow.Data(opened.mCookie, true));
+  CHECK(verdict.mAction == SteeringAction::Reset);
+  // Besides, the later flow and the idle one.
+  LONGS_EQUAL(2, CountResets());
 }
 
 TEST(CookieExpiredEvidence,
--- a/tests/coordination/test_cookie_reset_proof.cpp
+++ b/tests/coordination/test_cookie_reset_proof.cpp
@@ -16,6 +16,7 @@
   Drain("a1");
   Drain("a2");
   mNow += milliseconds{ 400 };
+  mSteering.SetCurrentAsOf(mNow);
   Remove("a2");
   // The refusal by one upstream that has left leads to probes of others.
   RunProbes(alsoOpened.mSlot, ConnectResult::Refused);
@@ -91,6 +92,7 @@
   auto [flow, opened] = CompleteRequestAt("a1");
   auto [idle, alsoOpened] = CompleteRequestAt("a1");
   SendUnansweredRequest(flow, opened.mCookie);
+  mSteering.SetCurrentAsOf(mNow);
   RunProbes(opened.mSlot, ConnectResult::NoAnswer);
   LONGS_EQUAL(0, CountResets());
   CHECK(IsForwarded(idle, alsoOpened.mCookie));
@@ -125,3 +127,32 @@
   LONGS_EQUAL(0, CountResets());
   CHECK(IsForwarded(idle, alsoOpened.mCookie));
 }
+
+/// Guards against counting the packets that one timeout of a flow repeats as
+/// evidence of their own.
+TEST(CookieResetProof, packets_that_are_repeated_together_count_once)
+{
+  auto [flow, opened] = CompleteRequestAt("a1");
+  (void)CompleteRequestAt("a2");
+  auto const first = flow.Data(opened.mCookie);
+  auto const second = flow.Data(opened.mCookie);
+  (void)mSteering.Steer(mNow, first);
+  (void)mSteering.Steer(mNow, second);
+  mNow += milliseconds{ 200 };
+  (void)mSteering.Steer(mNow, first);
+  (void)mSteering.Steer(mNow, second);
+  RunProbes(opened.mSlot, ConnectResult::NoAnswer);
+  LONGS_EQUAL(0, CountResets());
+}
+
+/// Guards against knowledge from before a local pause that seems recent,
+/// because the steady clock stood still.
+TEST(CookieResetProof, a_refusal_after_a_local_pause_is_no_proof_by_itself)
+{
+  auto [flow, opened] = CompleteRequestAt("a1");
+  mSteering.SetCurrentAsOf(mNow);
+  mSteering.HandleLocalPause(mNow);
+  SendUnansweredRequest(flow, opened.mCookie);
+  RunProbes(opened.mSlot, ConnectResult::Refused);
+  LONGS_EQUAL(0, CountResets());
+}
--- a/tests/coordination/test_cookie_silence.cpp
+++ b/tests/coordination/test_cookie_silence.cpp
@@ -361,7 +361,7 @@
   LONGS_EQUAL(
     1, mSteering.Loads()[opened.mSlot].mPassiveHealth.RetransmittingFlows());
   Answer(other, elsewhere.mCookie);
-  LONGS_EQUAL(0, ResetsOfSweep());
+  LONGS_EQUAL(0, CountResets());
 }
 
 // A probe sent to a process that had ended was held against its successor.
