--- /dev/null
+++ b/tests/coordination/test_cookie_known_faults.cpp
@@ -0,0 +1,102 @@
+#include "support/cookie_fixture.hpp"
+
+using namespace tarragonsill;
+using namespace tarragonsill::Test;
+
+/// Tests of faults that are known and not fixed yet; see KNOWN-RED.txt.
+TEST_GROUP_BASE(CookieKnownFaults, CookieFixture){};
+
+/// Guards against a reset of a flow that another VM opened after its route was
+/// put back.
+TEST(CookieKnownFaults, an_unknown_flow_of_a_removed_route_is_not_reset)
+{
+  auto next = SampleConfiguration(2);
+  next.mRoutes.erase(next.mRoutes.begin());
+  mStore.Configure(mNow, next);
+  RefreshView();
+  mStore.Configure(mNow, SampleConfiguration(3));
+  CookieSteering newerVm(2);
+  newerVm.SetView(mStore.View(mNow));
+  SampleFlow flow;
+  auto const opened = newerVm.Steer(mNow, flow.Opening());
+  auto const verdict = mSteering.Steer(mNow, flow.Data(opened.mCookie));
+  CHECK(verdict.mAction == SteeringAction::Drop);
+}
+
+/// Guards against a reset, by the view from before a local pause, of a flow
+/// that was opened through another VM.
+TEST(CookieKnownFaults, a_queued_opening_packet_of_a_removed_route_is_not_reset)
+{
+  auto next = SampleConfiguration(2);
+  next.mRoutes.erase(next.mRoutes.begin());
+  mStore.Configure(mNow, next);
+  RefreshView();
+  mSteering.HandleLocalPause(mNow);
+  auto const late = mSteering.Steer(mNow, SampleFlow().Opening());
+  CHECK(late.mAction == SteeringAction::Drop);
+}
+
+/// Guards against a second upstream for an open flow by a copy of its opening
+/// packet that was overtaken.
+TEST(CookieKnownFaults, a_copy_that_arrives_after_the_flow_opened_is_dropped)
+{
+  SampleFlow flow;
+  auto const opened = mSteering.Steer(mNow, flow.Opening());
+  mNow += milliseconds{ 200 };
+  (void)mSteering.Steer(mNow, flow.FirstData(opened.mCookie));
+  auto const copy = mSteering.Steer(mNow, flow.Opening(1));
+  CHECK(copy.mAction == SteeringAction::Drop);
+}
+
+/// Guards against a late answer to an opening packet that went to another
+/// upstream through another VM.
+TEST(CookieKnownFaults,
+     a_flow_opened_by_a_copy_keeps_the_upstream_of_its_caller)
+{
+  auto const firstSlot = SlotOf(mSteering.View(), "b1");
+  auto const firstCookie = mSteering.View().mUpstreams[firstSlot].mCookie;
+  SampleFlow flow;
+  auto const second = mSteering.Steer(mNow, flow.Opening(1));
+  mNow += milliseconds{ 8 };
+  (void)mSteering.Steer(mNow, flow.FirstData(second.mCookie));
+  auto const verdict = mSteering.Steer(mNow, flow.Acknowledge(firstCookie));
+  LONGS_EQUAL(second.mSlot, verdict.mSlot);
+}
+
+/// Guards against a late answer to the first opening packet after a third one.
+TEST(CookieKnownFaults, a_third_opening_packet_keeps_the_flow_pinned)
+{
+  SampleFlow flow;
+  auto const first = mSteering.Steer(mNow, flow.Opening());
+  mNow += milliseconds{ 200 };
+  auto const second = mSteering.Steer(mNow, flow.Opening(1));
+  for (char const* name : { "a1", "a2", "a3", "b1" }) {
+    auto draining = mSteering.View().mUpstreams[SlotOf(mSteering.View(), name)];
+    draining.mRegistration.mDraining = UpstreamOf(second) != name;
+    mStore.Register(mNow, draining.mRegistration);
+  }
+  RefreshView();
+  mNow += milliseconds{ 400 };
+  (void)mSteering.Steer(mNow, flow.Opening(2));
+  mNow += milliseconds{ 8 };
+  (void)mSteering.Steer(mNow, flow.FirstData(second.mCookie));
+  auto const verdict = mSteering.Steer(mNow, flow.Acknowledge(first.mCookie));
+  LONGS_EQUAL(second.mSlot, verdict.mSlot);
+}
+
+/// Guards against resets of the flows of a draining upstream whose registration
+/// lapses while it still serves and its queue of new connections is full.
+TEST(CookieKnownFaults,
+     a_draining_upstream_whose_registration_lapses_keeps_flows)
+{
+  (void)CompleteRequestAt("a1");
+  Drain("a1");
+  auto const slot = SlotOf(mSteering.View(), "a1");
+  mNow += milliseconds{ 400 };
+  Remove("a1");
+  RunProbes(slot, ConnectResult::NoAnswer);
+  mNow += milliseconds{ 600 };
+  (void)CompleteRequestAt("a2");
+  RunProbes(slot, ConnectResult::NoAnswer);
+  LONGS_EQUAL(0, CountResets());
+}
