Log what proves that a flow is lost

The line `silent_upstream` gave the health of the upstream alone, which does not tell a reset because of silence from one after an unanswered probe, nor those from a proven crash.

The line now has `proof`, `last_probe`, `retransmissions` of the flow and `answer_age_ms`. No decision is changed.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -243,38 +243,46 @@
     known->mIsOpening = hadSecondChoice;
   }
   ObservePacket(aNow, aPacket, *known);
-  if (IsFlowLost(aNow, *known)) {
-    AddLogEntry(SteeringCause::SilentUpstream,
-                aPacket.mSource,
-                aPacket.mDestination,
-                { slot, 0.0, 0 },
-                mLoads[slot].mPassiveHealth.Health(aNow));
+  if (auto const proof = FindLossProof(aNow, *known)) {
+    AddLossLogEntry(aNow, *known, *proof);
     EraseFlow(key);
     return NotForwarded(SteeringAction::Reset, SteeringCause::SilentUpstream);
   }
   return ForwardTo(slot, SteeringCause::OpenFlow);
 }
 
-bool
-CookieSteering::IsFlowLost(TimePoint aNow,
-                           Detail::TrackedFlow const& aFlow) const
+std::optional<FlowLossProof>
+CookieSteering::FindLossProof(TimePoint aNow,
+                              Detail::TrackedFlow const& aFlow) const
 {
-  return IsLostByProbe(aNow, aFlow) || IsLostBySilence(aNow, aFlow);
+  if (auto const proof = FindLossByProbe(aNow, aFlow)) {
+    return proof;
+  }
+  return IsLostBySilence(aNow, aFlow) ? std::optional(FlowLossProof::Silence)
+                                      : std::nullopt;
 }
 
-bool
-CookieSteering::IsLostByProbe(TimePoint aNow,
-                              Detail::TrackedFlow const& aFlow) const
+std::optional<FlowLossProof>
+CookieSteering::FindLossByProbe(TimePoint aNow,
+                                Detail::TrackedFlow const& aFlow) const
 {
   auto const& tracker = mLoads[aFlow.mSlot].mPassiveHealth;
-  bool const isGone =
-    mView->mUpstreams[aFlow.mSlot].mAvailability == UpstreamAvailability::Gone;
+  if (!tracker.HasRecentFailedProbe(aNow)) {
+    return std::nullopt;
+  }
+  if (mView->mUpstreams[aFlow.mSlot].mAvailability ==
+      UpstreamAvailability::Gone) {
+    return FlowLossProof::Removed;
+  }
+  if (tracker.HasLostFlows(aNow)) {
+    return FlowLossProof::UpstreamLost;
+  }
   bool const isUnanswered =
     aFlow.mRetransmissions >=
       PassiveHealthTracker::kMinRetransmissionsForLoss &&
     IsRepeating(aNow, aFlow);
-  return tracker.HasRecentFailedProbe(aNow) &&
-         (isGone || isUnanswered || tracker.HasLostFlows(aNow));
+  return isUnanswered ? std::optional(FlowLossProof::OwnRetransmissions)
+                      : std::nullopt;
 }
 
 bool
@@ -313,17 +321,13 @@
     auto const timeout = aFlow.mIsClosed ? Duration(kClosedFlowTimeout)
                                          : Duration(mView->mIdleTimeout);
     bool const isIdle = aNow > aFlow.mLastSeen + timeout;
-    bool const isLost = !isIdle && IsFlowLost(aNow, aFlow);
-    if (!isIdle && !isLost) {
+    auto const proof = isIdle ? std::nullopt : FindLossProof(aNow, aFlow);
+    if (!isIdle && !proof) {
       return false;
     }
-    if (isLost && !aFlow.mIsOpening && !aFlow.mIsClosed) {
+    if (proof && !aFlow.mIsOpening && !aFlow.mIsClosed) {
       mResets.push_back({ aFlow.mCaller, aFlow.mRoute, aFlow.mAcknowledged });
-      AddLogEntry(SteeringCause::SilentUpstream,
-                  aFlow.mCaller,
-                  aFlow.mRoute,
-                  { aFlow.mSlot, 0.0, 0 },
-                  mLoads[aFlow.mSlot].mPassiveHealth.Health(aNow));
+      AddLossLogEntry(aNow, aFlow, *proof);
     }
     ReleaseLoad(aFlow);
     return true;
@@ -409,7 +413,30 @@
                           aSelection.mCost,
                           aSelection.mCandidates,
                           hasUpstream,
-                          aHealth });
+                          aHealth,
+                          std::nullopt });
+}
+
+void
+CookieSteering::AddLossLogEntry(TimePoint aNow,
+                                Detail::TrackedFlow const& aFlow,
+                                FlowLossProof aProof)
+{
+  if (mLogEntries.size() >= kMaxLogEntries) {
+    return;
+  }
+  auto const& tracker = mLoads[aFlow.mSlot].mPassiveHealth;
+  AddLogEntry(SteeringCause::SilentUpstream,
+              aFlow.mCaller,
+              aFlow.mRoute,
+              { aFlow.mSlot, 0.0, 0 },
+              tracker.Health(aNow));
+  auto& entry = mLogEntries.back();
+  entry.mProof = aProof;
+  entry.mLastProbe = mChecker.LastResult(aFlow.mSlot);
+  entry.mRetransmissions = aFlow.mRetransmissions;
+  entry.mAnswerAge =
+    std::chrono::duration_cast<milliseconds>(aNow - tracker.LastAnswer());
 }
 
 } // namespace tarragonsill
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -44,6 +44,18 @@
 };
 
 std::string_view ToText(SteeringCause aCause);
+
+/// The observation by which an open flow counts as lost.
+enum class FlowLossProof : std::uint8_t
+{
+  Silence,            ///< Its upstream answers no flow.
+  Removed,            ///< A probe failed and the registration is gone.
+  OwnRetransmissions, ///< A probe failed and this flow gets no answer.
+  UpstreamLost,       ///< A probe failed and no flow of the upstream is left.
+};
+
+std::string_view ToText(FlowLossProof aProof);
+
 /// Returns the counter of a cause; packets of open flows have none.
 std::optional<Counter> CounterOf(SteeringCause aCause);
 
@@ -91,6 +103,11 @@
   std::uint32_t mCandidates = 0;
   bool mHasUpstream = false;
   UpstreamHealth mHealth = UpstreamHealth::Answering;
+  /// Of a flow that is given up.
+  std::optional<FlowLossProof> mProof;
+  ConnectResult mLastProbe = ConnectResult::Accepted;
+  std::uint32_t mRetransmissions = 0;
+  milliseconds mAnswerAge{ 0 }; ///< Since the last answer to any flow.
 };
 
 namespace Detail {
@@ -176,11 +193,15 @@
                    Detail::TrackedFlow& aFlow);
   /// Whether the last probe of an upstream proves by itself that it crashed.
   bool IsCrashProven(TimePoint aNow, std::uint32_t aSlot) const;
-  /// Whether a flow should be reset.
-  bool IsFlowLost(TimePoint aNow, Detail::TrackedFlow const& aFlow) const;
+  /// Returns why a flow should be reset, if so.
+  std::optional<FlowLossProof> FindLossProof(
+    TimePoint aNow,
+    Detail::TrackedFlow const& aFlow) const;
   /// Whether a probe of the flow's upstream failed recently, and the upstream
   /// has left, is known not to serve its flows, or does not answer this one.
-  bool IsLostByProbe(TimePoint aNow, Detail::TrackedFlow const& aFlow) const;
+  std::optional<FlowLossProof> FindLossByProbe(
+    TimePoint aNow,
+    Detail::TrackedFlow const& aFlow) const;
   /// Whether the flow's upstream is silent, also to this flow, while others
   /// answer.
   bool IsLostBySilence(TimePoint aNow, Detail::TrackedFlow const& aFlow) const;
@@ -205,6 +226,9 @@
                    Endpoint aRoute,
                    UpstreamSelection const& aSelection,
                    UpstreamHealth aHealth);
+  void AddLossLogEntry(TimePoint aNow,
+                       Detail::TrackedFlow const& aFlow,
+                       FlowLossProof aProof);
 
   ZoneSilenceDetector& ZoneSilenceOf(std::uint32_t aSlot)
   {
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -67,6 +67,22 @@
   return "unknown";
 }
 
+std::string_view
+ToText(FlowLossProof aProof)
+{
+  switch (aProof) {
+    case FlowLossProof::Silence:
+      return "silence";
+    case FlowLossProof::Removed:
+      return "removed";
+    case FlowLossProof::OwnRetransmissions:
+      return "own_retransmissions";
+    case FlowLossProof::UpstreamLost:
+      return "upstream_lost";
+  }
+  return "unknown";
+}
+
 std::optional<Counter>
 CounterOf(SteeringCause aCause)
 {
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -252,6 +252,14 @@
     fields.emplace_back("cost", aEntry.mCost);
     fields.emplace_back("candidates",
                         static_cast<std::int64_t>(aEntry.mCandidates));
+    if (aEntry.mProof) {
+      fields.emplace_back("proof", std::string(ToText(*aEntry.mProof)));
+      fields.emplace_back("last_probe", std::string(ToText(aEntry.mLastProbe)));
+      fields.emplace_back("retransmissions",
+                          static_cast<std::int64_t>(aEntry.mRetransmissions));
+      fields.emplace_back("answer_age_ms",
+                          static_cast<std::int64_t>(aEntry.mAnswerAge.count()));
+    }
     return fields;
   }
 
