--- a/lab/platform/tarragonsill_lab_platform_upstreams.cpp
+++ b/lab/platform/tarragonsill_lab_platform_upstreams.cpp
@@ -86,7 +86,7 @@
 void
 PlatformUpstream::Poll()
 {
-  if (mHasCrashed) {
+  if (mHasCrashed || IsSuspended(Clock::now())) {
     return;
   }
   while (AcceptConnection(mListener).IsOpen()) {
@@ -122,7 +122,12 @@
     return;
   }
   auto const found = mFlows.find(aPacket.mSource);
-  if (found == mFlows.end()) {
+  // A caller that got several answers to its opening packet acknowledges the
+  // first one.
+  bool const isOpenElsewhere =
+    found != mFlows.end() && !found->second.mIsOpen &&
+    aPacket.mAcknowledged != found->second.mNextSequence + 1;
+  if (found == mFlows.end() || isOpenElsewhere) {
     ++mUnknownFlowPackets;
     FlowPacket reset;
     reset.mResets = true;
--- a/lab/platform/tarragonsill_lab_platform_upstreams.hpp
+++ b/lab/platform/tarragonsill_lab_platform_upstreams.hpp
@@ -29,12 +29,17 @@
   void Poll();
   /// A silent upstream accepts connections but answers no packets.
   void SetSilent(bool aIsSilent) { mIsSilent = aIsSilent; }
+  /// Stands still until a time: the kernel queues packets and connections, and
+  /// all of them are handled afterwards.
+  void Suspend(TimePoint aUntil) { mSuspendedUntil = aUntil; }
+  bool IsSuspended(TimePoint aNow) const { return aNow < mSuspendedUntil; }
   /// Stops without notice and closes both sockets.
   void Crash();
   bool HasCrashed() const { return mHasCrashed; }
 
   std::uint64_t OpenedFlows() const { return mOpenedFlows; }
-  /// Counts received packets of flows that are not open here.
+  /// Counts received packets of flows that were not opened here, or that were
+  /// opened at another upstream.
   std::uint64_t UnknownFlowPackets() const { return mUnknownFlowPackets; }
 
 private:
@@ -60,6 +65,7 @@
   std::uint16_t mCallerPort;
   std::map<Endpoint, Flow> mFlows; ///< By caller.
   bool mIsSilent = false;
+  TimePoint mSuspendedUntil{};
   bool mHasCrashed = false;
   std::uint64_t mOpenedFlows = 0;
   std::uint64_t mUnknownFlowPackets = 0;
--- a/lab/platform/tarragonsill_lab_soak.cpp
+++ b/lab/platform/tarragonsill_lab_soak.cpp
@@ -221,6 +221,9 @@
       case SoakFaultKind::StoreRollback:
         RollBackStore(aNow, aFault);
         break;
+      case SoakFaultKind::SuspendUpstream:
+        SuspendUpstream(aNow, aFault);
+        break;
       case SoakFaultKind::Count:
         break;
     }
@@ -283,6 +286,20 @@
     });
   }
 
+  /// In one of three standstills the registration lapses meanwhile.
+  void SuspendUpstream(TimePoint aNow, SoakFault const& aFault)
+  {
+    auto const upstream = aFault.mTarget % mEnvironment.UpstreamCount();
+    bool const isSuspended =
+      mEnvironment.Suspend(aNow, upstream, aFault.mDuration);
+    if (!isSuspended || aFault.mTarget % 3 != 0) {
+      return;
+    }
+    mEnvironment.Deregister(upstream);
+    Schedule(aNow + aFault.mDuration,
+             [this, upstream] { mEnvironment.Rewrite(upstream); });
+  }
+
   void ApplyToZone(TimePoint aNow, TimePoint aEnd, std::size_t aZone)
   {
     if (mEnvironment.IsEvacuated()) {
--- a/lab/platform/tarragonsill_lab_soak_environment.cpp
+++ b/lab/platform/tarragonsill_lab_soak_environment.cpp
@@ -16,6 +16,8 @@
 constexpr int kMaxFailedChecks = 2;
 /// The platform restarts a process after a short delay.
 constexpr milliseconds kRestartDelay{ 300 };
+/// Requests that waited during a standstill are answered within this time.
+constexpr milliseconds kMinTimeBetweenSuspensions{ 500 };
 constexpr std::uint64_t kFirstIdentity = 0xA0;
 
 std::string
@@ -287,6 +289,26 @@
   }
 }
 
+bool
+SoakEnvironment::Suspend(TimePoint aNow,
+                         std::size_t aUpstream,
+                         milliseconds aDuration)
+{
+  auto& upstream = mUpstreams[aUpstream];
+  if (upstream.mServer.HasCrashed() || aNow < upstream.mNextSuspension) {
+    return false;
+  }
+  upstream.mServer.Suspend(aNow + aDuration);
+  upstream.mNextSuspension = aNow + aDuration + kMinTimeBetweenSuspensions;
+  return true;
+}
+
+void
+SoakEnvironment::Deregister(std::size_t aUpstream)
+{
+  mStore->Remove("servers", mUpstreams[aUpstream].mName);
+}
+
 void
 SoakEnvironment::ToggleRoute()
 {
--- a/lab/platform/tarragonsill_lab_soak_environment.hpp
+++ b/lab/platform/tarragonsill_lab_soak_environment.hpp
@@ -103,6 +103,11 @@
   void AddUpstream(std::size_t aService);
   void Drain(TimePoint aNow, std::size_t aUpstream);
   void Crash(std::size_t aUpstream, bool aIsDeregistered);
+  /// Lets a running upstream stand still. Returns false if it does already, or
+  /// did until a moment ago and callers still wait.
+  bool Suspend(TimePoint aNow, std::size_t aUpstream, milliseconds aDuration);
+  /// Removes the registration of an upstream that keeps running.
+  void Deregister(std::size_t aUpstream);
   void ToggleRoute();
   void Evacuate(TimePoint aNow, std::size_t aZone, bool aIsEvacuated);
   bool IsEvacuated() const { return mIsEvacuated; }
@@ -129,6 +134,7 @@
     std::string mZone;
     std::uint32_t mCookie = 0;
     bool mIsDraining = false;
+    TimePoint mNextSuspension{}; ///< The earliest one.
   };
 
   SoakEnvironment(SoakOptions aOptions, SoakChecker& aChecker);
--- a/lab/platform/tarragonsill_lab_soak_plan.cpp
+++ b/lab/platform/tarragonsill_lab_soak_plan.cpp
@@ -10,16 +10,16 @@
 namespace {
 
 constexpr auto kKinds = static_cast<std::size_t>(SoakFaultKind::Count);
-/// Number of kinds before the store rollback, which is planned separately.
+/// Number of kinds before those that are planned separately.
 constexpr auto kCommonKinds =
   static_cast<std::size_t>(SoakFaultKind::StoreRollback);
 
 constexpr std::array<std::string_view, kKinds> kKindNames = {
-  "kill_vm",        "kill_all_vms",   "stop_vm",       "pause_vm",
-  "reload_vm",      "store_down",     "store_forgets", "store_delayed",
-  "store_silent",   "store_one_way",  "store_reset",   "store_refuses",
-  "crash_upstream", "drain_upstream", "toggle_route",  "evacuate_zone",
-  "store_rollback",
+  "kill_vm",        "kill_all_vms",     "stop_vm",       "pause_vm",
+  "reload_vm",      "store_down",       "store_forgets", "store_delayed",
+  "store_silent",   "store_one_way",    "store_reset",   "store_refuses",
+  "crash_upstream", "drain_upstream",   "toggle_route",  "evacuate_zone",
+  "store_rollback", "suspend_upstream",
 };
 
 /// Mean time between faults. Many faults last longer and overlap.
@@ -30,18 +30,29 @@
 /// short delay.
 constexpr milliseconds kMeanRollbackInterval{ 9000 };
 constexpr milliseconds kRepeatedRollbackDelay{ 2500 };
-/// Makes the random sequence of rollbacks differ from that of other faults.
+/// Mean time between standstills of upstreams.
+constexpr milliseconds kMeanSuspensionInterval{ 1200 };
+/// Callers give a request up after 3 s.
+constexpr milliseconds kMaxSuspension{ 2500 };
+/// Make the random sequences of rollbacks and of standstills differ from that
+/// of other faults.
 constexpr std::uint64_t kRollbackSeedMask = 0x726F6C6C;
+constexpr std::uint64_t kSuspensionSeedMask = 0x73757370;
 
+/// Draws faults at random times; `aDrawKind` returns the kind of the next one.
+template<typename DrawKind>
 std::vector<SoakFault>
-MakeCommonFaults(std::uint64_t aSeed, milliseconds aLength)
+DrawFaults(std::uint64_t aSeed,
+           milliseconds aLength,
+           milliseconds aMeanInterval,
+           milliseconds aMaxDuration,
+           DrawKind aDrawKind)
 {
   std::mt19937_64 random(aSeed);
   std::exponential_distribution<double> interval(
-    1.0 / static_cast<double>(kMeanInterval.count()));
-  std::uniform_int_distribution<std::size_t> kind(0, kCommonKinds - 1);
+    1.0 / static_cast<double>(aMeanInterval.count()));
   std::uniform_int_distribution<milliseconds::rep> duration(
-    kMinDuration.count(), kMaxDuration.count());
+    kMinDuration.count(), aMaxDuration.count());
   std::uniform_int_distribution<std::uint32_t> target(0, 1'000'000);
   std::vector<SoakFault> plan;
   milliseconds at{ 0 };
@@ -50,13 +61,33 @@
     if (at >= aLength) {
       return plan;
     }
-    plan.push_back({ static_cast<SoakFaultKind>(kind(random)),
-                     at,
-                     milliseconds{ duration(random) },
-                     target(random) });
+    auto const kind = aDrawKind(random);
+    plan.push_back(
+      { kind, at, milliseconds{ duration(random) }, target(random) });
   }
 }
 
+std::vector<SoakFault>
+MakeCommonFaults(std::uint64_t aSeed, milliseconds aLength)
+{
+  std::uniform_int_distribution<std::size_t> kind(0, kCommonKinds - 1);
+  return DrawFaults(
+    aSeed, aLength, kMeanInterval, kMaxDuration, [&](auto& aRandom) {
+      return static_cast<SoakFaultKind>(kind(aRandom));
+    });
+}
+
+std::vector<SoakFault>
+MakeSuspensions(std::uint64_t aSeed, milliseconds aLength)
+{
+  return DrawFaults(
+    aSeed ^ kSuspensionSeedMask,
+    aLength,
+    kMeanSuspensionInterval,
+    kMaxSuspension,
+    [](auto& /*aRandom*/) { return SoakFaultKind::SuspendUpstream; });
+}
+
 std::vector<SoakFault>
 MakeRollbacks(std::uint64_t aSeed, milliseconds aLength)
 {
@@ -126,8 +157,10 @@
              SoakFaultFilter const& aFilter)
 {
   auto plan = MakeCommonFaults(aSeed, aLength);
-  auto const rollbacks = MakeRollbacks(aSeed, aLength);
-  plan.insert(plan.end(), rollbacks.begin(), rollbacks.end());
+  for (auto const& faults :
+       { MakeRollbacks(aSeed, aLength), MakeSuspensions(aSeed, aLength) }) {
+    plan.insert(plan.end(), faults.begin(), faults.end());
+  }
   std::erase_if(plan, [&](SoakFault const& aFault) {
     return !aFilter.Includes(aFault.mKind);
   });
--- a/lab/platform/tarragonsill_lab_soak_plan.hpp
+++ b/lab/platform/tarragonsill_lab_soak_plan.hpp
@@ -32,6 +32,9 @@
   ToggleRoute,
   EvacuateZone,
   StoreRollback, ///< The store is restored from an older copy.
+  /// The upstream stands still and keeps its flows. Its registration may lapse
+  /// meanwhile.
+  SuspendUpstream,
   Count,
 };
 
