Reset no flow because its upstream is silent

Cause: a VM gave up a flow that retransmitted while its upstream answered no flow for 350 ms to 1.5 s and another upstream answered. That is what a standstill looks like. The class: no answer is taken for proof.

Change: silence keeps new flows away and requests probes, as before, but ends no open flow. The mechanism `silent_upstreams` now switches all resets of flows of upstreams that have ended; its name and setting stay.

Tests: CookieStandstill, an_upstream_that_answers_nothing_keeps_its_flows failed before (3 resets of 3 flows). Two tests demanded the fault and are replaced: a_silent_upstream_loses_the_flows_that_it_leaves_unanswered expects the same health and no reset at the same moments; NodeRuns, flows_of_a_silent_upstream_are_reset, is now two tests with real sockets, one of an upstream that stands still for 2.5 s (no reset, no stalled request) and one of an upstream that answers nothing (no reset, and 20 of 20 new flows open elsewhere).

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// An upstream counts as silent only if another one answered within this time.
-constexpr milliseconds kOtherAnswerMaxAge{ 400 };
 /// The last packets of a closed flow arrive within this time.
 constexpr milliseconds kClosedFlowTimeout{ 3000 };
 /// Callers abandon a handshake after this time (operators' platform).
@@ -254,20 +252,10 @@
 std::optional<FlowLossProof>
 CookieSteering::FindLossProof(TimePoint aNow,
                               Detail::TrackedFlow const& aFlow) const
-{
-  if (auto const proof = FindLossByProbe(aNow, aFlow)) {
-    return proof;
-  }
-  return IsLostBySilence(aNow, aFlow) ? std::optional(FlowLossProof::Silence)
-                                      : std::nullopt;
-}
-
-std::optional<FlowLossProof>
-CookieSteering::FindLossByProbe(TimePoint aNow,
-                                Detail::TrackedFlow const& aFlow) const
 {
   auto const& tracker = mLoads[aFlow.mSlot].mPassiveHealth;
-  if (!tracker.HasRecentFailedProbe(aNow)) {
+  if (!mMechanisms.Uses(Mechanism::SilentUpstreams) ||
+      !tracker.HasRecentFailedProbe(aNow)) {
     return std::nullopt;
   }
   if (mView->mUpstreams[aFlow.mSlot].mAvailability ==
@@ -285,23 +273,6 @@
                       : std::nullopt;
 }
 
-bool
-CookieSteering::IsLostBySilence(TimePoint aNow,
-                                Detail::TrackedFlow const& aFlow) const
-{
-  auto const& tracker = mLoads[aFlow.mSlot].mPassiveHealth;
-  // While the upstream accepts connections, one lost packet proves nothing.
-  bool const hasWaited =
-    !tracker.IsReachable() ||
-    aNow >= aFlow.mDataSent + PassiveHealthTracker::kReachableSilentAfter;
-  // The silence of an upstream to some callers may have its cause on their
-  // side, so it proves nothing for a flow that has sent nothing in vain.
-  return mMechanisms.Uses(Mechanism::SilentUpstreams) && hasWaited &&
-         IsRepeating(aNow, aFlow) &&
-         tracker.Health(aNow) == UpstreamHealth::Silent &&
-         aNow < mLastAnswer + kOtherAnswerMaxAge;
-}
-
 SteeringVerdict
 CookieSteering::ForwardTo(std::uint32_t aSlot, SteeringCause aCause) const
 {
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -48,7 +48,6 @@
 /// The observation by which an open flow counts as lost.
 enum class FlowLossProof : std::uint8_t
 {
-  Silence,            ///< Its upstream answers no flow.
   Removed,            ///< A probe failed and the registration is gone.
   OwnRetransmissions, ///< A probe failed and this flow gets no answer.
   UpstreamLost,       ///< A probe failed and no flow of the upstream is left.
@@ -193,18 +192,12 @@
                    Detail::TrackedFlow& aFlow);
   /// Whether the last probe of an upstream proves by itself that it crashed.
   bool IsCrashProven(TimePoint aNow, std::uint32_t aSlot) const;
-  /// Returns why a flow should be reset, if so.
+  /// Returns why a flow should be reset, if so: a probe of its upstream failed
+  /// recently, and the upstream has left, is known not to serve its flows, or
+  /// does not answer this one.
   std::optional<FlowLossProof> FindLossProof(
     TimePoint aNow,
     Detail::TrackedFlow const& aFlow) const;
-  /// Whether a probe of the flow's upstream failed recently, and the upstream
-  /// has left, is known not to serve its flows, or does not answer this one.
-  std::optional<FlowLossProof> FindLossByProbe(
-    TimePoint aNow,
-    Detail::TrackedFlow const& aFlow) const;
-  /// Whether the flow's upstream is silent, also to this flow, while others
-  /// answer.
-  bool IsLostBySilence(TimePoint aNow, Detail::TrackedFlow const& aFlow) const;
   /// Whether the caller still retransmits data of the flow.
   bool IsRepeating(TimePoint aNow, Detail::TrackedFlow const& aFlow) const;
   std::uint64_t SaturationKey(std::uint32_t aService, Endpoint aRoute) const;
@@ -250,7 +243,6 @@
   UpstreamSelector mSelector;
   ActiveHealthChecker mChecker;
   SteeringLatencies mLatencies;
-  TimePoint mLastAnswer{}; ///< The last answer of any upstream.
   TimePoint mResumedAt{};
   std::vector<UnsolicitedReset> mResets;
   std::vector<SteeringLogEntry> mLogEntries;
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -71,8 +71,6 @@
 ToText(FlowLossProof aProof)
 {
   switch (aProof) {
-    case FlowLossProof::Silence:
-      return "silence";
     case FlowLossProof::Removed:
       return "removed";
     case FlowLossProof::OwnRetransmissions:
@@ -129,7 +127,6 @@
   if (answered) {
     load.mPassiveHealth.RecordAnswer(aNow);
     ZoneSilenceOf(aFlow.mSlot).RecordAnswer(aNow);
-    mLastAnswer = aNow;
   }
   if (answered || hasAdvanced) {
     aFlow.mRetransmissions = 0;
--- a/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp
@@ -18,8 +18,8 @@
   Answering,
   /// An answer is overdue. New flows go to other upstreams if possible.
   Doubtful,
-  /// Flows retransmit and no answer arrives for any flow. The retransmitting
-  /// flows count as lost.
+  /// Flows retransmit and no answer arrives for any flow: it has crashed, is
+  /// cut off or stands still.
   Silent,
   /// It accepts no connections, while another upstream does.
   Unreachable,
--- a/src/tarragonsill/state/tarragonsill_mechanisms.hpp
+++ b/src/tarragonsill/state/tarragonsill_mechanisms.hpp
@@ -25,7 +25,7 @@
   Probation,       ///< Send a suspected upstream an occasional trial flow.
   SecondChoice,    ///< Retry an opening at another upstream.
   SilentZones,     ///< Avoid zones of which no upstream answers.
-  SilentUpstreams, ///< Reset flows of upstreams that do not answer.
+  SilentUpstreams, ///< Reset flows of upstreams that have ended.
   ReachChecks,     ///< Probe suspected upstreams by connecting.
   EvidenceAges,    ///< Let evidence about an upstream's health expire.
   ColdShare,       ///< Use only the VM's share of a cold upstream's limit.
