Reset flows for a refusal or a silent host, not for unanswered probes

Cause: an upstream that stands still takes no connections from its accept queue. The active health checks of many VMs fill it, and from then on a probe goes unanswered though the upstream lives. Together with two retransmissions, which every flow sends at a standstill, that reset flows. The class: a measurement changes what it measures, and the lack of an answer is taken for proof.

Change: a probe that gets no answer within 60 ms also tries the discard port of the upstream's host and of the witness's host. A running kernel refuses a closed port whatever the process does, so a full queue now reads `stalled`; `no_answer` says that the host is silent although the witness's host is not. CrashDetector holds what proves that flows are lost: a refusal while known to be serving; two refusals in succession of an upstream whose registration is gone; a silent host, at two probes in succession or at one and two retransmissions of the flow itself.

--- a/src/tarragonsill/coordination/tarragonsill_active_health_checker.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_active_health_checker.cpp
@@ -14,6 +14,8 @@
       return "refused";
     case ConnectResult::Reset:
       return "reset";
+    case ConnectResult::Stalled:
+      return "stalled";
     case ConnectResult::NoAnswer:
       return "no_answer";
   }
@@ -172,7 +174,6 @@
         aNow + kAcceptedInterval, milliseconds{ 0 }, aNow, {}
       };
     }
-    mProbeStates[probe.mSlot].mLastResult = *probe.mResult;
     auto const& tracker = aLoads[probe.mSlot].mPassiveHealth;
     bool const answeredSince = tracker.LastAnswer() >= mRoundStarted;
     if (answeredSince || probe.mIsReference || probe.mIsObsolete) {
@@ -180,7 +181,7 @@
     }
     bool const isUnreachable =
       probe.mResult == ConnectResult::Refused ||
-      (probe.mResult == ConnectResult::NoAnswer && ownLinkWorks &&
+      (!IsRunning(*probe.mResult) && ownLinkWorks &&
        RecordUnansweredProbe(aNow, probe.mSlot, aLoads[probe.mSlot]));
     if (!isUnreachable) {
       continue;
@@ -196,6 +197,14 @@
   return unreachable;
 }
 
+bool
+ActiveHealthChecker::IsProbing(std::uint32_t aSlot) const
+{
+  return std::any_of(mRound.begin(), mRound.end(), [&](Probe const& aProbe) {
+    return aProbe.mSlot == aSlot && !aProbe.mIsReference && !aProbe.mIsObsolete;
+  });
+}
+
 void
 ActiveHealthChecker::ForgetUpstream(std::uint32_t aSlot)
 {
--- a/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_active_health_checker.hpp
@@ -27,7 +27,10 @@
   /// Accepted and then reset, as by an upstream at its connection limit. It
   /// runs, and serves the flows that it has.
   Reset,
-  NoAnswer, ///< No answer before the timeout.
+  /// Not answered before the timeout, but not shown that its host is silent:
+  /// its queue of new connections may be full.
+  Stalled,
+  NoAnswer, ///< Neither the upstream nor its host answered.
 };
 
 std::string_view ToText(ConnectResult aResult);
@@ -83,11 +86,17 @@
     std::uint32_t aSlot,
     ConnectResult aResult,
     std::vector<UpstreamLoad> const& aLoads);
-  /// The result of the last finished probe of an upstream.
-  ConnectResult LastResult(std::uint32_t aSlot) const
+  /// When the current round was started, or the last one.
+  TimePoint RoundStarted() const { return mRoundStarted; }
+  /// The slot of the reference upstream of the current round, if there is any.
+  std::optional<std::uint32_t> Reference() const
   {
-    return mProbeStates[aSlot].mLastResult;
+    bool const hasReference = !mRound.empty() && mRound.back().mIsReference;
+    return hasReference ? std::optional(mRound.back().mSlot) : std::nullopt;
   }
+  /// Whether the current round probes the process that a slot stands for now,
+  /// and not as the reference.
+  bool IsProbing(std::uint32_t aSlot) const;
   /// Ignores pending results for a slot that another process has taken over.
   void ForgetUpstream(std::uint32_t aSlot);
   /// Discards the current round after this VM was paused: answers may still be
@@ -127,7 +136,6 @@
     TimePoint mLastAccepted{}; ///< When the last connection was accepted.
     /// When the first of the unconfirmed probes was not answered.
     TimePoint mFirstUnanswered{};
-    ConnectResult mLastResult = ConnectResult::Accepted;
   };
   std::vector<ProbeState> mProbeStates; ///< By slot.
 };
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -56,6 +56,7 @@
         previous.mStartMark != current.mStartMark) {
       mLoads[slot].mPassiveHealth = NewLoad().mPassiveHealth;
       mLoads[slot].mAnswerTime = {};
+      mCrashDetectors[slot] = {};
       mChecker.ForgetUpstream(static_cast<std::uint32_t>(slot));
       replaced.push_back(static_cast<std::uint32_t>(slot));
     }
@@ -65,6 +66,7 @@
   }
   mView = std::move(aView);
   mLoads.resize(mView->mUpstreams.size(), NewLoad());
+  mCrashDetectors.resize(mView->mUpstreams.size());
   mZoneSilence.resize(mView->mZones.size() + 1);
   for (auto const slot : replaced) {
     ZoneSilenceOf(slot).RecordRegistration();
@@ -253,24 +255,16 @@
 CookieSteering::FindLossProof(TimePoint aNow,
                               Detail::TrackedFlow const& aFlow) const
 {
-  auto const& tracker = mLoads[aFlow.mSlot].mPassiveHealth;
-  if (!mMechanisms.Uses(Mechanism::SilentUpstreams) ||
-      !tracker.HasRecentFailedProbe(aNow)) {
+  auto const& detector = mCrashDetectors[aFlow.mSlot];
+  bool const isExpired =
+    mMechanisms.Uses(Mechanism::EvidenceAges) && detector.IsExpired(aNow);
+  if (!mMechanisms.Uses(Mechanism::SilentUpstreams) || isExpired) {
     return std::nullopt;
   }
-  if (mView->mUpstreams[aFlow.mSlot].mAvailability ==
-      UpstreamAvailability::Gone) {
-    return FlowLossProof::Removed;
-  }
-  if (tracker.HasLostFlows(aNow)) {
-    return FlowLossProof::UpstreamLost;
-  }
-  bool const isUnanswered =
-    aFlow.mRetransmissions >=
-      PassiveHealthTracker::kMinRetransmissionsForLoss &&
-    IsRepeating(aNow, aFlow);
-  return isUnanswered ? std::optional(FlowLossProof::OwnRetransmissions)
-                      : std::nullopt;
+  bool const isRemoved =
+    mView->mUpstreams[aFlow.mSlot].mAvailability == UpstreamAvailability::Gone;
+  return detector.FindProof(
+    { aFlow.mTrackedSince, isRemoved, IsRepeating(aNow, aFlow) });
 }
 
 SteeringVerdict
@@ -326,26 +320,30 @@
   }
   mLoads[aSlot].mIsInSilentZone = mMechanisms.Uses(Mechanism::SilentZones) &&
                                   ZoneSilenceOf(aSlot).IsSilent(aNow);
+  bool const isAnswered =
+    mLoads[aSlot].mPassiveHealth.LastAnswer() >= mChecker.RoundStarted();
+  if (mChecker.IsProbing(aSlot) && !isAnswered) {
+    mCrashDetectors[aSlot].RecordProbe(
+      mChecker.RoundStarted(), aResult, IsKnownToServe(aNow, aSlot));
+  }
   std::vector<std::uint32_t> newlyUnreachable;
   for (auto const slot : mChecker.HandleResult(aNow, aSlot, aResult, mLoads)) {
     auto& tracker = mLoads[slot].mPassiveHealth;
     if (tracker.Health(aNow) != UpstreamHealth::Unreachable) {
       newlyUnreachable.push_back(slot);
     }
-    tracker.RecordUnreachable(aNow, IsCrashProven(aNow, slot));
+    tracker.RecordUnreachable();
   }
   return newlyUnreachable;
 }
 
 bool
-CookieSteering::IsCrashProven(TimePoint aNow, std::uint32_t aSlot) const
+CookieSteering::IsKnownToServe(TimePoint aNow, std::uint32_t aSlot) const
 {
   // An upstream that leaves listens for the drain time after it has reported
-  // so. One that refuses a connection sooner than that after it was known to be
-  // serving is not leaving. The steady clock stops while this VM is suspended,
-  // so nothing is known of that time.
+  // so. The steady clock stops while this VM is suspended, so nothing is known
+  // of that time.
   return mCurrentAsOf > mResumedAt &&
-         mChecker.LastResult(aSlot) == ConnectResult::Refused &&
          mView->mUpstreams[aSlot].mAvailability ==
            UpstreamAvailability::Serving &&
          aNow < mCurrentAsOf + mView->mDrainTime;
@@ -362,6 +360,9 @@
   for (auto& load : mLoads) {
     load.mPassiveHealth.HandleLocalPause(aNow);
   }
+  for (auto& detector : mCrashDetectors) {
+    detector.HandleLocalPause();
+  }
 }
 
 void
@@ -404,7 +405,7 @@
               tracker.Health(aNow));
   auto& entry = mLogEntries.back();
   entry.mProof = aProof;
-  entry.mLastProbe = mChecker.LastResult(aFlow.mSlot);
+  entry.mLastProbe = mCrashDetectors[aFlow.mSlot].LastResult();
   entry.mRetransmissions = aFlow.mRetransmissions;
   entry.mAnswerAge =
     std::chrono::duration_cast<milliseconds>(aNow - tracker.LastAnswer());
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -2,6 +2,7 @@
 #define TARRAGONSILL_COOKIE_STEERING_HPP_INCLUDED
 
 #include "tarragonsill/coordination/tarragonsill_active_health_checker.hpp"
+#include "tarragonsill/coordination/tarragonsill_crash_detector.hpp"
 #include "tarragonsill/coordination/tarragonsill_upstream_selector.hpp"
 #include "tarragonsill/protocol/tarragonsill_flow_packet.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
@@ -45,16 +46,6 @@
 
 std::string_view ToText(SteeringCause aCause);
 
-/// The observation by which an open flow counts as lost.
-enum class FlowLossProof : std::uint8_t
-{
-  Removed,            ///< A probe failed and the registration is gone.
-  OwnRetransmissions, ///< A probe failed and this flow gets no answer.
-  UpstreamLost,       ///< A probe failed and no flow of the upstream is left.
-};
-
-std::string_view ToText(FlowLossProof aProof);
-
 /// Returns the counter of a cause; packets of open flows have none.
 std::optional<Counter> CounterOf(SteeringCause aCause);
 
@@ -121,6 +112,7 @@
   std::uint32_t mFirstSequence = 0; ///< Of the opening packet.
   std::uint32_t mDataEnd = 0; ///< The sequence number after the last byte seen.
   std::uint32_t mAcknowledged = 0;
+  TimePoint mTrackedSince{}; ///< When its first packet passed through this VM.
   TimePoint mLastSeen{};
   TimePoint mDataSent{};   ///< When the newest data was first forwarded.
   TimePoint mRepeatedAt{}; ///< When the caller last retransmitted data.
@@ -149,11 +141,16 @@
   void SetCurrentAsOf(TimePoint aCurrentAsOf) { mCurrentAsOf = aCurrentAsOf; }
   /// Decides what to do with a packet from a caller.
   SteeringVerdict Steer(TimePoint aNow, FlowPacket const& aPacket);
-  /// Removes expired flows and resets those of silent or unreachable upstreams.
+  /// Removes expired flows and resets those of upstreams that have ended.
   /// Must be called several times a second.
   void Sweep(TimePoint aNow);
   /// Starts a round of probes if any are due; returns the slots to probe.
   std::vector<std::uint32_t> StartProbeRound(TimePoint aNow);
+  /// The slot of the reference upstream of the current round, if there is any.
+  std::optional<std::uint32_t> ProbeReference() const
+  {
+    return mChecker.Reference();
+  }
   /// Records the result of a probe. Returns upstreams that have become
   /// unreachable; the next sweep resets those of their flows that are lost.
   std::vector<std::uint32_t> RecordProbeResult(TimePoint aNow,
@@ -190,15 +187,15 @@
   void ObserveData(TimePoint aNow,
                    FlowPacket const& aPacket,
                    Detail::TrackedFlow& aFlow);
-  /// Whether the last probe of an upstream proves by itself that it crashed.
-  bool IsCrashProven(TimePoint aNow, std::uint32_t aSlot) const;
-  /// Returns why a flow should be reset, if so: a probe of its upstream failed
-  /// recently, and the upstream has left, is known not to serve its flows, or
-  /// does not answer this one.
+  /// Whether an upstream is known to be serving, and not leaving.
+  bool IsKnownToServe(TimePoint aNow, std::uint32_t aSlot) const;
+  /// Returns what proves that a flow is lost because its upstream has ended, if
+  /// anything does. The lack of answers from the upstream alone does not.
   std::optional<FlowLossProof> FindLossProof(
     TimePoint aNow,
     Detail::TrackedFlow const& aFlow) const;
-  /// Whether the caller still retransmits data of the flow.
+  /// Whether the caller retransmitted data of the flow several times and still
+  /// does.
   bool IsRepeating(TimePoint aNow, Detail::TrackedFlow const& aFlow) const;
   std::uint64_t SaturationKey(std::uint32_t aService, Endpoint aRoute) const;
   /// Records the answer time for latencies, zone saturation and relative answer
@@ -242,6 +239,7 @@
   FlowTable<Detail::TrackedFlow> mFlows;
   UpstreamSelector mSelector;
   ActiveHealthChecker mChecker;
+  std::vector<CrashDetector> mCrashDetectors; ///< By slot.
   SteeringLatencies mLatencies;
   TimePoint mResumedAt{};
   std::vector<UnsolicitedReset> mResets;
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -12,6 +12,9 @@
 /// again sooner was only reordered.
 constexpr milliseconds kMinRetransmissionDelay{ 150 };
 
+/// One retransmission may be due to a lost packet.
+constexpr std::uint32_t kMinRetransmissionsForLoss = 2;
+
 /// If a flow's last packet through this VM is older, an answer that its next
 /// packet acknowledges may have arrived long ago, while routers sent the flow
 /// through another VM.
@@ -67,20 +70,6 @@
   return "unknown";
 }
 
-std::string_view
-ToText(FlowLossProof aProof)
-{
-  switch (aProof) {
-    case FlowLossProof::Removed:
-      return "removed";
-    case FlowLossProof::OwnRetransmissions:
-      return "own_retransmissions";
-    case FlowLossProof::UpstreamLost:
-      return "upstream_lost";
-  }
-  return "unknown";
-}
-
 std::optional<Counter>
 CounterOf(SteeringCause aCause)
 {
@@ -126,6 +115,7 @@
   bool const answered = aFlow.mIsOpening || (hasAdvanced && isFresh);
   if (answered) {
     load.mPassiveHealth.RecordAnswer(aNow);
+    mCrashDetectors[aFlow.mSlot].RecordAnswer();
     ZoneSilenceOf(aFlow.mSlot).RecordAnswer(aNow);
   }
   if (answered || hasAdvanced) {
@@ -201,7 +191,8 @@
 CookieSteering::IsRepeating(TimePoint aNow,
                             Detail::TrackedFlow const& aFlow) const
 {
-  if (aFlow.mRetransmissions == 0 || aFlow.mRepeatedAt < mResumedAt) {
+  bool const isRecent = aFlow.mRepeatedAt >= mResumedAt;
+  if (aFlow.mRetransmissions < kMinRetransmissionsForLoss || !isRecent) {
     return false;
   }
   // Callers at most double their interval. An acknowledgement stops them, and
@@ -222,6 +213,7 @@
   flow.mFirstSequence = aPacket.mSequence;
   flow.mDataEnd = aPacket.mSequence + (aPacket.mOpens ? 1 : 0);
   flow.mAcknowledged = aPacket.mAcknowledged;
+  flow.mTrackedSince = aNow;
   flow.mLastSeen = aNow;
   flow.mDataSent = aNow;
   ++mLoads[aSlot].mFlows;
--- a/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.cpp
@@ -48,16 +48,6 @@
   mUnansweredDataSince = mUnansweredDataSince == TimePoint{}
                            ? since
                            : std::min(mUnansweredDataSince, since);
-  UpdateFlowLoss(aNow);
-}
-
-void
-PassiveHealthTracker::UpdateFlowLoss(TimePoint aNow)
-{
-  bool const areUnanswered =
-    mRetransmittingFlows >= kMinSilentFlows && !AreRetransmissionsExpired(aNow);
-  mHasLostFlows =
-    mHasLostFlows || (areUnanswered && HasRecentFailedProbe(aNow));
 }
 
 void
@@ -69,7 +59,6 @@
   mRetransmittingFlows = 0;
   mRetransmissions = 0;
   mIsUnreachable = false;
-  mHasLostFlows = false;
 }
 
 void
--- a/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_passive_health_tracker.hpp
@@ -53,15 +53,6 @@
   /// Flows whose last retransmission is older have ended or pass through other
   /// VMs.
   static constexpr milliseconds kRetransmissionMaxAge{ 2000 };
-  /// A failed probe counts against flows up to this age. It is less than the
-  /// time for which the platform counts a disruption against an upstream (4 s).
-  /// Later packets of the flows request another probe.
-  static constexpr milliseconds kFailedProbeMaxAge{ 3000 };
-  /// A failed probe concerns new connections only: an upstream that is leaving,
-  /// or whose queue of new connections is full, still serves its flows. Unless
-  /// it is known otherwise that it has ended, this many retransmissions of a
-  /// flow without an answer show that the flow is lost.
-  static constexpr std::uint32_t kMinRetransmissionsForLoss = 2;
   /// An upstream on probation gets one trial flow per interval. As long as the
   /// upstream does not answer, each trial flow is delayed until its opening
   /// packet is retransmitted.
@@ -84,20 +75,12 @@
                             bool aIsFirstOfFlow);
   /// Records that a caller's packet shows an answer of the upstream.
   void RecordAnswer(TimePoint aNow);
-  /// Records a failed probe of the upstream, and whether it proves by itself
-  /// that the upstream has ended.
-  void RecordUnreachable(TimePoint aNow, bool aHasEnded = false)
-  {
-    mHasLostFlows = aHasEnded || HasLostFlows(aNow);
-    mIsUnreachable = true;
-    mUnreachableAt = aNow;
-    UpdateFlowLoss(aNow);
-  }
+  /// Records a failed probe of the upstream.
+  void RecordUnreachable() { mIsUnreachable = true; }
   /// Records an accepted connection.
   void RecordReachable(TimePoint aNow)
   {
     mIsUnreachable = false;
-    mHasLostFlows = false;
     mReachableAt = aNow;
   }
   /// Records an accepted connection that was reset: the upstream runs but takes
@@ -106,25 +89,12 @@
   {
     RecordReachable(aNow);
     mIsUnreachable = true;
-    mUnreachableAt = {};
   }
   /// Restarts the timeouts after this VM was paused: overdue answers may be in
   /// its receive queue.
   void HandleLocalPause(TimePoint aNow);
 
   UpstreamHealth Health(TimePoint aNow) const;
-  /// Whether a probe failed recently enough to reset flows because of it.
-  bool HasRecentFailedProbe(TimePoint aNow) const
-  {
-    bool const isFresh = aNow < mUnreachableAt + kFailedProbeMaxAge;
-    return mIsUnreachable && (isFresh || !mEvidenceExpires);
-  }
-  /// Whether a probe failed recently and the upstream has ended, or left
-  /// several flows unanswered: all of its flows are lost.
-  bool HasLostFlows(TimePoint aNow) const
-  {
-    return mHasLostFlows && HasRecentFailedProbe(aNow);
-  }
   /// Whether a connection was accepted since the unanswered data was sent.
   bool IsReachable() const { return mReachableAt > mUnansweredDataSince; }
   /// Whether a suspected upstream should get a trial flow.
@@ -142,7 +112,6 @@
     return mEvidenceExpires &&
            aNow >= mLastRetransmissionAt + kRetransmissionMaxAge;
   }
-  void UpdateFlowLoss(TimePoint aNow);
 
   TimePoint mLastAnswer{};
   TimePoint mLastTrialFlow{};
@@ -153,12 +122,10 @@
   TimePoint mUnansweredDataSince{};
   TimePoint mFirstRetransmissionAt{};
   TimePoint mLastRetransmissionAt{};
-  TimePoint mUnreachableAt{};
   TimePoint mReachableAt{};
   std::uint32_t mRetransmittingFlows = 0;
   std::uint32_t mRetransmissions = 0;
   bool mIsUnreachable = false;
-  bool mHasLostFlows = false;
   bool mEvidenceExpires = true;
 };
 
--- a/src/tarragonsill/transport/tarragonsill_connect_prober.cpp
+++ b/src/tarragonsill/transport/tarragonsill_connect_prober.cpp
@@ -36,7 +36,8 @@
   attempt.mSocket = FileDescriptor(
     ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!attempt.mSocket.IsOpen()) {
-    attempt.mResult = ConnectResult::NoAnswer;
+    // Nothing was sent, so nothing is shown.
+    attempt.mResult = ConnectResult::Stalled;
     return attempt;
   }
   auto const address = ToSocketAddress(aAddress);
@@ -80,12 +81,43 @@
       failure = attempt.mResult;
     }
   }
-  if (failure) {
+  if (failure || aProbe.mDeadline == TimePoint{} || aNow < aProbe.mDeadline) {
     return failure;
   }
-  return aNow >= aProbe.mStartTime + kProbeTimeout
-           ? std::optional(ConnectResult::NoAnswer)
-           : std::nullopt;
+  bool const isHostSilent =
+    !HasAnswered(aProbe.mHostChecks) && HasAnswered(mReference.mHostChecks);
+  return isHostSilent ? ConnectResult::NoAnswer : ConnectResult::Stalled;
+}
+
+std::vector<ConnectProber::Attempt>
+ConnectProber::CheckHost(Endpoint aAddress)
+{
+  Endpoint const closedPort{ aAddress.mAddress, kHostCheckPort };
+  std::vector<Attempt> checks;
+  checks.push_back(Connect(closedPort));
+  checks.push_back(Connect(closedPort));
+  return checks;
+}
+
+bool
+ConnectProber::HasAnswered(std::vector<Attempt>& aHostChecks)
+{
+  return std::any_of(
+    aHostChecks.begin(), aHostChecks.end(), [](Attempt& aCheck) {
+      UpdateAttempt(aCheck);
+      return aCheck.mResult && aCheck.mResult != ConnectResult::NoAnswer;
+    });
+}
+
+void
+ConnectProber::StartSecondAttempt(TimePoint aNow, Probe& aProbe)
+{
+  aProbe.mDeadline = aNow + kProbeTimeout - kSecondAttemptDelay;
+  aProbe.mAttempts.push_back(Connect(aProbe.mAddress));
+  aProbe.mHostChecks = CheckHost(aProbe.mAddress);
+  if (mReference.mAddress && mReference.mHostChecks.empty()) {
+    mReference.mHostChecks = CheckHost(*mReference.mAddress);
+  }
 }
 
 void
@@ -93,7 +125,7 @@
                           std::uint32_t aSlot,
                           Endpoint aAddress)
 {
-  Probe probe{ aSlot, aAddress, aNow, {} };
+  Probe probe{ aSlot, aAddress, aNow, {}, {}, {} };
   probe.mAttempts.push_back(Connect(aAddress));
   mProbes.push_back(std::move(probe));
 }
@@ -110,7 +142,7 @@
     }
     if (probe.mAttempts.size() == 1 &&
         aNow >= probe.mStartTime + kSecondAttemptDelay) {
-      probe.mAttempts.push_back(Connect(probe.mAddress));
+      StartSecondAttempt(aNow, probe);
     }
   }
   std::erase_if(mProbes,
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -155,14 +155,23 @@
         HandleProbeResult(aNow, result);
       }
     }
-    for (auto const slot : mSteering.StartProbeRound(aNow)) {
-      auto const& registration =
-        mSteering.View().mUpstreams[slot].mRegistration;
-      mProber.StartProbe(aNow, slot, registration.mAddress);
+    auto const slots = mSteering.StartProbeRound(aNow);
+    if (!slots.empty()) {
+      auto const reference = mSteering.ProbeReference();
+      mProber.SetReference(reference ? std::optional(AddressOf(*reference))
+                                     : std::nullopt);
+    }
+    for (auto const slot : slots) {
+      mProber.StartProbe(aNow, slot, AddressOf(slot));
       mCounters.Add(Counter::ReachChecks);
     }
   }
 
+  Endpoint AddressOf(std::uint32_t aSlot) const
+  {
+    return mSteering.View().mUpstreams[aSlot].mRegistration.mAddress;
+  }
+
   void LogFailedProbe(TimePoint aNow, ConnectProber::Result const& aResult)
   {
     auto const& upstream = mSteering.View().mUpstreams[aResult.mSlot];
--- a/tests/coordination/test_cookie_reset_proof.cpp
+++ b/tests/coordination/test_cookie_reset_proof.cpp
@@ -82,6 +82,8 @@
   mNow += milliseconds{ 400 };
   Remove("a1");
   RunProbes(slot, ConnectResult::Refused);
+  mNow += ActiveHealthChecker::kMinBackoff;
+  RunProbes(slot, ConnectResult::Refused);
   LONGS_EQUAL(flows, CountResets());
 }
 
@@ -156,3 +158,100 @@
   RunProbes(opened.mSlot, ConnectResult::Refused);
   LONGS_EQUAL(0, CountResets());
 }
+
+/// Guards against resets of flows that an upstream opened after it was started
+/// again, by a VM that has not heard of the start.
+TEST(CookieResetProof, a_refusal_is_no_proof_against_flows_seen_after_it)
+{
+  auto [flow, opened] = CompleteRequestAt("a1");
+  SendUnansweredRequest(flow, opened.mCookie);
+  mSteering.SetCurrentAsOf(mNow);
+  RunProbes(opened.mSlot, ConnectResult::Refused);
+  mNow += milliseconds{ 100 };
+  SampleFlow openedElsewhere(CallerAt(mNextPort++));
+  CHECK(IsForwarded(openedElsewhere, opened.mCookie));
+  CHECK(CountResets() >= 1);
+  CHECK(IsForwarded(openedElsewhere, opened.mCookie));
+}
+
+/// Guards against resets of flows that an upstream opened after it was started
+/// again, when a later probe of it is not answered in time.
+TEST(CookieResetProof,
+     a_stalled_probe_does_not_extend_a_crash_proof_to_later_flows)
+{
+  auto [flow, opened] = CompleteRequestAt("a1");
+  SendUnansweredRequest(flow, opened.mCookie);
+  mSteering.SetCurrentAsOf(mNow);
+  RunProbes(opened.mSlot, ConnectResult::Refused);
+  CHECK(CountResets() >= 1);
+  // Started again under the same id, slow at first; opened through another VM.
+  mNow += milliseconds{ 400 };
+  SampleFlow openedElsewhere(CallerAt(mNextPort++));
+  CHECK(IsForwarded(openedElsewhere, opened.mCookie));
+  mNow += milliseconds{ 100 };
+  RunProbes(opened.mSlot, ConnectResult::Stalled);
+  LONGS_EQUAL(0, CountResets());
+  CHECK(IsForwarded(openedElsewhere, opened.mCookie));
+}
+
+/// Guards against callers that wait for their deadline at an upstream that
+/// ended while it drained and whose registration lapses some seconds later.
+TEST(CookieResetProof,
+     an_upstream_that_refuses_for_long_is_removed_when_it_lapses)
+{
+  auto [flow, opened] = CompleteRequestAt("a1");
+  Drain("a1");
+  SendUnansweredRequest(flow, opened.mCookie);
+  std::size_t resets = 0;
+  for (int tick = 0; tick < 300; ++tick) {
+    if (tick == 50) {
+      Remove("a1");
+    }
+    RunProbes(opened.mSlot, ConnectResult::Refused);
+    resets += CountResets();
+    mNow += milliseconds{ 100 };
+    if (tick % 16 == 0) {
+      auto const v = mSteering.Steer(mNow, flow.Data(opened.mCookie, true));
+      resets += v.mAction == SteeringAction::Reset;
+    }
+  }
+  CHECK(resets >= 1);
+}
+
+/// Guards against resets by an upstream that drains, has closed its port, and
+/// still serves its open flows.
+TEST(CookieResetProof, a_draining_upstream_that_refuses_twice_keeps_its_flows)
+{
+  auto [flow, opened] = CompleteRequestAt("a2");
+  Drain("a2");
+  SendUnansweredRequest(flow, opened.mCookie);
+  mSteering.SetCurrentAsOf(mNow);
+  RunProbes(opened.mSlot, ConnectResult::Refused);
+  LONGS_EQUAL(0, CountResets());
+  mNow += ActiveHealthChecker::kMinBackoff;
+  RunProbes(opened.mSlot, ConnectResult::Refused);
+  LONGS_EQUAL(0, CountResets());
+}
+
+/// Guards against resets by probes of the process that was replaced.
+TEST(CookieResetProof, a_probe_of_the_earlier_process_confirms_nothing)
+{
+  auto [flow, opened] = CompleteRequestAt("a2");
+  SendUnansweredRequest(flow, opened.mCookie);
+  mSteering.Sweep(mNow);
+  auto const slots = mSteering.StartProbeRound(mNow);
+  auto registration = SampleUpstream("a2", "a");
+  registration.mStartMark += 1;
+  mStore.Register(mNow, registration);
+  RefreshView();
+  mSteering.SetCurrentAsOf(mNow);
+  for (auto const slot : slots) {
+    (void)mSteering.RecordProbeResult(
+      mNow,
+      slot,
+      slot == opened.mSlot ? ConnectResult::Refused : ConnectResult::Accepted);
+  }
+  LONGS_EQUAL(0, CountResets());
+  SendUnansweredRequest(flow, opened.mCookie);
+  LONGS_EQUAL(0, CountResets());
+}
--- a/tools/soak-tests.sh
+++ b/tools/soak-tests.sh
@@ -15,6 +15,8 @@
 # 15: a VM was paused and then processed the opening packets that had queued up;
 # the stand-in upstreams treated them as new flows.
 soak --seed 15 --seconds 25 --entries 6 --network 4 --without store_rollback
+# 514: upstreams stood still for up to 2.5 s, and their open flows were reset.
+soak --seed 514 --seconds 25 --entries 12 --network 7 --only suspend_upstream
 # Six store rollbacks in 32 s, among them two in a row.
 soak --seed 2 --seconds 40 --entries 6 --network 5 --only store_rollback
 # A soak that cannot check anything fails: seed 6 draws no rollback in 30 s.
