Drop a copy of an opening packet whose flow is open here

Cause: a copy was recognized only while its flow was opening. After that it was taken for a new flow and went to another upstream, whose answer changed the cookie of the caller; the record of the open flow was lost as well.

Evidence: of the three tests of CookieSecondChoice two failed before: the one from CookieKnownFaults and the same after a late answer of the first upstream. They pass now. The third holds before and after: opening packets from a port that is used again are still forwarded.

Why it works: a packet after the opening packet shows that the caller has an answer, so it needs no second one. The flow is recognized by the sequence number of its opening packet, which now stays known when the flow moves to the upstream that answered. A first opening packet, or one after the flow has closed, still opens a flow.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -167,8 +167,14 @@
 {
   auto const key = Detail::KeyOf(aPacket);
   auto* const known = mFlows.Find(key);
-  bool const isRetransmission = known != nullptr && known->mIsOpening &&
-                                known->mFirstSequence == aPacket.mSequence;
+  bool const isSameFlow =
+    known != nullptr && known->mFirstSequence == aPacket.mSequence;
+  // The caller has an answer, and a second upstream would answer again.
+  if (isSameFlow && !known->mIsOpening && !known->mIsClosed &&
+      aPacket.mOpeningRetransmissions > 0) {
+    return NotForwarded(SteeringAction::Drop, SteeringCause::LateOpening);
+  }
+  bool const isRetransmission = isSameFlow && known->mIsOpening;
   std::optional<std::uint32_t> avoid;
   if (isRetransmission) {
     auto const slot = known->mSlot;
@@ -237,8 +243,11 @@
   }
   if (known == nullptr || known->mSlot != slot) {
     bool const hadSecondChoice = known != nullptr && known->mHasSecondChoice;
+    auto const firstSequence =
+      hadSecondChoice ? known->mFirstSequence : aPacket.mSequence;
     EraseFlow(key);
     known = &TrackFlow(aNow, aPacket, slot);
+    known->mFirstSequence = firstSequence;
     known->mHasSecondChoice = hadSecondChoice;
     known->mIsOpening = hadSecondChoice;
   }
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -41,7 +41,8 @@
   UnknownCookie,
   NotFromCaller,
   SilentUpstream,
-  LateOpening, ///< An opening packet was queued while this VM was paused.
+  /// An opening packet was queued while this VM was paused, or overtaken.
+  LateOpening,
 };
 
 std::string_view ToText(SteeringCause aCause);
--- a/tests/coordination/test_cookie_known_faults.cpp
+++ b/tests/coordination/test_cookie_known_faults.cpp
@@ -36,18 +36,6 @@
   CHECK(late.mAction == SteeringAction::Drop);
 }
 
-/// Guards against a second upstream for an open flow by a copy of its opening
-/// packet that was overtaken.
-TEST(CookieKnownFaults, a_copy_that_arrives_after_the_flow_opened_is_dropped)
-{
-  SampleFlow flow;
-  auto const opened = mSteering.Steer(mNow, flow.Opening());
-  mNow += milliseconds{ 200 };
-  (void)mSteering.Steer(mNow, flow.FirstData(opened.mCookie));
-  auto const copy = mSteering.Steer(mNow, flow.Opening(1));
-  CHECK(copy.mAction == SteeringAction::Drop);
-}
-
 /// Guards against a late answer to an opening packet that went to another
 /// upstream through another VM.
 TEST(CookieKnownFaults,
--- /dev/null
+++ b/tests/coordination/test_cookie_second_choice.cpp
@@ -0,0 +1,62 @@
+#include "support/cookie_fixture.hpp"
+
+using namespace tarragonsill;
+using namespace tarragonsill::Test;
+
+/// Flows whose opening packet reaches two upstreams.
+TEST_GROUP_BASE(CookieSecondChoice, CookieFixture){
+  /// Opens a flow whose first upstream does not answer; it opens at a second
+  /// one. Returns the verdicts of both opening packets.
+  std::pair<SteeringVerdict, SteeringVerdict> OfferTwice(
+    SampleFlow const& aFlow){
+    auto const first = mSteering.Steer(mNow, aFlow.Opening());
+mNow += milliseconds{ 200 };
+return { first, mSteering.Steer(mNow, aFlow.Opening(1)) };
+}
+}
+;
+
+/// Guards against a second upstream for an open flow by a copy of its opening
+/// packet that was overtaken.
+TEST(CookieSecondChoice, a_copy_that_arrives_after_the_flow_opened_is_dropped)
+{
+  SampleFlow flow;
+  auto const opened = mSteering.Steer(mNow, flow.Opening());
+  mNow += milliseconds{ 200 };
+  (void)mSteering.Steer(mNow, flow.FirstData(opened.mCookie));
+  auto const copy = mSteering.Steer(mNow, flow.Opening(1));
+  CHECK(copy.mAction == SteeringAction::Drop);
+}
+
+/// Guards against a third upstream for a flow that opened at the first of two.
+TEST(CookieSecondChoice, a_copy_after_a_late_answer_is_dropped)
+{
+  SampleFlow flow;
+  auto const [first, second] = OfferTwice(flow);
+  CHECK(first.mSlot != second.mSlot);
+  mNow += milliseconds{ 8 };
+  (void)mSteering.Steer(mNow, flow.FirstData(first.mCookie));
+  auto const copy = mSteering.Steer(mNow, flow.Opening(2));
+  CHECK(copy.mAction == SteeringAction::Drop);
+}
+
+/// Guards against a refusal of a caller that uses its port again.
+TEST(CookieSecondChoice, a_new_flow_from_a_reused_port_is_not_a_copy)
+{
+  SampleFlow former;
+  auto const opened = CompleteRequest(former);
+  auto closing = former.Data(opened.mCookie);
+  closing.mCloses = true;
+  (void)mSteering.Steer(mNow, closing);
+  // The first opening packet of the new flow was lost.
+  auto const copy = mSteering.Steer(mNow, SampleFlow().Opening(1));
+  CHECK(copy.mAction == SteeringAction::Forward);
+  // The end of another flow passed through another VM.
+  SampleFlow unseen(CallerAt(41000));
+  (void)CompleteRequest(unseen);
+  auto later = SampleFlow(CallerAt(41000)).Opening(1);
+  later.mSequence += 1000000;
+  CHECK(mSteering.Steer(mNow, later).mAction == SteeringAction::Forward);
+  CHECK(mSteering.Steer(mNow, unseen.Opening()).mAction ==
+        SteeringAction::Forward);
+}
