Keep a flow pinned when its opening packet is offered a third time

Cause: a flow that was offered to two upstreams stays with the one that opened it, whatever cookie its packets carry. A third opening packet whose choice fell on the last upstream again replaced the record by one that had forgotten the first upstream, so the late answer of that one took the flow away.

Why it works: the record of a further opening packet takes over that the flow was offered to two upstreams. The cause that is logged and counted stays as it was.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -205,14 +205,16 @@
   if (!selection) {
     return NotForwarded(SteeringAction::Drop, SteeringCause::NoUpstream);
   }
+  bool const isSecondChoice = isRetransmission && selection->mSlot != *avoid;
+  bool const hadSecondChoice = isRetransmission && known->mHasSecondChoice;
   EraseFlow(key);
   auto& flow = TrackFlow(aNow, aPacket, selection->mSlot);
   flow.mIsOpening = true;
   SetCountsAsOpening(flow, true);
-  flow.mHasSecondChoice = isRetransmission && selection->mSlot != *avoid;
+  flow.mHasSecondChoice = isSecondChoice || hadSecondChoice;
   auto& tracker = mLoads[selection->mSlot].mPassiveHealth;
-  auto const cause = flow.mHasSecondChoice ? SteeringCause::SecondChoice
-                                           : SteeringCause::NewFlow;
+  auto const cause =
+    isSecondChoice ? SteeringCause::SecondChoice : SteeringCause::NewFlow;
   AddLogEntry(cause,
               aPacket.mSource,
               aPacket.mDestination,
--- a/tests/coordination/test_cookie_second_choice.cpp
+++ b/tests/coordination/test_cookie_second_choice.cpp
@@ -60,3 +60,24 @@
   CHECK(mSteering.Steer(mNow, unseen.Opening()).mAction ==
         SteeringAction::Forward);
 }
+
+/// Guards against a late answer to the first opening packet after a third one.
+TEST(CookieSecondChoice, a_third_opening_packet_keeps_the_flow_pinned)
+{
+  SampleFlow flow;
+  auto const first = mSteering.Steer(mNow, flow.Opening());
+  mNow += milliseconds{ 200 };
+  auto const second = mSteering.Steer(mNow, flow.Opening(1));
+  for (char const* name : { "a1", "a2", "a3", "b1" }) {
+    auto draining = mSteering.View().mUpstreams[SlotOf(mSteering.View(), name)];
+    draining.mRegistration.mDraining = UpstreamOf(second) != name;
+    mStore.Register(mNow, draining.mRegistration);
+  }
+  RefreshView();
+  mNow += milliseconds{ 400 };
+  (void)mSteering.Steer(mNow, flow.Opening(2));
+  mNow += milliseconds{ 8 };
+  (void)mSteering.Steer(mNow, flow.FirstData(second.mCookie));
+  auto const verdict = mSteering.Steer(mNow, flow.Acknowledge(first.mCookie));
+  LONGS_EQUAL(second.mSlot, verdict.mSlot);
+}
