Pin flows that open through this VM to the upstream that opened them

Cause: only a flow whose two opening packets both passed through this VM, which chose two upstreams for them, was held at the one that opened it. If another VM had got one of them, packets followed the cookie, which the late answer changes.

Why it works: the first packet after the opening packet, recognized by its sequence number, carries the cookie of the upstream that the caller used. From then on this VM sends the flow there. A packet belongs to the flow only if its sequence and acknowledgment numbers are near the last ones; each upstream has numbers of its own. So a new flow from the same port, whose opening passed through another VM, follows its cookie. Forwarded packets carry the right cookie, which the upstream and the caller take over. A flow that has gone on elsewhere before its first packet here follows its cookie as before, for that may be a late one already.

The time of the handshake of a flow that moved to its second upstream counts from its opening packet; it was recorded as 0.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -206,12 +206,10 @@
     return NotForwarded(SteeringAction::Drop, SteeringCause::NoUpstream);
   }
   bool const isSecondChoice = isRetransmission && selection->mSlot != *avoid;
-  bool const hadSecondChoice = isRetransmission && known->mHasSecondChoice;
   EraseFlow(key);
   auto& flow = TrackFlow(aNow, aPacket, selection->mSlot);
   flow.mIsOpening = true;
   SetCountsAsOpening(flow, true);
-  flow.mHasSecondChoice = isSecondChoice || hadSecondChoice;
   auto& tracker = mLoads[selection->mSlot].mPassiveHealth;
   auto const cause =
     isSecondChoice ? SteeringCause::SecondChoice : SteeringCause::NewFlow;
@@ -231,10 +229,14 @@
   auto const key = Detail::KeyOf(aPacket);
   auto* known = mFlows.Find(key);
   auto const found = mView->mSlotByCookie.find(aPacket.mCookie);
-  // If a flow was offered to two upstreams, the caller used the first that
-  // answered. A late answer of the other one may still change the cookie.
-  bool const isPinned =
-    known != nullptr && known->mHasSecondChoice && !known->mIsOpening;
+  bool const continues = known != nullptr && Detail::Continues(aPacket, *known);
+  // A flow that has gone on through other VMs may have a late cookie already.
+  bool const isFirstPacket = continues && known->mIsOpening &&
+                             aPacket.mSequence == known->mFirstSequence + 1;
+  // If copies of the opening packet reached several upstreams, perhaps through
+  // other VMs, the caller uses the first that answered. A late answer of
+  // another one may still change the cookie.
+  bool const isPinned = continues && known->mIsPinned;
   if (!isPinned && found == mView->mSlotByCookie.end()) {
     return NotForwarded(SteeringAction::Drop, SteeringCause::UnknownCookie);
   }
@@ -244,15 +246,16 @@
     return ForwardTo(slot, SteeringCause::OpenFlow);
   }
   if (known == nullptr || known->mSlot != slot) {
-    bool const hadSecondChoice = known != nullptr && known->mHasSecondChoice;
-    auto const firstSequence =
-      hadSecondChoice ? known->mFirstSequence : aPacket.mSequence;
+    auto const opening = isFirstPacket ? *known : Detail::TrackedFlow{};
     EraseFlow(key);
     known = &TrackFlow(aNow, aPacket, slot);
-    known->mFirstSequence = firstSequence;
-    known->mHasSecondChoice = hadSecondChoice;
-    known->mIsOpening = hadSecondChoice;
+    if (isFirstPacket) {
+      known->mFirstSequence = opening.mFirstSequence;
+      known->mDataSent = opening.mDataSent;
+      known->mIsOpening = true;
+    }
   }
+  known->mIsPinned = isPinned || isFirstPacket;
   ObservePacket(aNow, aPacket, *known);
   if (auto const proof = FindLossProof(aNow, *known)) {
     AddLossLogEntry(aNow, *known, *proof);
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -122,13 +122,17 @@
   bool mCountsAsOpening = false; ///< Counted in `UpstreamLoad::mOpeningFlows`.
   bool mHasSentData = false;     ///< Data of the flow passed through this VM.
   bool mInProgress = false;      ///< Data was sent and no answer was seen.
-  bool mHasSecondChoice = false; ///< Was offered to two upstreams.
+  bool mIsPinned = false;        ///< Opened through this VM at `mSlot`.
   bool mIsClosed = false; ///< Closed by the caller; not part of the load.
 };
 
 /// Returns the flow table key of a packet's flow.
 std::uint64_t KeyOf(FlowPacket const& aPacket);
 
+/// Whether a packet that does not open a flow belongs to the given flow, and
+/// not to another one from the same port.
+bool Continues(FlowPacket const& aPacket, TrackedFlow const& aFlow);
+
 } // namespace Detail
 
 class CookieSteering
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -3,6 +3,7 @@
 #include "tarragonsill/state/tarragonsill_placement.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace tarragonsill {
 
@@ -20,6 +21,17 @@
 /// through another VM.
 constexpr milliseconds kAnswerSightingMaxAge{ 1000 };
 
+/// The platform accepts resets this far from the last acknowledgment of a
+/// caller, so packets of one flow are closer to each other.
+constexpr std::int64_t kMaxSequenceDistance = 76'800;
+
+bool
+IsNear(std::uint32_t aLeft, std::uint32_t aRight)
+{
+  auto const distance = static_cast<std::int32_t>(aLeft - aRight);
+  return std::abs(std::int64_t{ distance }) <= kMaxSequenceDistance;
+}
+
 /// Whether a sequence number is after another one, modulo 2^32.
 bool
 IsAfter(std::uint32_t aLeft, std::uint32_t aRight)
@@ -38,6 +50,17 @@
     .Hash();
 }
 
+bool
+Detail::Continues(FlowPacket const& aPacket, TrackedFlow const& aFlow)
+{
+  // Each upstream has sequence numbers of its own. They are unknown while the
+  // flow is opening.
+  bool const isSameUpstream =
+    aFlow.mIsOpening || !aPacket.mAcknowledges ||
+    IsNear(aPacket.mAcknowledged, aFlow.mAcknowledged);
+  return isSameUpstream && IsNear(aPacket.mSequence, aFlow.mDataEnd);
+}
+
 std::string_view
 ToText(SteeringCause aCause)
 {
--- a/tests/coordination/test_cookie_second_choice.cpp
+++ b/tests/coordination/test_cookie_second_choice.cpp
@@ -81,3 +81,81 @@
   auto const verdict = mSteering.Steer(mNow, flow.Acknowledge(first.mCookie));
   LONGS_EQUAL(second.mSlot, verdict.mSlot);
 }
+
+/// Guards against a late answer to an opening packet that went to another
+/// upstream through another VM.
+TEST(CookieSecondChoice,
+     a_flow_opened_by_a_copy_keeps_the_upstream_of_its_caller)
+{
+  auto const firstSlot = SlotOf(mSteering.View(), "b1");
+  auto const firstCookie = mSteering.View().mUpstreams[firstSlot].mCookie;
+  SampleFlow flow;
+  auto const second = mSteering.Steer(mNow, flow.Opening(1));
+  mNow += milliseconds{ 8 };
+  (void)mSteering.Steer(mNow, flow.FirstData(second.mCookie));
+  auto const verdict = mSteering.Steer(mNow, flow.Acknowledge(firstCookie));
+  LONGS_EQUAL(second.mSlot, verdict.mSlot);
+}
+
+/// Guards against a late answer to a copy that went through another VM.
+TEST(CookieSecondChoice, a_flow_opened_by_its_first_packet_keeps_its_upstream)
+{
+  auto const otherSlot = SlotOf(mSteering.View(), "b1");
+  auto const otherCookie = mSteering.View().mUpstreams[otherSlot].mCookie;
+  SampleFlow flow;
+  auto const opened = CompleteRequest(flow);
+  CHECK(opened.mSlot != otherSlot);
+  auto const verdict = mSteering.Steer(mNow, flow.Data(otherCookie));
+  LONGS_EQUAL(opened.mSlot, verdict.mSlot);
+  // The caller gets the right cookie again.
+  LONGS_EQUAL(opened.mCookie, verdict.mCookie);
+}
+
+/// Guards against a flow held at the upstream of its opening packet although a
+/// copy opened it elsewhere, through another VM.
+TEST(CookieSecondChoice, a_flow_opened_elsewhere_moves_to_its_upstream)
+{
+  auto const otherSlot = SlotOf(mSteering.View(), "b1");
+  auto const otherCookie = mSteering.View().mUpstreams[otherSlot].mCookie;
+  SampleFlow flow;
+  auto const first = mSteering.Steer(mNow, flow.Opening());
+  CHECK(first.mSlot != otherSlot);
+  mNow += milliseconds{ 208 };
+  auto const moved = mSteering.Steer(mNow, flow.FirstData(otherCookie));
+  LONGS_EQUAL(otherSlot, moved.mSlot);
+  auto const kept = mSteering.Steer(mNow, flow.Acknowledge(first.mCookie));
+  LONGS_EQUAL(otherSlot, kept.mSlot);
+}
+
+/// Guards against packets of a new flow at the upstream of a former one whose
+/// end, and the new flow's opening packet, passed through other VMs.
+TEST(CookieSecondChoice, a_new_flow_from_a_reused_port_follows_its_cookie)
+{
+  auto const otherSlot = SlotOf(mSteering.View(), "b1");
+  auto const otherCookie = mSteering.View().mUpstreams[otherSlot].mCookie;
+  SampleFlow former;
+  CHECK(CompleteRequest(former).mSlot != otherSlot);
+  auto packet = SampleFlow().Data(otherCookie);
+  packet.mSequence += 3000000000U;
+  packet.mAcknowledged += 1000000;
+  LONGS_EQUAL(otherSlot, mSteering.Steer(mNow, packet).mSlot);
+  packet.mDataBytes = 0;
+  packet.mCloses = true;
+  LONGS_EQUAL(otherSlot, mSteering.Steer(mNow, packet).mSlot);
+}
+
+/// Guards against a flow held at an upstream where it never opened.
+TEST(CookieSecondChoice, a_flow_whose_second_upstream_never_answers_stays)
+{
+  SampleFlow flow;
+  auto const [first, second] = OfferTwice(flow);
+  CHECK(first.mSlot != second.mSlot);
+  mNow += milliseconds{ 8 };
+  for (int count = 0; count < 3; ++count) {
+    auto const data = flow.Data(first.mCookie);
+    LONGS_EQUAL(first.mSlot, mSteering.Steer(mNow, data).mSlot);
+    mNow += milliseconds{ 20 };
+    auto const late = flow.Acknowledge(second.mCookie);
+    LONGS_EQUAL(first.mSlot, mSteering.Steer(mNow, late).mSlot);
+  }
+}
