Name the flows of broken checks in the soak

The soak said that an open flow was reset, or that its packets reached another upstream, but not which flow. Its events now give the caller of such a flow, by which the log lines of the VMs are found, and each packet that reached an upstream which does not hold its flow. The checks are unchanged.

--- a/lab/platform/tarragonsill_lab_flow_callers.cpp
+++ b/lab/platform/tarragonsill_lab_flow_callers.cpp
@@ -47,6 +47,7 @@
 FlowCallers::RecordEvent(Flow const& aFlow, FlowEvent::Kind aKind)
 {
   mEvents.push_back({ aKind,
+                      aFlow.mCaller,
                       aFlow.mRoute,
                       aFlow.mFirstVm,
                       aFlow.mCookie,
--- a/lab/platform/tarragonsill_lab_flow_callers.hpp
+++ b/lab/platform/tarragonsill_lab_flow_callers.hpp
@@ -33,6 +33,7 @@
     Stalled,
   };
   Kind mKind = Kind::Opened;
+  Endpoint mCaller;
   Endpoint mRoute;
   Endpoint mFirstVm; ///< The VM that got the first opening packet.
   std::uint32_t mCookie = 0;
--- a/lab/platform/tarragonsill_lab_platform_upstreams.cpp
+++ b/lab/platform/tarragonsill_lab_platform_upstreams.cpp
@@ -129,6 +129,7 @@
     aPacket.mAcknowledged != found->second.mNextSequence + 1;
   if (found == mFlows.end() || isOpenElsewhere) {
     ++mUnknownFlowPackets;
+    mUnknownCallers.push_back(aPacket.mSource);
     FlowPacket reset;
     reset.mResets = true;
     Answer(aPacket, {}, reset);
--- a/lab/platform/tarragonsill_lab_platform_upstreams.hpp
+++ b/lab/platform/tarragonsill_lab_platform_upstreams.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// Stand-ins for the operators' upstreams. They receive packets of flows over
@@ -41,6 +42,11 @@
   /// Counts received packets of flows that were not opened here, or that were
   /// opened at another upstream.
   std::uint64_t UnknownFlowPackets() const { return mUnknownFlowPackets; }
+  /// Returns and clears the callers of such packets since the last call.
+  std::vector<Endpoint> TakeUnknownCallers()
+  {
+    return std::exchange(mUnknownCallers, {});
+  }
 
 private:
   struct Flow
@@ -69,6 +75,7 @@
   bool mHasCrashed = false;
   std::uint64_t mOpenedFlows = 0;
   std::uint64_t mUnknownFlowPackets = 0;
+  std::vector<Endpoint> mUnknownCallers;
 };
 
 } // namespace tarragonsill::Lab
--- a/lab/platform/tarragonsill_lab_soak.cpp
+++ b/lab/platform/tarragonsill_lab_soak.cpp
@@ -120,6 +120,9 @@
       mCallers->Open(aNow, SoakEnvironment::kRoutes[mOpened++ % 2]);
     }
     mCallers->Poll(aNow);
+    for (auto const& line : mEnvironment.TakeUnknownFlowPackets()) {
+      LogEvent(line);
+    }
     for (auto const& event : mCallers->TakeEvents()) {
       AddViolation(mChecker.Check(event));
     }
--- a/lab/platform/tarragonsill_lab_soak_checker.cpp
+++ b/lab/platform/tarragonsill_lab_soak_checker.cpp
@@ -123,7 +123,10 @@
 std::optional<std::string>
 SoakChecker::Check(FlowEvent const& aEvent)
 {
-  auto const via = [&] { return " (through " + ToText(aEvent.mFirstVm) + ")"; };
+  auto const via = [&] {
+    return " (" + ToText(aEvent.mCaller) + " through " +
+           ToText(aEvent.mFirstVm) + ")";
+  };
   std::optional<std::string> violation;
   switch (aEvent.mKind) {
     case FlowEvent::Kind::Opened:
--- a/lab/platform/tarragonsill_lab_soak_environment.cpp
+++ b/lab/platform/tarragonsill_lab_soak_environment.cpp
@@ -412,4 +412,17 @@
   return packets;
 }
 
+std::vector<std::string>
+SoakEnvironment::TakeUnknownFlowPackets()
+{
+  std::vector<std::string> lines;
+  for (auto& upstream : mUpstreams) {
+    for (auto const& caller : upstream.mServer.TakeUnknownCallers()) {
+      lines.push_back("a packet of " + ToText(caller) + " reached " +
+                      upstream.mName + ", which does not hold its flow");
+    }
+  }
+  return lines;
+}
+
 } // namespace tarragonsill::Lab
--- a/lab/platform/tarragonsill_lab_soak_environment.hpp
+++ b/lab/platform/tarragonsill_lab_soak_environment.hpp
@@ -124,6 +124,8 @@
   void ExpireCrashedRegistrations();
   /// Counts packets that running upstreams got for flows they have not opened.
   std::uint64_t UnknownFlowPackets() const;
+  /// Returns a line for each such packet since the last call.
+  std::vector<std::string> TakeUnknownFlowPackets();
 
 private:
   struct Upstream
