Pin flows that come from other VMs to the upstream that answers them

Cause: an upstream that stands still answers an opening packet late, after the flow opened at a second one. The VM through which the flow opened holds it there, but one that gets the flow later followed the cookie of the late answer.

Why it works: an acknowledgment of new data whose cookie names the upstream where the flow's packets went shows that this upstream holds the flow; a late answer to an opening packet acknowledges nothing new. Until then packets follow their cookie, so a VM that sees the late cookie first leaves it when the right one returns. If the first packet that a VM gets carries the late cookie, the flow is still lost: nothing that this VM knows tells the two apart.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -255,7 +255,10 @@
       known->mIsOpening = true;
     }
   }
-  known->mIsPinned = isPinned || isFirstPacket;
+  // The upstream that answers data holds the flow.
+  bool const isAnswered =
+    continues && !known->mIsOpening && Detail::HasAdvanced(aPacket, *known);
+  known->mIsPinned = isPinned || isFirstPacket || isAnswered;
   ObservePacket(aNow, aPacket, *known);
   if (auto const proof = FindLossProof(aNow, *known)) {
     AddLossLogEntry(aNow, *known, *proof);
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -122,7 +122,7 @@
   bool mCountsAsOpening = false; ///< Counted in `UpstreamLoad::mOpeningFlows`.
   bool mHasSentData = false;     ///< Data of the flow passed through this VM.
   bool mInProgress = false;      ///< Data was sent and no answer was seen.
-  bool mIsPinned = false;        ///< Opened through this VM at `mSlot`.
+  bool mIsPinned = false;        ///< `mSlot` is known to hold the flow.
   bool mIsClosed = false; ///< Closed by the caller; not part of the load.
 };
 
@@ -133,6 +133,9 @@
 /// not to another one from the same port.
 bool Continues(FlowPacket const& aPacket, TrackedFlow const& aFlow);
 
+/// Whether a packet acknowledges more than those of the flow before it.
+bool HasAdvanced(FlowPacket const& aPacket, TrackedFlow const& aFlow);
+
 } // namespace Detail
 
 class CookieSteering
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -61,6 +61,13 @@
   return isSameUpstream && IsNear(aPacket.mSequence, aFlow.mDataEnd);
 }
 
+bool
+Detail::HasAdvanced(FlowPacket const& aPacket, TrackedFlow const& aFlow)
+{
+  return aPacket.mAcknowledges &&
+         IsAfter(aPacket.mAcknowledged, aFlow.mAcknowledged);
+}
+
 std::string_view
 ToText(SteeringCause aCause)
 {
@@ -133,8 +140,7 @@
   auto& load = mLoads[aFlow.mSlot];
   bool const isFresh = aNow < aFlow.mLastSeen + kAnswerSightingMaxAge;
   aFlow.mLastSeen = aNow;
-  bool const hasAdvanced = aPacket.mAcknowledges &&
-                           IsAfter(aPacket.mAcknowledged, aFlow.mAcknowledged);
+  bool const hasAdvanced = Detail::HasAdvanced(aPacket, aFlow);
   bool const answered = aFlow.mIsOpening || (hasAdvanced && isFresh);
   if (answered) {
     load.mPassiveHealth.RecordAnswer(aNow);
--- a/tests/coordination/test_cookie_second_choice.cpp
+++ b/tests/coordination/test_cookie_second_choice.cpp
@@ -159,3 +159,56 @@
     LONGS_EQUAL(first.mSlot, mSteering.Steer(mNow, late).mSlot);
   }
 }
+
+/// Guards against a late answer to an opening packet after routers have sent
+/// the flow to another VM.
+TEST(CookieSecondChoice, a_flow_from_another_vm_keeps_the_upstream_that_answers)
+{
+  SampleFlow flow;
+  auto const [first, second] = OfferTwice(flow);
+  mNow += milliseconds{ 8 };
+  (void)mSteering.Steer(mNow, flow.FirstData(second.mCookie));
+  CookieSteering newVm(2);
+  newVm.SetView(mStore.View(mNow));
+  (void)newVm.Steer(mNow, flow.Data(second.mCookie));
+  mNow += milliseconds{ 20 };
+  (void)newVm.Steer(mNow, flow.Acknowledge(second.mCookie));
+  auto const verdict = newVm.Steer(mNow, flow.Data(first.mCookie));
+  LONGS_EQUAL(second.mSlot, verdict.mSlot);
+}
+
+/// Guards against a flow held at an upstream that never answered it, because a
+/// late cookie was the first that a VM saw.
+TEST(CookieSecondChoice, a_flow_from_another_vm_leaves_a_late_cookie)
+{
+  SampleFlow flow;
+  auto const [first, second] = OfferTwice(flow);
+  mNow += milliseconds{ 8 };
+  (void)mSteering.Steer(mNow, flow.FirstData(second.mCookie));
+  CookieSteering newVm(2);
+  newVm.SetView(mStore.View(mNow));
+  (void)newVm.Steer(mNow, flow.Data(first.mCookie));
+  mNow += milliseconds{ 200 };
+  (void)newVm.Steer(mNow, flow.Data(first.mCookie, true));
+  // The answer to an earlier request brings the right cookie.
+  auto const verdict = newVm.Steer(mNow, flow.Acknowledge(second.mCookie));
+  LONGS_EQUAL(second.mSlot, verdict.mSlot);
+}
+
+/// Guards against a flow held at an upstream that never answered it, because
+/// this VM knew the opening packet and saw a late cookie first.
+TEST(CookieSecondChoice, a_flow_that_went_on_elsewhere_leaves_a_late_cookie)
+{
+  auto const otherSlot = SlotOf(mSteering.View(), "b1");
+  auto const otherCookie = mSteering.View().mUpstreams[otherSlot].mCookie;
+  SampleFlow flow;
+  auto const first = mSteering.Steer(mNow, flow.Opening());
+  CHECK(first.mSlot != otherSlot);
+  // A copy went through another VM, and so did the first request.
+  (void)flow.FirstData(otherCookie);
+  (void)flow.Acknowledge(otherCookie);
+  mNow += milliseconds{ 400 };
+  (void)mSteering.Steer(mNow, flow.Data(first.mCookie));
+  auto const verdict = mSteering.Steer(mNow, flow.Acknowledge(otherCookie));
+  LONGS_EQUAL(otherSlot, verdict.mSlot);
+}
