Don't reset flows of a removed route that this VM never carried

Callers saw: an open flow was reset although its route existed (entry 11 of KNOWN-RED.txt).

Cause: a VM that is behind on the configuration, where a route was removed and put back, reset each packet of that route, also of flows that another VM had opened since.

Evidence: of the four tests of CookieRemovedRoute two failed before: the one from CookieKnownFaults, and the same with a former flow of the port in the flow table. They pass now. The other two hold before and after: flows that this VM carried are reset at once, open or opening, and opening packets are refused.

Why it works: flows that this VM carried are older than what it knows about the route, so the removal applies to them. Packets of all other flows are dropped; the caller repeats them until this VM or another one knows the route. The cost: after a removal that stands, a caller whose flow came from another VM gets no answer in place of a reset. Drops are logged as stale_route and counted as stale.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -135,9 +135,7 @@
   auto const route = mView->mRoutes.find(aPacket.mDestination);
   bool const isKnown = route != mView->mRoutes.end();
   if (isKnown && route->second.mRemoved) {
-    return NotForwarded(aPacket.mResets ? SteeringAction::Drop
-                                        : SteeringAction::Reset,
-                        SteeringCause::RemovedRoute);
+    return RejectRemovedRoute(aPacket);
   }
   if (!aPacket.mOpens) {
     return SteerOpenFlow(aNow, aPacket);
@@ -160,6 +158,22 @@
                       SteeringCause::UnknownRoute);
 }
 
+SteeringVerdict
+CookieSteering::RejectRemovedRoute(FlowPacket const& aPacket)
+{
+  if (aPacket.mResets) {
+    return NotForwarded(SteeringAction::Drop, SteeringCause::RemovedRoute);
+  }
+  // The route may have been put back, which this VM does not know yet, and a
+  // flow that it never carried may have been opened since.
+  auto const* known = mFlows.Find(Detail::KeyOf(aPacket));
+  bool const isOwnFlow = known != nullptr && Detail::Continues(aPacket, *known);
+  if (!aPacket.mOpens && !isOwnFlow) {
+    return NotForwarded(SteeringAction::Drop, SteeringCause::StaleRoute);
+  }
+  return NotForwarded(SteeringAction::Reset, SteeringCause::RemovedRoute);
+}
+
 SteeringVerdict
 CookieSteering::SteerOpening(TimePoint aNow,
                              FlowPacket const& aPacket,
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -43,6 +43,7 @@
   SilentUpstream,
   /// An opening packet was queued while this VM was paused, or overtaken.
   LateOpening,
+  StaleRoute, ///< The route was removed, but this VM may be behind.
 };
 
 std::string_view ToText(SteeringCause aCause);
@@ -184,6 +185,8 @@
 
 private:
   SteeringVerdict Decide(TimePoint aNow, FlowPacket const& aPacket);
+  /// Decides about a packet whose route was removed.
+  SteeringVerdict RejectRemovedRoute(FlowPacket const& aPacket);
   SteeringVerdict SteerOpening(TimePoint aNow,
                                FlowPacket const& aPacket,
                                ResolvedRoute const& aRoute);
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -96,6 +96,8 @@
       return "silent_upstream";
     case SteeringCause::LateOpening:
       return "late_opening";
+    case SteeringCause::StaleRoute:
+      return "stale_route";
   }
   return "unknown";
 }
@@ -125,6 +127,7 @@
     case SteeringCause::SilentUpstream:
       return Counter::ResetsSilentUpstream;
     case SteeringCause::LateOpening:
+    case SteeringCause::StaleRoute:
       return Counter::DropStale;
     case SteeringCause::OpenFlow:
       break;
--- a/tests/coordination/test_cookie_known_faults.cpp
+++ b/tests/coordination/test_cookie_known_faults.cpp
@@ -6,23 +6,6 @@
 /// Tests of faults that are known and not fixed yet; see KNOWN-RED.txt.
 TEST_GROUP_BASE(CookieKnownFaults, CookieFixture){};
 
-/// Guards against a reset of a flow that another VM opened after its route was
-/// put back.
-TEST(CookieKnownFaults, an_unknown_flow_of_a_removed_route_is_not_reset)
-{
-  auto next = SampleConfiguration(2);
-  next.mRoutes.erase(next.mRoutes.begin());
-  mStore.Configure(mNow, next);
-  RefreshView();
-  mStore.Configure(mNow, SampleConfiguration(3));
-  CookieSteering newerVm(2);
-  newerVm.SetView(mStore.View(mNow));
-  SampleFlow flow;
-  auto const opened = newerVm.Steer(mNow, flow.Opening());
-  auto const verdict = mSteering.Steer(mNow, flow.Data(opened.mCookie));
-  CHECK(verdict.mAction == SteeringAction::Drop);
-}
-
 /// Guards against a reset, by the view from before a local pause, of a flow
 /// that was opened through another VM.
 TEST(CookieKnownFaults, a_queued_opening_packet_of_a_removed_route_is_not_reset)
--- /dev/null
+++ b/tests/coordination/test_cookie_removed_route.cpp
@@ -0,0 +1,65 @@
+#include "support/cookie_fixture.hpp"
+
+using namespace tarragonsill;
+using namespace tarragonsill::Test;
+
+/// A route that a configuration removes, and a later one puts back.
+TEST_GROUP_BASE(CookieRemovedRoute, CookieFixture){
+  void RemoveRoute(){ auto next = SampleConfiguration(2);
+next.mRoutes.erase(next.mRoutes.begin());
+mStore.Configure(mNow, next);
+RefreshView();
+}
+}
+;
+
+/// Guards against a reset of a flow that another VM opened after its route was
+/// put back.
+TEST(CookieRemovedRoute, an_unknown_flow_of_a_removed_route_is_not_reset)
+{
+  auto next = SampleConfiguration(2);
+  next.mRoutes.erase(next.mRoutes.begin());
+  mStore.Configure(mNow, next);
+  RefreshView();
+  mStore.Configure(mNow, SampleConfiguration(3));
+  CookieSteering newerVm(2);
+  newerVm.SetView(mStore.View(mNow));
+  SampleFlow flow;
+  auto const opened = newerVm.Steer(mNow, flow.Opening());
+  auto const verdict = mSteering.Steer(mNow, flow.Data(opened.mCookie));
+  CHECK(verdict.mAction == SteeringAction::Drop);
+}
+
+/// Guards against a reset of a new flow from a port whose former flow passed
+/// through this VM.
+TEST(CookieRemovedRoute, a_new_flow_from_a_reused_port_is_not_reset)
+{
+  SampleFlow former;
+  auto const opened = CompleteRequest(former);
+  RemoveRoute();
+  auto packet = SampleFlow().Data(opened.mCookie);
+  packet.mSequence += 3000000000U;
+  packet.mAcknowledged += 1000000;
+  CHECK(mSteering.Steer(mNow, packet).mAction == SteeringAction::Drop);
+}
+
+TEST(CookieRemovedRoute, a_flow_that_this_vm_carried_is_reset_at_once)
+{
+  SampleFlow open;
+  auto const opened = CompleteRequest(open);
+  SampleFlow opening(CallerAt(41000));
+  auto const offered = mSteering.Steer(mNow, opening.Opening());
+  RemoveRoute();
+  CHECK(mSteering.Steer(mNow, open.Data(opened.mCookie)).mAction ==
+        SteeringAction::Reset);
+  CHECK(mSteering.Steer(mNow, opening.FirstData(offered.mCookie)).mAction ==
+        SteeringAction::Reset);
+}
+
+TEST(CookieRemovedRoute, an_opening_packet_is_refused)
+{
+  RemoveRoute();
+  auto const verdict = mSteering.Steer(mNow, SampleFlow().Opening());
+  CHECK(verdict.mAction == SteeringAction::Reset);
+  CHECK(verdict.mCause == SteeringCause::RemovedRoute);
+}
