Refuse no opening packet by a configuration from before a local pause

Cause: after a local pause a VM reads the opening packets that were queued, by its view from before. If a route had been removed then and was put back meanwhile, it refused packets whose flows a copy had opened through another VM.

Why it works: until this VM knows all changes up to a time after the pause, it drops opening packets of removed routes; the copy of the caller is handled by the VM that gets it, or by this one once it knows more. Then, and when there was no pause, they are refused as before.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -168,7 +168,12 @@
   // flow that it never carried may have been opened since.
   auto const* known = mFlows.Find(Detail::KeyOf(aPacket));
   bool const isOwnFlow = known != nullptr && Detail::Continues(aPacket, *known);
-  if (!aPacket.mOpens && !isOwnFlow) {
+  // An opening packet that was queued meanwhile may have opened its flow
+  // through another VM.
+  bool const isFromBeforePause =
+    mResumedAt != TimePoint{} && mCurrentAsOf <= mResumedAt;
+  bool const mayBeOpen = aPacket.mOpens ? isFromBeforePause : !isOwnFlow;
+  if (mayBeOpen) {
     return NotForwarded(SteeringAction::Drop, SteeringCause::StaleRoute);
   }
   return NotForwarded(SteeringAction::Reset, SteeringCause::RemovedRoute);
--- a/tests/coordination/test_cookie_removed_route.cpp
+++ b/tests/coordination/test_cookie_removed_route.cpp
@@ -63,3 +63,30 @@
   CHECK(verdict.mAction == SteeringAction::Reset);
   CHECK(verdict.mCause == SteeringCause::RemovedRoute);
 }
+
+/// Guards against a reset, by the view from before a local pause, of a flow
+/// that was opened through another VM.
+TEST(CookieRemovedRoute,
+     a_queued_opening_packet_of_a_removed_route_is_not_reset)
+{
+  auto next = SampleConfiguration(2);
+  next.mRoutes.erase(next.mRoutes.begin());
+  mStore.Configure(mNow, next);
+  RefreshView();
+  mSteering.HandleLocalPause(mNow);
+  auto const late = mSteering.Steer(mNow, SampleFlow().Opening());
+  CHECK(late.mAction == SteeringAction::Drop);
+}
+
+/// Guards against silence about a removed route long after a local pause.
+TEST(CookieRemovedRoute, an_opening_packet_is_refused_by_a_view_after_a_pause)
+{
+  RemoveRoute();
+  mSteering.HandleLocalPause(mNow);
+  mNow += milliseconds{ 100 };
+  CHECK(mSteering.Steer(mNow, SampleFlow().Opening()).mAction ==
+        SteeringAction::Drop);
+  mSteering.SetCurrentAsOf(mNow);
+  CHECK(mSteering.Steer(mNow, SampleFlow().Opening()).mAction ==
+        SteeringAction::Reset);
+}
