Reset no copy for a route that was added during a local pause

Callers saw: an open flow may be reset by a VM that stood still.

Cause: a copy of an opening packet for an unknown route is reset, since the configuration of a new route needs less time than the caller waits before it sends the copy. A VM that stood still may have missed the route, and the flow may have opened through another VM by the first packet.

Evidence: a_copy_for_an_unknown_route_is_not_reset_after_a_pause failed before, alone of the seven tests of CookieRemovedRoute, and passes now.

Why it works: such copies are dropped until this VM knows all changes up to a time after the pause. Then they are reset as before.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -150,6 +150,9 @@
   if (isKnown) {
     return SteerOpening(aNow, aPacket, route->second);
   }
+  if (IsViewFromBeforePause()) {
+    return NotForwarded(SteeringAction::Drop, SteeringCause::UnknownRoute);
+  }
   // The configuration of a new route may still be on its way. A retransmission
   // of the opening packet finds the route or is reset.
   return NotForwarded(aPacket.mOpeningRetransmissions > 0
@@ -158,6 +161,12 @@
                       SteeringCause::UnknownRoute);
 }
 
+bool
+CookieSteering::IsViewFromBeforePause() const
+{
+  return mResumedAt != TimePoint{} && mCurrentAsOf <= mResumedAt;
+}
+
 SteeringVerdict
 CookieSteering::RejectRemovedRoute(FlowPacket const& aPacket)
 {
@@ -170,9 +179,7 @@
   bool const isOwnFlow = known != nullptr && Detail::Continues(aPacket, *known);
   // An opening packet that was queued meanwhile may have opened its flow
   // through another VM.
-  bool const isFromBeforePause =
-    mResumedAt != TimePoint{} && mCurrentAsOf <= mResumedAt;
-  bool const mayBeOpen = aPacket.mOpens ? isFromBeforePause : !isOwnFlow;
+  bool const mayBeOpen = aPacket.mOpens ? IsViewFromBeforePause() : !isOwnFlow;
   if (mayBeOpen) {
     return NotForwarded(SteeringAction::Drop, SteeringCause::StaleRoute);
   }
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -185,6 +185,8 @@
 
 private:
   SteeringVerdict Decide(TimePoint aNow, FlowPacket const& aPacket);
+  /// Whether this VM may not know yet what changed during its last local pause.
+  bool IsViewFromBeforePause() const;
   /// Decides about a packet whose route was removed.
   SteeringVerdict RejectRemovedRoute(FlowPacket const& aPacket);
   SteeringVerdict SteerOpening(TimePoint aNow,
--- a/tests/coordination/test_cookie_removed_route.cpp
+++ b/tests/coordination/test_cookie_removed_route.cpp
@@ -90,3 +90,16 @@
   CHECK(mSteering.Steer(mNow, SampleFlow().Opening()).mAction ==
         SteeringAction::Reset);
 }
+
+/// Guards against a reset of a flow of a route that was added during a local
+/// pause, when a copy of the opening packet arrives after it.
+TEST(CookieRemovedRoute, a_copy_for_an_unknown_route_is_not_reset_after_a_pause)
+{
+  SampleFlow flow(kCaller, { { 0xC6120063 }, 443 });
+  mSteering.HandleLocalPause(mNow);
+  mNow += milliseconds{ 100 };
+  CHECK(mSteering.Steer(mNow, flow.Opening(1)).mAction == SteeringAction::Drop);
+  mSteering.SetCurrentAsOf(mNow);
+  CHECK(mSteering.Steer(mNow, flow.Opening(1)).mAction ==
+        SteeringAction::Reset);
+}
