Hold a flow from another VM while its upstream stands still

Cause: a VM that got a flow from another one followed each change of the cookie until its upstream had answered through this VM. When that upstream stood still in its turn, the late answer of the other one took the flow away.

Which VM sent it there is inferred, not logged.

Why it works: a late answer acknowledges nothing new, so a changed cookie alone moves no flow that this VM carries; with an acknowledgment of new data it does. A flow whose first cookie here is a late one is reset by the upstream that it names, whichever way later packets go; if that one is silent, the flow moves with the next acknowledgment of new data.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -261,12 +261,16 @@
                              aPacket.mSequence == known->mFirstSequence + 1;
   // If copies of the opening packet reached several upstreams, perhaps through
   // other VMs, the caller uses the first that answered. A late answer of
-  // another one may still change the cookie.
-  bool const isPinned = continues && known->mIsPinned;
-  if (!isPinned && found == mView->mSlotByCookie.end()) {
+  // another one may still change the cookie, but acknowledges nothing new.
+  bool const isOpen = continues && !known->mIsOpening;
+  bool const hasAdvanced = isOpen && Detail::HasAdvanced(aPacket, *known);
+  bool const isPinned = isOpen && known->mIsPinned;
+  bool const isHeld = isPinned || (isOpen && !hasAdvanced);
+  if (!isHeld && found == mView->mSlotByCookie.end()) {
     return NotForwarded(SteeringAction::Drop, SteeringCause::UnknownCookie);
   }
-  auto const slot = isPinned ? known->mSlot : found->second;
+  auto const slot = isHeld ? known->mSlot : found->second;
+  bool const isAnswered = hasAdvanced && known->mSlot == slot;
   if (aPacket.mResets) {
     EraseFlow(key);
     return ForwardTo(slot, SteeringCause::OpenFlow);
@@ -281,9 +285,6 @@
       known->mIsOpening = true;
     }
   }
-  // The upstream that answers data holds the flow.
-  bool const isAnswered =
-    continues && !known->mIsOpening && Detail::HasAdvanced(aPacket, *known);
   known->mIsPinned = isPinned || isFirstPacket || isAnswered;
   ObservePacket(aNow, aPacket, *known);
   if (auto const proof = FindLossProof(aNow, *known)) {
--- a/tests/coordination/test_cookie_second_choice.cpp
+++ b/tests/coordination/test_cookie_second_choice.cpp
@@ -212,3 +212,19 @@
   auto const verdict = mSteering.Steer(mNow, flow.Acknowledge(otherCookie));
   LONGS_EQUAL(otherSlot, verdict.mSlot);
 }
+
+/// Guards against a late answer to an opening packet while the upstream that
+/// opened the flow stands still in its turn.
+TEST(CookieSecondChoice, a_flow_from_another_vm_waits_for_its_upstream)
+{
+  SampleFlow flow;
+  auto const [first, second] = OfferTwice(flow);
+  mNow += milliseconds{ 8 };
+  (void)mSteering.Steer(mNow, flow.FirstData(second.mCookie));
+  CookieSteering newVm(2);
+  newVm.SetView(mStore.View(mNow));
+  (void)newVm.Steer(mNow, flow.Data(second.mCookie));
+  mNow += milliseconds{ 200 };
+  auto const verdict = newVm.Steer(mNow, flow.Data(first.mCookie, true));
+  LONGS_EQUAL(second.mSlot, verdict.mSlot);
+}
