--- a/tests/coordination/test_cookie_removed_route.cpp
+++ b/tests/coordination/test_cookie_removed_route.cpp
@@ -4,23 +4,13 @@
 using namespace tarragonsill::Test;
 
 /// A route that a configuration removes, and a later one puts back.
-TEST_GROUP_BASE(CookieRemovedRoute, CookieFixture){
-  void RemoveRoute(){ auto next = SampleConfiguration(2);
-next.mRoutes.erase(next.mRoutes.begin());
-mStore.Configure(mNow, next);
-RefreshView();
-}
-}
-;
+TEST_GROUP_BASE(CookieRemovedRoute, CookieFixture){};
 
 /// Guards against a reset of a flow that another VM opened after its route was
 /// put back.
 TEST(CookieRemovedRoute, an_unknown_flow_of_a_removed_route_is_not_reset)
 {
-  auto next = SampleConfiguration(2);
-  next.mRoutes.erase(next.mRoutes.begin());
-  mStore.Configure(mNow, next);
-  RefreshView();
+  RemoveRoute();
   mStore.Configure(mNow, SampleConfiguration(3));
   CookieSteering newerVm(2);
   newerVm.SetView(mStore.View(mNow));
@@ -69,10 +59,7 @@
 TEST(CookieRemovedRoute,
      a_queued_opening_packet_of_a_removed_route_is_not_reset)
 {
-  auto next = SampleConfiguration(2);
-  next.mRoutes.erase(next.mRoutes.begin());
-  mStore.Configure(mNow, next);
-  RefreshView();
+  RemoveRoute();
   mSteering.HandleLocalPause(mNow);
   auto const late = mSteering.Steer(mNow, SampleFlow().Opening());
   CHECK(late.mAction == SteeringAction::Drop);
--- a/tests/coordination/test_cookie_second_choice.cpp
+++ b/tests/coordination/test_cookie_second_choice.cpp
@@ -4,17 +4,19 @@
 using namespace tarragonsill::Test;
 
 /// Flows whose opening packet reaches two upstreams.
-TEST_GROUP_BASE(CookieSecondChoice, CookieFixture){
+TEST_GROUP_BASE(CookieSecondChoice, CookieFixture)
+{
+  using Verdicts = std::pair<SteeringVerdict, SteeringVerdict>;
+
   /// Opens a flow whose first upstream does not answer; it opens at a second
   /// one. Returns the verdicts of both opening packets.
-  std::pair<SteeringVerdict, SteeringVerdict> OfferTwice(
-    SampleFlow const& aFlow){
+  Verdicts OfferTwice(SampleFlow const& aFlow)
+  {
     auto const first = mSteering.Steer(mNow, aFlow.Opening());
-mNow += milliseconds{ 200 };
-return { first, mSteering.Steer(mNow, aFlow.Opening(1)) };
-}
-}
-;
+    mNow += milliseconds{ 200 };
+    return { first, mSteering.Steer(mNow, aFlow.Opening(1)) };
+  }
+};
 
 /// Guards against a second upstream for an open flow by a copy of its opening
 /// packet that was overtaken.
--- a/tests/support/cookie_fixture.hpp
+++ b/tests/support/cookie_fixture.hpp
@@ -54,6 +54,15 @@
     RefreshView();
   }
 
+  /// Applies a configuration without the first route.
+  void RemoveRoute()
+  {
+    auto next = SampleConfiguration(2);
+    next.mRoutes.erase(next.mRoutes.begin());
+    mStore.Configure(mNow, next);
+    RefreshView();
+  }
+
   UpstreamHealth HealthOf(std::uint32_t aSlot) const
   {
     return mSteering.Loads()[aSlot].mPassiveHealth.Health(mNow);
