Let a refusal and a flow's own silence prove a crash after a local pause

After a local pause it does not know until the store has answered again, and two retransmissions of a flow no longer helped.

Change: a refusal by an upstream that was last known to be serving also ends a flow that retransmitted twice without an answer.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_probes.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_probes.cpp
@@ -12,10 +12,9 @@
   if (!mMechanisms.Uses(Mechanism::SilentUpstreams) || isExpired) {
     return std::nullopt;
   }
-  bool const isRemoved =
-    mView->mUpstreams[aFlow.mSlot].mAvailability == UpstreamAvailability::Gone;
-  return detector.FindProof(
-    { aFlow.mTrackedSince, isRemoved, IsRepeating(aNow, aFlow) });
+  return detector.FindProof({ aFlow.mTrackedSince,
+                              mView->mUpstreams[aFlow.mSlot].mAvailability,
+                              IsRepeating(aNow, aFlow) });
 }
 
 std::vector<std::uint32_t>
--- a/src/tarragonsill/coordination/tarragonsill_crash_detector.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_crash_detector.cpp
@@ -46,14 +46,16 @@
   if (mLastResult != ConnectResult::Refused) {
     return std::nullopt;
   }
-  if (mWasKnownToServe) {
+  bool const isUnanswered =
+    aFlow.mIsRepeating && aFlow.mAvailability == UpstreamAvailability::Serving;
+  if (mWasKnownToServe || isUnanswered) {
     return FlowLossProof::Crashed;
   }
   // A registration may lapse while its upstream serves, and one that leaves
   // closes its port shortly before it has left.
-  return aFlow.mIsRemoved && mIsConfirmed
-           ? std::optional(FlowLossProof::Removed)
-           : std::nullopt;
+  bool const isRemoved =
+    aFlow.mAvailability == UpstreamAvailability::Gone && mIsConfirmed;
+  return isRemoved ? std::optional(FlowLossProof::Removed) : std::nullopt;
 }
 
 } // namespace tarragonsill
--- a/src/tarragonsill/coordination/tarragonsill_crash_detector.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_crash_detector.hpp
@@ -18,10 +18,12 @@
 /// The observation by which an open flow counts as lost.
 enum class FlowLossProof : std::uint8_t
 {
-  Crashed, ///< Its upstream was known to be serving and refused a probe.
+  /// Its upstream refused a probe and was known to be serving; or it was last
+  /// known to be serving, and this flow got no answer.
+  Crashed,
   Removed, ///< Its upstream was deregistered and refused several probes.
-  /// The host of its upstream did not answer several probes, or one and neither
-  /// did the upstream answer this flow.
+           /// The host of its upstream did not answer several probes, or one
+           /// and neither did the upstream answer this flow.
   SilentHost,
 };
 
@@ -42,7 +44,7 @@
   struct FlowState
   {
     TimePoint mTrackedSince{}; ///< When this VM saw its first packet.
-    bool mIsRemoved = false;   ///< The upstream is deregistered.
+    UpstreamAvailability mAvailability = UpstreamAvailability::Serving;
     bool mIsRepeating = false; ///< The caller repeats its data in vain.
   };
 
--- a/tests/coordination/test_cookie_reset_proof.cpp
+++ b/tests/coordination/test_cookie_reset_proof.cpp
@@ -255,3 +255,19 @@
   SendUnansweredRequest(flow, opened.mCookie);
   LONGS_EQUAL(0, CountResets());
 }
+
+/// Guards against callers that wait for their deadline at an upstream that
+/// crashed while this VM did not know whether it was leaving.
+TEST(CookieResetProof, a_refusal_after_a_local_pause_resets_flows_that_repeat)
+{
+  auto [flow, opened] = CompleteRequestAt("a1");
+  auto [idle, alsoOpened] = CompleteRequestAt("a1");
+  mSteering.HandleLocalPause(mNow);
+  SendUnansweredRequest(flow, opened.mCookie);
+  RunProbes(opened.mSlot, ConnectResult::Refused);
+  LONGS_EQUAL(0, CountResets());
+  mNow += milliseconds{ 400 };
+  auto const verdict = mSteering.Steer(mNow, flow.Data(opened.mCookie, true));
+  CHECK(verdict.mAction == SteeringAction::Reset);
+  CHECK(IsForwarded(idle, opened.mCookie));
+}
