Add the interfaces of the parts for the two new customers

Cause: a VM sees a seventieth of the traffic of the new deployments and knows neither the load nor the speed of an upstream, reads no priority, and has no type by which the missing parts could meet. Nothing uses them yet, except that the priority is read. Conclusion: the parts can be built side by side.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -44,6 +44,10 @@
   /// An opening packet was queued while this VM was paused, or overtaken.
   LateOpening,
   StaleRoute, ///< The route was removed, but this VM may be behind.
+  /// A late opening packet is offered to a second upstream as well.
+  HedgedOpening,
+  /// The upstreams in reach have no room for the flow.
+  Overload,
 };
 
 std::string_view ToText(SteeringCause aCause);
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -98,6 +98,10 @@
       return "late_opening";
     case SteeringCause::StaleRoute:
       return "stale_route";
+    case SteeringCause::HedgedOpening:
+      return "hedged_opening";
+    case SteeringCause::Overload:
+      return "overload";
   }
   return "unknown";
 }
@@ -129,6 +133,10 @@
     case SteeringCause::LateOpening:
     case SteeringCause::StaleRoute:
       return Counter::DropStale;
+    case SteeringCause::HedgedOpening:
+      return Counter::OpeningsHedged;
+    case SteeringCause::Overload:
+      return Counter::OpeningsRejected;
     case SteeringCause::OpenFlow:
       break;
   }
--- a/src/tarragonsill/coordination/tarragonsill_directory_view.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_view.cpp
@@ -69,6 +69,7 @@
     resolved.mName = route.mName;
     resolved.mKind = route.mKind;
     resolved.mLatencyTarget = route.mLatencyTarget;
+    resolved.mPriority = route.mPriority;
     for (auto const& share : route.mShares) {
       auto const service = indices.find(share.mService);
       if (service == indices.end()) {
--- a/src/tarragonsill/platform/internal/tarragonsill_platform_records.cpp
+++ b/src/tarragonsill/platform/internal/tarragonsill_platform_records.cpp
@@ -29,6 +29,9 @@
 /// More concurrent requests than any upstream runs.
 constexpr std::uint64_t kMaxSlots = 1'000'000;
 
+/// Lower priorities than any operator tells apart.
+constexpr std::uint64_t kMaxPriority = 1000;
+
 constexpr std::uint64_t kMaxWeight = std::numeric_limits<std::uint32_t>::max();
 
 constexpr std::uint64_t kMaxStartMark =
@@ -116,6 +119,10 @@
   if (auto const latencyTarget = Number(aRoute, "latencyTargetMs")) {
     route.mLatencyTarget = FromMilliseconds(*latencyTarget);
   }
+  if (auto const priority = Unsigned(aRoute, "priority")) {
+    route.mPriority =
+      static_cast<std::uint32_t>(std::min(*priority, kMaxPriority));
+  }
   return route;
 }
 
--- a/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
@@ -21,6 +21,7 @@
     known.set_idempotent(route.mKind == RequestKind::Idempotent);
     known.set_latency_target_ms(
       static_cast<std::uint32_t>(route.mLatencyTarget.count()));
+    known.set_priority(route.mPriority);
     for (auto const& share : route.mShares) {
       auto& knownShare = *known.add_shares();
       knownShare.set_service(share.mService);
@@ -49,6 +50,7 @@
     route.mKind =
       known.idempotent() ? RequestKind::Idempotent : RequestKind::NotIdempotent;
     route.mLatencyTarget = milliseconds{ known.latency_target_ms() };
+    route.mPriority = known.priority();
     for (auto const& knownShare : known.shares()) {
       route.mShares.push_back({ knownShare.service(), knownShare.weight() });
     }
--- a/src/tarragonsill/state/tarragonsill_counters.cpp
+++ b/src/tarragonsill/state/tarragonsill_counters.cpp
@@ -77,6 +77,14 @@
   "tarragonsill_reach_checks_total",
   "tarragonsill_upstreams_out_of_reach_total",
   "tarragonsill_store_confirmations_total",
+  "tarragonsill_load_reports_sent_total",
+  "tarragonsill_load_reports_received_total",
+  "tarragonsill_placements_by_delay_total",
+  "tarragonsill_openings_rejected_total",
+  "tarragonsill_openings_hedged_total",
+  "tarragonsill_hedges_answered_first_total",
+  "tarragonsill_packets_detoured_total",
+  "tarragonsill_packets_detoured_for_peer_total",
 };
 
 } // namespace
--- a/src/tarragonsill/state/tarragonsill_counters.hpp
+++ b/src/tarragonsill/state/tarragonsill_counters.hpp
@@ -84,6 +84,14 @@
   ReachChecks,
   UpstreamsOutOfReach,
   StoreConfirmations,
+  LoadReportsSent,
+  LoadReportsReceived,
+  PlacementsByDelay,
+  OpeningsRejected,
+  OpeningsHedged,
+  HedgesAnsweredFirst,
+  PacketsDetoured,
+  PacketsDetouredForPeer,
   Count,
 };
 
--- a/src/tarragonsill/state/tarragonsill_mechanisms.cpp
+++ b/src/tarragonsill/state/tarragonsill_mechanisms.cpp
@@ -11,14 +11,15 @@
 constexpr auto kMechanismCount = static_cast<std::size_t>(Mechanism::Count);
 
 constexpr std::array<std::string_view, kMechanismCount> kNames = {
-  "zone_first",       "zone_spill",       "slot_spill",
-  "answer_pace",      "doubtful_last",    "probation",
-  "second_choice",    "silent_zones",     "silent_upstreams",
-  "reach_checks",     "evidence_ages",    "cold_share",
-  "early_packets",    "late_openings",    "cut_zone_unready",
-  "stay_ready",       "peers_first",      "drawn_watchers",
-  "watch_scout",      "gathered_changes", "replica_lists",
-  "missing_patience",
+  "zone_first",         "zone_spill",       "slot_spill",
+  "answer_pace",        "doubtful_last",    "probation",
+  "second_choice",      "silent_zones",     "silent_upstreams",
+  "reach_checks",       "evidence_ages",    "cold_share",
+  "early_packets",      "late_openings",    "cut_zone_unready",
+  "stay_ready",         "peers_first",      "drawn_watchers",
+  "watch_scout",        "gathered_changes", "replica_lists",
+  "missing_patience",   "load_reports",     "expected_delay",
+  "priority_admission", "hedged_openings",  "zone_detours",
 };
 
 std::string
--- a/src/tarragonsill/state/tarragonsill_mechanisms.hpp
+++ b/src/tarragonsill/state/tarragonsill_mechanisms.hpp
@@ -17,28 +17,33 @@
 /// A mechanism that can be switched off by its name.
 enum class Mechanism : std::uint8_t
 {
-  ZoneFirst,       ///< Prefer upstreams of the entry VM's own zone.
-  ZoneSpill,       ///< Use other zones while the own one is saturated.
-  SlotSpill,       ///< Use other zones if an upstream's slots are full.
-  AnswerPace,      ///< Give slow upstreams fewer new flows.
-  DoubtfulLast,    ///< Choose suspected upstreams last.
-  Probation,       ///< Send a suspected upstream an occasional trial flow.
-  SecondChoice,    ///< Retry an opening at another upstream.
-  SilentZones,     ///< Avoid zones of which no upstream answers.
-  SilentUpstreams, ///< Reset flows of upstreams that have ended.
-  ReachChecks,     ///< Probe suspected upstreams by connecting.
-  EvidenceAges,    ///< Let evidence about an upstream's health expire.
-  ColdShare,       ///< Use only the VM's share of a cold upstream's limit.
-  EarlyPackets,    ///< Hold packets until there is a first view.
-  LateOpenings,    ///< Drop opening packets queued during a local pause.
-  CutZoneUnready,  ///< Report unready in a cut-off zone without upstreams.
-  StayReady,       ///< Delay leaving while too few other VMs are ready.
-  PeersFirst,      ///< Ask peers before the store at a start.
-  DrawnWatchers,   ///< Only a few VMs watch the store and relay its changes.
-  WatchScout,      ///< Retry only one watch often while the store fails.
-  GatheredChanges, ///< Delay the watch after changes, to batch more.
-  ReplicaLists,    ///< Allow lists after the first to come from a replica.
-  MissingPatience, ///< Tolerate a missing registration for a while.
+  ZoneFirst,         ///< Prefer upstreams of the entry VM's own zone.
+  ZoneSpill,         ///< Use other zones while the own one is saturated.
+  SlotSpill,         ///< Use other zones if an upstream's slots are full.
+  AnswerPace,        ///< Give slow upstreams fewer new flows.
+  DoubtfulLast,      ///< Choose suspected upstreams last.
+  Probation,         ///< Send a suspected upstream an occasional trial flow.
+  SecondChoice,      ///< Retry an opening at another upstream.
+  SilentZones,       ///< Avoid zones of which no upstream answers.
+  SilentUpstreams,   ///< Reset flows of upstreams that have ended.
+  ReachChecks,       ///< Probe suspected upstreams by connecting.
+  EvidenceAges,      ///< Let evidence about an upstream's health expire.
+  ColdShare,         ///< Use only the VM's share of a cold upstream's limit.
+  EarlyPackets,      ///< Hold packets until there is a first view.
+  LateOpenings,      ///< Drop opening packets queued during a local pause.
+  CutZoneUnready,    ///< Report unready in a cut-off zone without upstreams.
+  StayReady,         ///< Delay leaving while too few other VMs are ready.
+  PeersFirst,        ///< Ask peers before the store at a start.
+  DrawnWatchers,     ///< Only a few VMs watch the store and relay its changes.
+  WatchScout,        ///< Retry only one watch often while the store fails.
+  GatheredChanges,   ///< Delay the watch after changes, to batch more.
+  ReplicaLists,      ///< Allow lists after the first to come from a replica.
+  MissingPatience,   ///< Tolerate a missing registration for a while.
+  LoadReports,       ///< Exchange observations of upstreams within a zone.
+  ExpectedDelay,     ///< Place flows by the delay expected at each upstream.
+  PriorityAdmission, ///< Reject openings by priority during a shortage.
+  HedgedOpenings,    ///< Offer a late opening to a second upstream.
+  ZoneDetours,       ///< Send packets round a broken link between two zones.
   Count,
 };
 
--- a/src/tarragonsill/state/tarragonsill_routing.hpp
+++ b/src/tarragonsill/state/tarragonsill_routing.hpp
@@ -35,6 +35,7 @@
   RequestKind mKind = RequestKind::NotIdempotent;
   /// The time within which callers expect an answer.
   milliseconds mLatencyTarget{ 500 };
+  std::uint32_t mPriority = 0; ///< 0 is the highest.
 };
 
 /// The limits of a service for its cold upstreams.
--- a/src/tarragonsill/state/tarragonsill_routing_view.hpp
+++ b/src/tarragonsill/state/tarragonsill_routing_view.hpp
@@ -56,7 +56,8 @@
   std::string mName;
   RequestKind mKind = RequestKind::NotIdempotent;
   milliseconds mLatencyTarget{ 500 };
-  bool mRemoved = false; ///< Only an earlier version has the route.
+  std::uint32_t mPriority = 0; ///< 0 is the highest.
+  bool mRemoved = false;       ///< Only an earlier version has the route.
   struct Share
   {
     std::uint32_t mService = 0; ///< Index of the service.
