Keep early packets until their callers repeat them

A packet that waited for 150 ms was dropped. The bound is due to opening packets, whose next copy may open the flow elsewhere; it also held for packets of open flows, which their callers repeat after up to 1.6 s. Change: packets of open flows wait for up to 1.6 s, each copy of an opening packet until shortly before the next one. The test of a data packet fails with the former bound.

--- a/src/tarragonsill/coordination/tarragonsill_early_packets.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_early_packets.cpp
@@ -1,16 +1,45 @@
 #include "tarragonsill/coordination/tarragonsill_early_packets.hpp"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace tarragonsill {
 
+namespace {
+
+/// The time to the next copy of an opening packet, and to the end of the
+/// attempt, less 50 ms for delays in transit (operators' platform).
+constexpr std::array<milliseconds, 3> kOpeningWaits = {
+  milliseconds{ 150 },
+  milliseconds{ 350 },
+  milliseconds{ 750 },
+};
+/// The longest retransmission interval of callers.
+constexpr milliseconds kMaxRetransmissionInterval{ 1600 };
+
+} // namespace
+
+milliseconds
+EarlyPackets::MaxWait(FlowPacket const& aPacket)
+{
+  if (!aPacket.mOpens) {
+    return kMaxRetransmissionInterval;
+  }
+  auto const copy = std::min<std::size_t>(aPacket.mOpeningRetransmissions,
+                                          kOpeningWaits.size() - 1);
+  return kOpeningWaits.at(copy);
+}
+
 bool
-EarlyPackets::Keep(TimePoint aNow, std::span<std::byte const> aBytes)
+EarlyPackets::Keep(TimePoint aNow,
+                   milliseconds aMaxWait,
+                   std::span<std::byte const> aBytes)
 {
   if (mBytes + aBytes.size() > kMaxBytes) {
     return false;
   }
-  mPackets.push_back({ aNow, { aBytes.begin(), aBytes.end() } });
+  mPackets.push_back({ aNow + aMaxWait, { aBytes.begin(), aBytes.end() } });
   mBytes += aBytes.size();
   return true;
 }
@@ -19,29 +48,23 @@
 EarlyPackets::TakeExpired(TimePoint aNow)
 {
   std::vector<Bytes> expired;
-  while (!IsEmpty() && aNow >= mPackets.front().mArrivedAt + kMaxWait) {
-    expired.push_back(TakeFirst());
+  for (auto& packet : mPackets) {
+    if (aNow < packet.mExpiresAt) {
+      continue;
+    }
+    mBytes -= packet.mBytes.size();
+    expired.push_back(std::move(packet.mBytes));
   }
+  std::erase_if(mPackets, [&](Packet const& aPacket) {
+    return aNow >= aPacket.mExpiresAt;
+  });
   return expired;
 }
 
 std::vector<EarlyPackets::Bytes>
 EarlyPackets::TakeAll()
 {
-  std::vector<Bytes> all;
-  while (!IsEmpty()) {
-    all.push_back(TakeFirst());
-  }
-  return all;
-}
-
-EarlyPackets::Bytes
-EarlyPackets::TakeFirst()
-{
-  auto bytes = std::move(mPackets.front().mBytes);
-  mBytes -= bytes.size();
-  mPackets.pop_front();
-  return bytes;
+  return TakeExpired(TimePoint::max());
 }
 
 } // namespace tarragonsill
--- a/src/tarragonsill/coordination/tarragonsill_early_packets.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_early_packets.hpp
@@ -1,6 +1,7 @@
 #ifndef TARRAGONSILL_EARLY_PACKETS_HPP_INCLUDED
 #define TARRAGONSILL_EARLY_PACKETS_HPP_INCLUDED
 
+#include "tarragonsill/protocol/tarragonsill_flow_packet.hpp"
 #include "tarragonsill/state/tarragonsill_time.hpp"
 
 #include <cstddef>
@@ -20,15 +21,19 @@
 public:
   using Bytes = std::vector<std::byte>;
 
-  /// Callers retransmit after 200 ms (operators' platform). A packet that is
-  /// kept longer might open its flow a second time, at another upstream.
-  static constexpr milliseconds kMaxWait{ 150 };
+  /// Returns how long a packet may wait. An opening packet must be dropped
+  /// before the caller sends the next copy, which might open the flow at
+  /// another upstream. Other packets cannot do harm; their callers retransmit
+  /// them late.
+  static milliseconds MaxWait(FlowPacket const& aPacket);
   /// Limits memory to the size of a few hundred full packets.
   static constexpr std::size_t kMaxBytes = 512 * 1024;
 
   /// Stores a copy of a packet; returns false if the buffer is full.
-  bool Keep(TimePoint aNow, std::span<std::byte const> aBytes);
-  /// Removes and returns packets older than `kMaxWait`, in order of arrival.
+  bool Keep(TimePoint aNow,
+            milliseconds aMaxWait,
+            std::span<std::byte const> aBytes);
+  /// Removes and returns packets that waited too long, in order of arrival.
   std::vector<Bytes> TakeExpired(TimePoint aNow);
   /// Removes and returns all packets, in order of arrival.
   std::vector<Bytes> TakeAll();
@@ -37,12 +42,10 @@
 private:
   struct Packet
   {
-    TimePoint mArrivedAt{};
+    TimePoint mExpiresAt{};
     Bytes mBytes;
   };
 
-  Bytes TakeFirst();
-
   std::deque<Packet> mPackets; ///< The oldest first.
   std::size_t mBytes = 0;
 };
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -308,12 +308,19 @@
   {
     mCounters.Add(Counter::PacketsReceived);
     bool const isEarly = mBuffersEarlyPackets && !mSteering.View().mIsComplete;
-    if (isEarly && mEarlyPackets.Keep(aNow, aBytes)) {
+    if (isEarly && KeepEarlyPacket(aNow, aBytes)) {
       return;
     }
     SteerPacket(aNow, aBytes);
   }
 
+  bool KeepEarlyPacket(TimePoint aNow, std::span<std::byte const> aBytes)
+  {
+    auto const packet = Format::Read(aBytes);
+    return packet &&
+           mEarlyPackets.Keep(aNow, EarlyPackets::MaxWait(*packet), aBytes);
+  }
+
   void SteerPacket(TimePoint aNow, std::span<std::byte> aBytes)
   {
     auto const packet = Format::Read(aBytes);
--- a/tests/coordination/test_early_packets.cpp
+++ b/tests/coordination/test_early_packets.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr TimePoint kStart{ seconds{ 100 } };
+constexpr milliseconds kFirstCopyWait{ 150 };
 
 } // namespace
 
@@ -16,11 +17,22 @@
 {
   EarlyPackets mPackets;
 
-  bool Keep(milliseconds aAfterStart, std::size_t aSize = 36)
+  bool Keep(milliseconds aAfterStart,
+            std::size_t aSize = 36,
+            FlowPacket const& aPacket = Opening(0))
   {
     EarlyPackets::Bytes const bytes(aSize,
                                     std::byte(aAfterStart.count() & 0x7F));
-    return mPackets.Keep(kStart + aAfterStart, bytes);
+    return mPackets.Keep(
+      kStart + aAfterStart, EarlyPackets::MaxWait(aPacket), bytes);
+  }
+
+  static FlowPacket Opening(std::uint32_t aRetransmissions)
+  {
+    FlowPacket packet;
+    packet.mOpens = true;
+    packet.mOpeningRetransmissions = aRetransmissions;
+    return packet;
   }
 };
 
@@ -40,12 +52,30 @@
 {
   CHECK(Keep(milliseconds{ 0 }));
   CHECK(Keep(milliseconds{ 120 }));
-  auto const expired = mPackets.TakeExpired(kStart + EarlyPackets::kMaxWait);
+  auto const expired = mPackets.TakeExpired(kStart + kFirstCopyWait);
   LONGS_EQUAL(1, expired.size());
   CHECK(expired.front().front() == std::byte{ 0 });
   LONGS_EQUAL(1, mPackets.TakeAll().size());
 }
 
+// Guards against requests on open flows that wait for the retransmission after
+// the VM is ready, up to 1.6 s later.
+TEST(EarlyPackets, packets_of_open_flows_wait_until_their_callers_retransmit)
+{
+  CHECK(Keep(milliseconds{ 0 }, 36, FlowPacket{}));
+  CHECK(mPackets.TakeExpired(kStart + milliseconds{ 1599 }).empty());
+  LONGS_EQUAL(1, mPackets.TakeExpired(kStart + milliseconds{ 1600 }).size());
+}
+
+TEST(EarlyPackets, each_copy_of_an_opening_packet_expires_before_the_next_one)
+{
+  // Copies are sent 200 and 600 ms after the first; the attempt ends at 1.4 s.
+  CHECK(Keep(milliseconds{ 200 }, 36, Opening(1)));
+  CHECK(Keep(milliseconds{ 600 }, 36, Opening(2)));
+  LONGS_EQUAL(1, mPackets.TakeExpired(kStart + milliseconds{ 599 }).size());
+  LONGS_EQUAL(1, mPackets.TakeExpired(kStart + milliseconds{ 1399 }).size());
+}
+
 TEST(EarlyPackets, memory_is_limited_and_expired_packets_are_freed)
 {
   constexpr std::size_t kFullPacketBytes = 1236;
@@ -54,7 +84,7 @@
     ++count;
   }
   CHECK(count * kFullPacketBytes <= EarlyPackets::kMaxBytes);
-  auto const expired = mPackets.TakeExpired(kStart + EarlyPackets::kMaxWait);
+  auto const expired = mPackets.TakeExpired(kStart + kFirstCopyWait);
   LONGS_EQUAL(count, expired.size());
-  CHECK(Keep(EarlyPackets::kMaxWait, kFullPacketBytes));
+  CHECK(Keep(kFirstCopyWait, kFullPacketBytes));
 }
