Hedge late openings of repeatable requests at a second upstream

Cause: an opening packet that a dead upstream gets waits for the caller's own copy after 200 ms, although the VM suspects the upstream after 60 ms.

Change: with a share above 0 (`hedging.maxShare` in the settings, or `--hedge-share` where the file has none; default 0, off), the VM keeps the opening packets of idempotent routes and offers a late one to a second upstream that is healthy, serving and not cold. The caller's first copy goes to the second upstream too. A token bucket that starts empty bounds the share.

--- a/src/tarragonsill/cli/tarragonsill_cli.hpp
+++ b/src/tarragonsill/cli/tarragonsill_cli.hpp
@@ -29,15 +29,20 @@
   bool mJson = false;
 };
 
+/// Options of an entry VM on the operators' platform.
+struct NodeOptions
+{
+  std::uint16_t mMetricsPort = 0; ///< Overrides the settings unless 0.
+  /// Applies if the settings have none.
+  double mMaxHedgeShare = 0.0;
+  std::vector<std::string> mWithout; ///< Mechanisms to switch off.
+};
+
 /// Runs an entry VM until SIGTERM or SIGINT.
 int RunEntry(std::string const& aSettingsFile);
 /// Runs an entry VM on the operators' platform until SIGTERM or SIGINT. If the
-/// file name is empty, the platform's environment variable names the file. A
-/// metrics port other than 0 overrides the one in the settings. `aWithout`
-/// names the mechanisms to switch off.
-int RunNode(std::string const& aSettingsFile,
-            std::uint16_t aMetricsPort,
-            std::vector<std::string> const& aWithout);
+/// file name is empty, the platform's environment variable names the file.
+int RunNode(std::string const& aSettingsFile, NodeOptions const& aOptions);
 /// Checks a configuration or settings file and prints its errors.
 int CheckFile(std::string const& aFile, bool aJson);
 /// Applies a configuration.
--- a/src/tarragonsill/cli/tarragonsill_cli_node.cpp
+++ b/src/tarragonsill/cli/tarragonsill_cli_node.cpp
@@ -25,7 +25,7 @@
 Result<NodeSettings>
 ParseNodeSettings(std::string const& aFile,
                   Result<std::string> const& aText,
-                  std::uint16_t aMetricsPort)
+                  NodeOptions const& aOptions)
 {
   if (!aText) {
     return aText.LastReason();
@@ -33,8 +33,11 @@
   FileErrors errors(aFile);
   auto settings = Platform::ReadNodeSettings(*aText, errors);
   if (settings) {
-    if (aMetricsPort != 0) {
-      settings->mMetrics.mPort = aMetricsPort;
+    if (aOptions.mMetricsPort != 0) {
+      settings->mMetrics.mPort = aOptions.mMetricsPort;
+    }
+    if (!settings->mMaxHedgeShare) {
+      settings->mMaxHedgeShare = aOptions.mMaxHedgeShare;
     }
     return std::move(*settings);
   }
@@ -76,7 +79,7 @@
 FollowSettings(NodeDaemon& aDaemon,
                std::string const& aFile,
                Result<std::string> aLastText,
-               std::uint16_t aMetricsPort,
+               NodeOptions const& aOptions,
                sigset_t const& aSignals)
 {
   while (true) {
@@ -91,7 +94,7 @@
       continue;
     }
     aLastText = text;
-    auto const changed = ParseNodeSettings(aFile, text, aMetricsPort);
+    auto const changed = ParseNodeSettings(aFile, text, aOptions);
     if (changed) {
       aDaemon.Reload(*changed);
       continue;
@@ -103,11 +106,9 @@
 } // namespace
 
 int
-RunNode(std::string const& aSettingsFile,
-        std::uint16_t aMetricsPort,
-        std::vector<std::string> const& aWithout)
+RunNode(std::string const& aSettingsFile, NodeOptions const& aOptions)
 {
-  auto const mechanisms = Mechanisms::Without(aWithout);
+  auto const mechanisms = Mechanisms::Without(aOptions.mWithout);
   if (!mechanisms) {
     std::cerr << "--without: " << mechanisms.LastReason().mText << '\n';
     return ExitStatus::kRefused;
@@ -120,7 +121,7 @@
     file = named == nullptr ? "" : named;
   }
   auto text = ReadFile(file);
-  auto settings = ParseNodeSettings(file, text, aMetricsPort);
+  auto settings = ParseNodeSettings(file, text, aOptions);
   if (!settings) {
     std::cerr << settings.LastReason().mText << '\n';
     return settings.LastReason().mCode == ReasonCode::Invalid
@@ -134,7 +135,7 @@
     std::cerr << daemon.LastReason().mText << '\n';
     return ExitStatus::kFailure;
   }
-  FollowSettings(*daemon.Value(), file, std::move(text), aMetricsPort, signals);
+  FollowSettings(*daemon.Value(), file, std::move(text), aOptions, signals);
   daemon.Value()->Leave();
   return ExitStatus::kOk;
 }
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -15,8 +15,6 @@
 constexpr milliseconds kOpeningTimeout{ 1400 };
 /// The time to read the packets that were queued during a local pause.
 constexpr milliseconds kBacklogReadTime{ 20 };
-/// Further entries are dropped.
-constexpr std::size_t kMaxLogEntries = 256;
 
 SteeringVerdict
 NotForwarded(SteeringAction aAction, SteeringCause aCause)
@@ -58,6 +56,7 @@
       mLoads[slot].mAnswerTime = {};
       mCrashDetectors[slot] = {};
       mChecker.ForgetUpstream(static_cast<std::uint32_t>(slot));
+      mHedger.ForgetUpstream(static_cast<std::uint32_t>(slot));
       replaced.push_back(static_cast<std::uint32_t>(slot));
     }
   }
@@ -205,7 +204,10 @@
   if (isRetransmission) {
     auto const slot = known->mSlot;
     auto const health = mLoads[slot].mPassiveHealth.Health(aNow);
-    bool const isHealthy = health == UpstreamHealth::Answering ||
+    // A hedge was the second choice already.
+    bool const isHedged =
+      known->mHedgedFrom && aPacket.mOpeningRetransmissions <= 1;
+    bool const isHealthy = health == UpstreamHealth::Answering || isHedged ||
                            !mMechanisms.Uses(Mechanism::SecondChoice);
     if (UpstreamSelector::CanTakeNewFlows(mView->mUpstreams[slot]) &&
         isHealthy) {
@@ -270,6 +272,13 @@
     return NotForwarded(SteeringAction::Drop, SteeringCause::UnknownCookie);
   }
   auto const slot = isHeld ? known->mSlot : found->second;
+  if (continues) {
+    ObserveHedge(aNow,
+                 *known,
+                 found == mView->mSlotByCookie.end()
+                   ? std::nullopt
+                   : std::optional(found->second));
+  }
   bool const isAnswered = hasAdvanced && known->mSlot == slot;
   if (aPacket.mResets) {
     EraseFlow(key);
@@ -339,6 +348,7 @@
   }
   bool const hasUpstream = aCause == SteeringCause::NewFlow ||
                            aCause == SteeringCause::SecondChoice ||
+                           aCause == SteeringCause::HedgedOpening ||
                            aCause == SteeringCause::SilentUpstream;
   mLogEntries.push_back({ aCause,
                           aCaller,
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -3,6 +3,7 @@
 
 #include "tarragonsill/coordination/tarragonsill_active_health_checker.hpp"
 #include "tarragonsill/coordination/tarragonsill_crash_detector.hpp"
+#include "tarragonsill/coordination/tarragonsill_opening_hedger.hpp"
 #include "tarragonsill/coordination/tarragonsill_upstream_selector.hpp"
 #include "tarragonsill/protocol/tarragonsill_flow_packet.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
@@ -11,6 +12,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -88,6 +90,20 @@
   bool mIsSilent = false;
 };
 
+/// The upstream that was offered a hedged opening packet first.
+struct HedgeOrigin
+{
+  std::uint32_t mSlot = 0;
+  milliseconds mWaited{ 0 }; ///< Until the packet was offered again.
+};
+
+/// An opening packet to be forwarded to a second upstream.
+struct HedgedOpening
+{
+  SteeringVerdict mVerdict;
+  std::vector<std::byte> mBytes;
+};
+
 /// A steering decision to be written to the log.
 struct SteeringLogEntry
 {
@@ -104,6 +120,9 @@
   ConnectResult mLastProbe = ConnectResult::Accepted;
   std::uint32_t mRetransmissions = 0;
   milliseconds mAnswerAge{ 0 }; ///< Since the last answer to any flow.
+  /// Of a hedged opening; `mSlot` is the second upstream, and `mHealth` that
+  /// of the first one.
+  std::optional<HedgeOrigin> mHedge{};
 };
 
 namespace Detail {
@@ -129,6 +148,8 @@
   bool mInProgress = false;      ///< Data was sent and no answer was seen.
   bool mIsPinned = false;        ///< `mSlot` is known to hold the flow.
   bool mIsClosed = false; ///< Closed by the caller; not part of the load.
+  /// The upstream that was offered the flow first, if its opening was hedged.
+  std::optional<std::uint32_t> mHedgedFrom;
 };
 
 /// Returns the flow table key of a packet's flow.
@@ -172,6 +193,23 @@
   /// Handles a local pause that ended at `aNow`.
   void HandleLocalPause(TimePoint aNow);
 
+  /// Sets the maximum share of opening packets that are offered to a second
+  /// upstream when they are late; 0 switches that off.
+  void SetMaxHedgeShare(double aShare);
+  /// Keeps an opening packet that was just steered, if it may be hedged.
+  void KeepOpening(TimePoint aNow,
+                   FlowPacket const& aPacket,
+                   SteeringVerdict const& aVerdict,
+                   std::span<std::byte const> aBytes);
+  /// When the next opening packet may have to be hedged.
+  std::optional<TimePoint> NextHedgeDue();
+  /// Decides about the opening packets that are due. Packets that have arrived
+  /// must be steered first.
+  std::vector<HedgedOpening> TakeHedgedOpenings(TimePoint aNow);
+  /// Returns how many flows have opened at their second upstream by a hedge
+  /// since the last call.
+  std::uint64_t TakeHedgesAnsweredFirst();
+
   std::vector<UnsolicitedReset> TakeResets();
   std::vector<SteeringLogEntry> TakeLogEntries();
   /// Returns the zones that have become silent or answer again since the last
@@ -188,6 +226,9 @@
   SteeringLatencies const& Latencies() const { return mLatencies; }
 
 private:
+  /// Further log entries are dropped.
+  static constexpr std::size_t kMaxLogEntries = 256;
+
   SteeringVerdict Decide(TimePoint aNow, FlowPacket const& aPacket);
   /// Whether this VM may not know yet what changed during its last local pause.
   bool IsViewFromBeforePause() const;
@@ -218,6 +259,25 @@
   /// Records the answer time for latencies, zone saturation and relative answer
   /// time.
   void RecordAnswerTime(TimePoint aNow, Detail::TrackedFlow const& aFlow);
+  /// Whether neither an answer nor a copy has come for an opening packet.
+  bool IsUnanswered(PendingOpening const& aOpening);
+  /// The service of a pending opening; null if its flow may not be hedged.
+  ResolvedService const* HedgedServiceOf(PendingOpening const& aOpening) const;
+  HedgeEvidence HedgeEvidenceOf(TimePoint aNow,
+                                PendingOpening const& aOpening,
+                                ResolvedService const& aService) const;
+  /// Selects a second upstream among those that are healthy and not cold.
+  std::optional<UpstreamSelection> PickHedge(TimePoint aNow,
+                                             PendingOpening const& aOpening,
+                                             ResolvedService const& aService);
+  /// Moves an opening flow to its second upstream.
+  void OfferHedge(TimePoint aNow,
+                  PendingOpening const& aOpening,
+                  UpstreamSelection const& aSecond);
+  /// Observes by the cookie of a caller's packet which upstreams answered.
+  void ObserveHedge(TimePoint aNow,
+                    Detail::TrackedFlow const& aFlow,
+                    std::optional<std::uint32_t> aCookieSlot);
   SteeringVerdict ForwardTo(std::uint32_t aSlot, SteeringCause aCause) const;
   Detail::TrackedFlow& TrackFlow(TimePoint aNow,
                                  FlowPacket const& aPacket,
@@ -256,6 +316,8 @@
   FlowTable<Detail::TrackedFlow> mFlows;
   UpstreamSelector mSelector;
   ActiveHealthChecker mChecker;
+  OpeningHedger mHedger;
+  std::uint64_t mHedgesAnsweredFirst = 0;
   std::vector<CrashDetector> mCrashDetectors; ///< By slot.
   SteeringLatencies mLatencies;
   TimePoint mResumedAt{};
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -157,6 +157,7 @@
     load.mPassiveHealth.RecordAnswer(aNow);
     mCrashDetectors[aFlow.mSlot].RecordAnswer();
     ZoneSilenceOf(aFlow.mSlot).RecordAnswer(aNow);
+    mHedger.RecordAnswer(aNow);
   }
   if (answered || hasAdvanced) {
     aFlow.mRetransmissions = 0;
@@ -164,6 +165,9 @@
   }
   if (aFlow.mIsOpening) {
     mLatencies.mHandshake.Record(aNow - aFlow.mDataSent);
+    if (mHedger.IsEnabled() && !aFlow.mHedgedFrom) {
+      mHedger.RecordHandshake(aNow, aFlow.mSlot, aNow - aFlow.mDataSent);
+    }
   }
   if ((answered || hasAdvanced) && aFlow.mInProgress) {
     if (answered) {
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_probes.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_probes.cpp
@@ -71,6 +71,7 @@
 CookieSteering::HandleLocalPause(TimePoint aNow)
 {
   mChecker.HandleLocalPause();
+  mHedger.HandleLocalPause();
   mResumedAt = aNow;
   for (auto& zone : mZoneSilence) {
     zone.HandleLocalPause(aNow);
--- a/src/tarragonsill/main.cpp
+++ b/src/tarragonsill/main.cpp
@@ -1,5 +1,7 @@
 #include "tarragonsill/cli/tarragonsill_cli.hpp"
 
+#include "tarragonsill/state/tarragonsill_node_settings.hpp"
+
 #include <CLI/CLI.hpp>
 
 namespace {
@@ -18,8 +20,7 @@
   std::vector<std::string> mEntries;
   PlatformOptions mPlatform;
   bool mJson = false;
-  std::uint16_t mMetricsPort = 0;
-  std::vector<std::string> mWithout; ///< Mechanisms that are switched off.
+  NodeOptions mNode;
 };
 
 void
@@ -59,18 +60,23 @@
                    "Settings file (TOML); default: the file that the "
                    "environment names");
   node->add_option("--metrics-port",
-                   aArguments.mMetricsPort,
+                   aArguments.mNode.mMetricsPort,
                    "Port of the metrics page; overrides the settings");
+  node
+    ->add_option("--hedge-share",
+                 aArguments.mNode.mMaxHedgeShare,
+                 "Max share of opening packets of repeatable requests that are "
+                 "offered to a second upstream when they are late; applies if "
+                 "the settings have no hedging.maxShare; default: 0 (off)")
+    ->check(CLI::Range(0.0, kMaxHedgeShareLimit));
   node
     ->add_option(
       "--without",
-      aArguments.mWithout,
+      aArguments.mNode.mWithout,
       "Mechanisms to switch off, to rule them out as the cause of a problem")
     ->delimiter(',');
-  node->callback([&] {
-    aStatus =
-      RunNode(aArguments.mFile, aArguments.mMetricsPort, aArguments.mWithout);
-  });
+  node->callback(
+    [&] { aStatus = RunNode(aArguments.mFile, aArguments.mNode); });
 
   auto* check = aApp.add_subcommand(
     "check", "Check a configuration or settings file; exits with 0, 1 or 2");
--- a/src/tarragonsill/platform/tarragonsill_platform_settings.cpp
+++ b/src/tarragonsill/platform/tarragonsill_platform_settings.cpp
@@ -52,6 +52,21 @@
     return *value;
   }
 
+  /// Reads a number from 0 to 0.2.
+  std::optional<double> HedgeShare(char const* aKey)
+  {
+    auto const node = mRoot.at_path(aKey);
+    if (!node) {
+      return std::nullopt;
+    }
+    auto const value = node.value<double>();
+    if (!value || !(*value >= 0.0 && *value <= kMaxHedgeShareLimit)) {
+      AddError(aKey, "a number from 0 to 0.2 is expected");
+      return std::nullopt;
+    }
+    return value;
+  }
+
   milliseconds Milliseconds(char const* aKey, milliseconds aDefault)
   {
     auto const count = Number(aKey, static_cast<double>(aDefault.count()));
@@ -203,6 +218,7 @@
   settings.mHeartbeat =
     reader.Milliseconds("heartbeatIntervalMs", settings.mHeartbeat);
   settings.mBounds = ReadBounds(reader);
+  settings.mMaxHedgeShare = reader.HedgeShare("hedging.maxShare");
   if (aErrors.All().size() != errorCountBefore) {
     return std::nullopt;
   }
--- a/src/tarragonsill/state/tarragonsill_node_settings.hpp
+++ b/src/tarragonsill/state/tarragonsill_node_settings.hpp
@@ -6,6 +6,7 @@
 #include "tarragonsill/state/tarragonsill_time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,9 @@
   double mColdAllowance = 5.0;
 };
 
+/// The range of `NodeSettings::mMaxHedgeShare`.
+constexpr double kMaxHedgeShareLimit = 0.2;
+
 /// The settings of one entry VM.
 struct NodeSettings
 {
@@ -50,6 +54,8 @@
   bool mIsFirstStart = false;
   milliseconds mHeartbeat{ 1000 }; ///< Interval of the upstreams' heartbeats.
   NodeBounds mBounds;
+  /// Max share of opening packets that are hedged; 0 for none.
+  std::optional<double> mMaxHedgeShare;
   Mechanisms mMechanisms;
 };
 
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -10,6 +10,7 @@
 #include "tarragonsill/transport/tarragonsill_node_log.hpp"
 #include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <memory>
@@ -62,6 +63,9 @@
     std::atomic_store(&mPostedView, std::move(aView));
   }
 
+  /// Sets the maximum share of hedged opening packets. Thread-safe.
+  void SetMaxHedgeShare(double aShare) { mMaxHedgeShare = aShare; }
+
   /// What this VM had observed of its own zone's upstreams at the last sweep.
   /// Thread-safe.
   ZoneReach OwnZoneReach() const { return mOwnZoneReach; }
@@ -107,7 +111,8 @@
   {
     auto lastLoopTime = TimeSinceBoot();
     while (!mStop) {
-      auto const batch = mSocket.Receive(kReceiveTimeout);
+      mSteering.SetMaxHedgeShare(mMaxHedgeShare);
+      auto const batch = mSocket.Receive(ReceiveTimeout());
       auto const now = Clock::now();
       auto const timeSinceBoot = TimeSinceBoot();
       if (timeSinceBoot > lastLoopTime + kPauseThreshold) {
@@ -126,6 +131,10 @@
         HandleDatagram(now, datagram.mBytes);
       }
       Flush();
+      // Otherwise answers may still be in the receive queue.
+      if (batch.size() < UdpSocket::kBatch) {
+        SendHedges(now);
+      }
       RunProbes(now);
       if (now >= mNextSweep) {
         mNextSweep = now + kSweepPeriod;
@@ -134,10 +143,37 @@
         SendResets();
         WriteZoneChanges(now);
         WriteLogEntries();
+        mCounters.Add(Counter::HedgesAnsweredFirst,
+                      mSteering.TakeHedgesAnsweredFirst());
       }
     }
   }
 
+  milliseconds ReceiveTimeout()
+  {
+    auto const due = mSteering.NextHedgeDue();
+    return due
+             ? std::clamp(std::chrono::ceil<milliseconds>(*due - Clock::now()),
+                          milliseconds{ 0 },
+                          kReceiveTimeout)
+             : kReceiveTimeout;
+  }
+
+  /// Offers late opening packets to a second upstream.
+  void SendHedges(TimePoint aNow)
+  {
+    auto hedges = mSteering.TakeHedgedOpenings(aNow);
+    for (auto& hedge : hedges) {
+      if (mUsedHeaders == mHeaders.size()) {
+        Flush();
+      }
+      mCounters.Add(Counter::OpeningsHedged);
+      Forward(hedge.mVerdict, hedge.mBytes, mHeaders[mUsedHeaders++]);
+    }
+    // Queued datagrams refer to the bytes of the packets.
+    Flush();
+  }
+
   void UsePostedView()
   {
     if (auto posted = std::atomic_load(&mPostedView);
@@ -261,6 +297,12 @@
     fields.emplace_back("cost", aEntry.mCost);
     fields.emplace_back("candidates",
                         static_cast<std::int64_t>(aEntry.mCandidates));
+    if (aEntry.mHedge) {
+      auto const& first = view.mUpstreams[aEntry.mHedge->mSlot].mRegistration;
+      fields.emplace_back("first_upstream", first.mName);
+      fields.emplace_back(
+        "waited_ms", static_cast<std::int64_t>(aEntry.mHedge->mWaited.count()));
+    }
     if (aEntry.mProof) {
       fields.emplace_back("proof", std::string(ToText(*aEntry.mProof)));
       fields.emplace_back("last_probe", std::string(ToText(aEntry.mLastProbe)));
@@ -325,6 +367,7 @@
     if (auto const counter = CounterOf(verdict.mCause)) {
       mCounters.Add(*counter);
     }
+    mSteering.KeepOpening(aNow, *packet, verdict, aBytes);
     auto& header = mHeaders[mUsedHeaders++];
     switch (verdict.mAction) {
       case SteeringAction::Forward:
@@ -378,6 +421,7 @@
   std::size_t mUsedHeaders = 0;
   TimePoint mNextSweep{};
   std::atomic<ZoneReach> mOwnZoneReach{ ZoneReach::Unknown };
+  std::atomic<double> mMaxHedgeShare{ 0.0 };
   std::atomic<bool> mStop{ false };
   std::thread mThread;
 };
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -113,12 +113,14 @@
     mSystem.await_all_actors_done();
   }
 
+  void ApplyHedgeShare(NodeSettings const& aSettings);
   void StartActors();
   Result<Success> StartPeerCommunication();
   Result<Success> StartPageServers();
 
   std::shared_ptr<NodeState> mState;
   milliseconds mShutdownGrace; ///< From SIGTERM until the process is killed.
+  double mMaxHedgeShare = 0.0;
   std::unique_ptr<Worker> mWorker;
   caf::actor_system_config mConfig;
   caf::actor_system mSystem;
@@ -130,6 +132,18 @@
   std::vector<std::unique_ptr<PageServer>> mPageServers;
 };
 
+void
+NodeDaemon::Impl::ApplyHedgeShare(NodeSettings const& aSettings)
+{
+  auto const share = aSettings.mMaxHedgeShare.value_or(0.0);
+  if (share == mMaxHedgeShare) {
+    return;
+  }
+  mMaxHedgeShare = share;
+  mWorker->SetMaxHedgeShare(share);
+  mState->mLog.Write("entry", "hedging", { { "max_share", share } });
+}
+
 void
 NodeDaemon::Impl::StartActors()
 {
@@ -262,6 +276,7 @@
     return worker.LastReason();
   }
   impl->mWorker = worker.Take();
+  impl->ApplyHedgeShare(settings);
   auto const peers = impl->StartPeerCommunication();
   if (!peers) {
     return peers.LastReason();
@@ -280,6 +295,7 @@
   auto const changedSetting = FindRestartSetting(current, aSettings);
   if (!changedSetting) {
     mImpl->mShutdownGrace = aSettings.mBounds.mGrace;
+    mImpl->ApplyHedgeShare(aSettings);
     caf::anon_send(
       mImpl->mNodeActor,
       SettingsChanged{ std::make_shared<NodeSettings const>(aSettings) });
--- a/tests/platform/test_platform_settings.cpp
+++ b/tests/platform/test_platform_settings.cpp
@@ -105,6 +105,28 @@
     Read(Replaced(kSettings, "[7720,7735]", "[\"x\"]"), errors).has_value());
 }
 
+TEST(PlatformSettings, the_hedge_share_is_read_and_unset_by_default)
+{
+  CHECK_FALSE(Read(kSettings, mErrors)->mMaxHedgeShare.has_value());
+  auto const text = std::string(kSettings) + "[hedging]\nmaxShare = 0.05\n";
+  DOUBLES_EQUAL(0.05, *Read(text, mErrors)->mMaxHedgeShare, 1e-9);
+}
+
+TEST(PlatformSettings, a_hedge_share_out_of_range_is_an_error_with_its_place)
+{
+  for (char const* value : { "0.21", "-0.1", "nan", "\"0.1\"" }) {
+    FileErrors errors("node.toml");
+    auto const text =
+      std::string(kSettings) + "[hedging]\nmaxShare = " + value + "\n";
+    CHECK_FALSE(Read(text, errors).has_value());
+    auto const& error = errors.All().front();
+    STRCMP_EQUAL("node.toml", error.mFile.c_str());
+    LONGS_EQUAL(20, error.mLine);
+    STRCMP_EQUAL("hedging.maxShare", error.mKey.c_str());
+    CHECK(errors.ToText().find("from 0 to 0.2") != std::string::npos);
+  }
+}
+
 TEST(PlatformSettings, any_text_gives_settings_or_errors)
 {
   CheckProperty("any text", [] {
