Reject openings by priority during a shortage

Change: CookieSteering asks ServiceAdmission before it selects an upstream. Load is the own count with that of other VMs (SharedLoads) while that is fresh, and the time of answers of each zone. Without fresh reports only openings whose answer would come after the latency target are rejected. Never reset: copies of opening packets, flows already forwarded, anything within 1.4 s after a local pause. Log lines shortage_began, overload, shortage_ended; gauge tarragonsill_services_short.

Worth not measured: without load reports, which another part builds, this code rejects next to nothing.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -113,9 +113,11 @@
 CookieSteering::Steer(TimePoint aNow, FlowPacket const& aPacket)
 {
   auto const verdict = Decide(aNow, aPacket);
-  // Flows of silent upstreams are logged when they are reset.
+  // Flows of silent upstreams are logged when they are reset, and rejections
+  // during a shortage by their counts.
   bool const needsLogEntry = verdict.mAction != SteeringAction::Forward &&
-                             verdict.mCause != SteeringCause::SilentUpstream;
+                             verdict.mCause != SteeringCause::SilentUpstream &&
+                             verdict.mCause != SteeringCause::Overload;
   if (needsLogEntry) {
     AddLogEntry(verdict.mCause, aPacket.mSource, aPacket.mDestination, {}, {});
   }
@@ -218,6 +220,9 @@
     return NotForwarded(SteeringAction::Reset, SteeringCause::NoUpstream);
   }
   auto const service = mSelector.PickService(aRoute);
+  if (!isSameFlow && IsRejectedForPriority(aNow, aPacket, aRoute, service)) {
+    return NotForwarded(SteeringAction::Reset, SteeringCause::Overload);
+  }
   auto const detector =
     mSaturationDetectors.find(SaturationKey(service, aPacket.mDestination));
   bool const isSaturated =
@@ -325,6 +330,7 @@
     ReleaseLoad(aFlow);
     return true;
   });
+  ReviewShortages(aNow);
 }
 
 void
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -3,11 +3,13 @@
 
 #include "tarragonsill/coordination/tarragonsill_active_health_checker.hpp"
 #include "tarragonsill/coordination/tarragonsill_crash_detector.hpp"
+#include "tarragonsill/coordination/tarragonsill_service_admission.hpp"
 #include "tarragonsill/coordination/tarragonsill_upstream_selector.hpp"
 #include "tarragonsill/protocol/tarragonsill_flow_packet.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
 #include "tarragonsill/state/tarragonsill_flow_table.hpp"
 #include "tarragonsill/state/tarragonsill_latency_histogram.hpp"
+#include "tarragonsill/state/tarragonsill_shared_load.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -152,6 +154,8 @@
   void SetView(RoutingViewPointer aView);
   /// Sets the time as of which the routing view has all acknowledged changes.
   void SetCurrentAsOf(TimePoint aCurrentAsOf) { mCurrentAsOf = aCurrentAsOf; }
+  /// Sets what the other VMs of the zone observe of the upstreams.
+  void SetSharedLoads(SharedLoadsPointer aLoads);
   /// Decides what to do with a packet from a caller.
   SteeringVerdict Steer(TimePoint aNow, FlowPacket const& aPacket);
   /// Removes expired flows and resets those of upstreams that have ended.
@@ -177,6 +181,13 @@
   /// Returns the zones that have become silent or answer again since the last
   /// call.
   std::vector<ZoneChange> TakeZoneChanges(TimePoint aNow);
+  /// Returns the shortages that began or ended, and what was decided.
+  std::vector<ShortageEvent> TakeShortageEvents()
+  {
+    return mAdmission.TakeEvents();
+  }
+  /// The number of services whose upstreams cannot serve all that arrives.
+  std::uint32_t ServicesShort() const { return mAdmission.ServicesShort(); }
 
   /// What this VM has observed of its own zone's upstreams.
   ZoneReach OwnZoneReach(TimePoint aNow) const;
@@ -196,6 +207,17 @@
   SteeringVerdict SteerOpening(TimePoint aNow,
                                FlowPacket const& aPacket,
                                ResolvedRoute const& aRoute);
+  /// Whether an opening is rejected, as there is room only for more urgent
+  /// ones.
+  bool IsRejectedForPriority(TimePoint aNow,
+                             FlowPacket const& aPacket,
+                             ResolvedRoute const& aRoute,
+                             std::uint32_t aService);
+  void RecordAnswerForAdmission(TimePoint aNow,
+                                ResolvedUpstream const& aUpstream,
+                                std::chrono::duration<double> aTime,
+                                std::chrono::duration<double> aUsual);
+  void ReviewShortages(TimePoint aNow);
   SteeringVerdict SteerOpenFlow(TimePoint aNow, FlowPacket const& aPacket);
   /// Updates the health and load of the upstream from a packet of an open flow.
   void ObservePacket(TimePoint aNow,
@@ -257,6 +279,8 @@
   UpstreamSelector mSelector;
   ActiveHealthChecker mChecker;
   std::vector<CrashDetector> mCrashDetectors; ///< By slot.
+  ServiceAdmission mAdmission;
+  SharedLoadsPointer mSharedLoads;
   SteeringLatencies mLatencies;
   TimePoint mResumedAt{};
   std::vector<UnsolicitedReset> mResets;
--- /dev/null
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_admission.cpp
@@ -0,0 +1,51 @@
+#include "tarragonsill/coordination/tarragonsill_cookie_steering.hpp"
+
+#include <utility>
+
+namespace tarragonsill {
+
+void
+CookieSteering::SetSharedLoads(SharedLoadsPointer aLoads)
+{
+  mSharedLoads = std::move(aLoads);
+}
+
+bool
+CookieSteering::IsRejectedForPriority(TimePoint aNow,
+                                      FlowPacket const& aPacket,
+                                      ResolvedRoute const& aRoute,
+                                      std::uint32_t aService)
+{
+  // The flow of a copy may be open at an upstream to which another VM sent it.
+  if (!mMechanisms.Uses(Mechanism::PriorityAdmission) ||
+      aPacket.mOpeningRetransmissions > 0) {
+    return false;
+  }
+  return !mAdmission.Admit(aNow,
+                           *mView,
+                           aService,
+                           { { aRoute.mPriority, aRoute.mKind },
+                             aPacket.mSource.mAddress,
+                             aRoute.mLatencyTarget });
+}
+
+void
+CookieSteering::RecordAnswerForAdmission(TimePoint aNow,
+                                         ResolvedUpstream const& aUpstream,
+                                         std::chrono::duration<double> aTime,
+                                         std::chrono::duration<double> aUsual)
+{
+  if (mMechanisms.Uses(Mechanism::PriorityAdmission)) {
+    mAdmission.RecordAnswer(aNow, *mView, aUpstream, aTime / aUsual, aUsual);
+  }
+}
+
+void
+CookieSteering::ReviewShortages(TimePoint aNow)
+{
+  if (mMechanisms.Uses(Mechanism::PriorityAdmission)) {
+    mAdmission.Review(aNow, *mView, mLoads, mSharedLoads.get());
+  }
+}
+
+} // namespace tarragonsill
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -323,6 +323,7 @@
   if (baseline.count() > 0.0) {
     mLoads[aFlow.mSlot].mAnswerTime.RecordAnswer(
       aNow, std::chrono::duration<double>(time) / baseline);
+    RecordAnswerForAdmission(aNow, upstream, time, baseline);
   }
 }
 
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_probes.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_probes.cpp
@@ -71,6 +71,7 @@
 CookieSteering::HandleLocalPause(TimePoint aNow)
 {
   mChecker.HandleLocalPause();
+  mAdmission.HandleLocalPause(aNow);
   mResumedAt = aNow;
   for (auto& zone : mZoneSilence) {
     zone.HandleLocalPause(aNow);
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -8,6 +8,7 @@
 #include "tarragonsill/transport/tarragonsill_boot_time.hpp"
 #include "tarragonsill/transport/tarragonsill_connect_prober.hpp"
 #include "tarragonsill/transport/tarragonsill_node_log.hpp"
+#include "tarragonsill/transport/tarragonsill_shortage_log.hpp"
 #include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
 
 #include <array>
@@ -66,6 +67,10 @@
   /// Thread-safe.
   ZoneReach OwnZoneReach() const { return mOwnZoneReach; }
 
+  /// The number of services whose upstreams could not serve all that arrived,
+  /// at the last sweep. Thread-safe.
+  std::uint32_t ServicesShort() const { return mServicesShort; }
+
   /// Thread-safe.
   SteeringLatencies const& Latencies() const { return mSteering.Latencies(); }
 
@@ -131,8 +136,10 @@
         mNextSweep = now + kSweepPeriod;
         mSteering.Sweep(now);
         mOwnZoneReach = mSteering.OwnZoneReach(now);
+        mServicesShort = mSteering.ServicesShort();
         SendResets();
         WriteZoneChanges(now);
+        WriteShortageEvents(mLog, mSteering.TakeShortageEvents());
         WriteLogEntries();
       }
     }
@@ -378,6 +385,7 @@
   std::size_t mUsedHeaders = 0;
   TimePoint mNextSweep{};
   std::atomic<ZoneReach> mOwnZoneReach{ ZoneReach::Unknown };
+  std::atomic<std::uint32_t> mServicesShort{ 0 };
   std::atomic<bool> mStop{ false };
   std::thread mThread;
 };
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -209,6 +209,7 @@
     page.mBody =
       state->mCounters.ToExposition(name) +
       GaugeLine("tarragonsill_store_era", name, state->mStoreEra) +
+      GaugeLine("tarragonsill_services_short", name, worker->ServicesShort()) +
       StateAgeLine(*state) + state->mSettings.mMechanisms.ToExposition(name) +
       latencies.mHandshake.ToExposition("tarragonsill_handshake_seconds",
                                         name) +
