Reject no opening of a route that is not in use yet

Routers send a few flows to routes that were just added, and a reset there looks as if the VM did not know the route.

Change: openings of a route with fewer answers than its usual time needs are always admitted and count in no class.

Conclusion: a reset during a shortage cannot be taken for a missing route.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_admission.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_admission.cpp
@@ -21,6 +21,15 @@
       aPacket.mOpeningRetransmissions > 0) {
     return false;
   }
+  // During a change of the configuration, callers of a new route would take the
+  // reset for a missing route.
+  auto const detector =
+    mSaturationDetectors.find(SaturationKey(aService, aPacket.mDestination));
+  bool const isInUse = detector != mSaturationDetectors.end() &&
+                       detector->second.Baseline().count() > 0.0;
+  if (!isInUse) {
+    return false;
+  }
   return !mAdmission.Admit(aNow,
                            *mView,
                            aService,
--- a/tests/coordination/test_cookie_overload.cpp
+++ b/tests/coordination/test_cookie_overload.cpp
@@ -32,9 +32,9 @@
 
   /// Completes a request of a new flow, whose answer takes the given time, or
   /// the usual time in another zone.
-  void CompleteIn(milliseconds aTime)
+  void CompleteIn(milliseconds aTime, Endpoint aRoute = kWebRoute)
   {
-    auto flow = NewFlow(kWebRoute);
+    auto flow = NewFlow(aRoute);
     auto const opened = mSteering.Steer(mNow, flow.Opening());
     (void)mSteering.Steer(mNow, flow.FirstData(opened.mCookie));
     bool const isOwnZone = UpstreamOf(opened).front() == 'a';
@@ -58,11 +58,14 @@
   }
 
   /// Lets answers be slow for two seconds, at 5 requests for each slot.
-  void BringShortage()
+  void BringShortage(int aOrdinaryAnswers = 100)
   {
     for (int count = 0; count < 100; ++count) {
       CompleteIn(kUsualTime);
     }
+    for (int count = 0; count < aOrdinaryAnswers; ++count) {
+      CompleteIn(kUsualTime, kOrdinaryRoute);
+    }
     for (auto const end = mNow + seconds{ 3 }; mNow < end;) {
       CompleteIn(milliseconds{ 200 });
       ShareLoads(20.0);
@@ -94,6 +97,13 @@
   LONGS_EQUAL(1, mSteering.ServicesShort());
 }
 
+/// Its callers would take the reset for a missing route.
+TEST(CookieOverload, openings_of_a_route_that_is_not_in_use_yet_are_not_reset)
+{
+  BringShortage(10);
+  LONGS_EQUAL(0, CountRejected(kOrdinaryRoute));
+}
+
 /// The flow of a copy may be open at an upstream by another VM.
 TEST(CookieOverload, copies_of_opening_packets_are_never_reset)
 {
