--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_probes.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_probes.cpp
@@ -72,6 +72,7 @@
 {
   mChecker.HandleLocalPause();
   mHedger.HandleLocalPause();
+  mAdmission.HandleLocalPause(aNow);
   mResumedAt = aNow;
   for (auto& zone : mZoneSilence) {
     zone.HandleLocalPause(aNow);
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -8,6 +8,7 @@
 #include "tarragonsill/transport/tarragonsill_boot_time.hpp"
 #include "tarragonsill/transport/tarragonsill_connect_prober.hpp"
 #include "tarragonsill/transport/tarragonsill_node_log.hpp"
+#include "tarragonsill/transport/tarragonsill_shortage_log.hpp"
 #include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
 
 #include <algorithm>
@@ -70,6 +71,10 @@
   /// Thread-safe.
   ZoneReach OwnZoneReach() const { return mOwnZoneReach; }
 
+  /// The number of services whose upstreams could not serve all that arrived,
+  /// at the last sweep. Thread-safe.
+  std::uint32_t ServicesShort() const { return mServicesShort; }
+
   /// Thread-safe.
   SteeringLatencies const& Latencies() const { return mSteering.Latencies(); }
 
@@ -140,8 +145,10 @@
         mNextSweep = now + kSweepPeriod;
         mSteering.Sweep(now);
         mOwnZoneReach = mSteering.OwnZoneReach(now);
+        mServicesShort = mSteering.ServicesShort();
         SendResets();
         WriteZoneChanges(now);
+        WriteShortageEvents(mLog, mSteering.TakeShortageEvents());
         WriteLogEntries();
         mCounters.Add(Counter::HedgesAnsweredFirst,
                       mSteering.TakeHedgesAnsweredFirst());
@@ -429,6 +436,7 @@
   TimePoint mNextSweep{};
   std::atomic<ZoneReach> mOwnZoneReach{ ZoneReach::Unknown };
   std::atomic<double> mMaxHedgeShare{ 0.0 };
+  std::atomic<std::uint32_t> mServicesShort{ 0 };
   std::atomic<bool> mStop{ false };
   std::thread mThread;
 };
