Observe the relative answer times of the zone's upstreams

Cause: a VM knows an upstream's speed only against the fastest answer that it saw itself, which differs between VMs, so that they cannot add up what they know. Change: AnswerObserver compares each answer with the recent geometric mean of its kind of request over all upstreams of the zone; CookieSteering::TakeObservations gives load and answers of the upstreams in use, SetSharedLoads and SharedLoads hold what others observed. An upstream that starts again begins anew. No decision uses any of it yet. Groups AnswerObserver (4 tests) and CookieObservations (4) pass; the pattern of 3 % of requests that take seven times as long keeps the ratio of a 14 ms and a 34 ms upstream within 0.25.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -56,6 +56,7 @@
         previous.mStartMark != current.mStartMark) {
       mLoads[slot].mPassiveHealth = NewLoad().mPassiveHealth;
       mLoads[slot].mAnswerTime = {};
+      mAnswerObserver.Forget(static_cast<std::uint32_t>(slot));
       mCrashDetectors[slot] = {};
       mChecker.ForgetUpstream(static_cast<std::uint32_t>(slot));
       replaced.push_back(static_cast<std::uint32_t>(slot));
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -2,12 +2,14 @@
 #define TARRAGONSILL_COOKIE_STEERING_HPP_INCLUDED
 
 #include "tarragonsill/coordination/tarragonsill_active_health_checker.hpp"
+#include "tarragonsill/coordination/tarragonsill_answer_observer.hpp"
 #include "tarragonsill/coordination/tarragonsill_crash_detector.hpp"
 #include "tarragonsill/coordination/tarragonsill_upstream_selector.hpp"
 #include "tarragonsill/protocol/tarragonsill_flow_packet.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
 #include "tarragonsill/state/tarragonsill_flow_table.hpp"
 #include "tarragonsill/state/tarragonsill_latency_histogram.hpp"
+#include "tarragonsill/state/tarragonsill_shared_load.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -181,6 +183,14 @@
   /// What this VM has observed of its own zone's upstreams.
   ZoneReach OwnZoneReach(TimePoint aNow) const;
 
+  /// Returns what this VM has observed of those upstreams of its zone that have
+  /// flows or answered since the last call.
+  std::vector<UpstreamObservation> TakeObservations();
+  /// Replaces what the other VMs of the zone have observed.
+  void SetSharedLoads(SharedLoadsPointer aLoads);
+  /// Never null; empty while other VMs are silent or their reports too old.
+  SharedLoadsPointer const& SharedLoads() const { return mSharedLoads; }
+
   RoutingView const& View() const { return *mView; }
   std::size_t TrackedFlows() const { return mFlows.Size(); }
   std::vector<UpstreamLoad> const& Loads() const { return mLoads; }
@@ -258,6 +268,9 @@
   ActiveHealthChecker mChecker;
   std::vector<CrashDetector> mCrashDetectors; ///< By slot.
   SteeringLatencies mLatencies;
+  AnswerObserver mAnswerObserver;
+  SharedLoadsPointer mSharedLoads =
+    std::make_shared<tarragonsill::SharedLoads>();
   TimePoint mResumedAt{};
   std::vector<UnsolicitedReset> mResets;
   std::vector<SteeringLogEntry> mLogEntries;
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -314,10 +314,11 @@
       aNow < upstream.mColdUntil) {
     return;
   }
-  auto& detector =
-    mSaturationDetectors[SaturationKey(upstream.mService, aFlow.mRoute)];
+  auto const kind = SaturationKey(upstream.mService, aFlow.mRoute);
+  auto& detector = mSaturationDetectors[kind];
   if (upstream.mZone == mView->mOwnZone) {
     detector.RecordAnswer(aNow, time);
+    mAnswerObserver.RecordAnswer(aNow, kind, aFlow.mSlot, time);
   }
   std::chrono::duration<double> const baseline = detector.Baseline();
   if (baseline.count() > 0.0) {
