--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -17,7 +17,6 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 /// Steers packets of flows that carry the identity of their upstream in a
@@ -161,11 +160,6 @@
   void SetView(RoutingViewPointer aView);
   /// Sets the time as of which the routing view has all acknowledged changes.
   void SetCurrentAsOf(TimePoint aCurrentAsOf) { mCurrentAsOf = aCurrentAsOf; }
-  /// Sets what the other VMs of the zone observe; may be null.
-  void SetSharedLoads(SharedLoadsPointer aLoads)
-  {
-    mSharedLoads = std::move(aLoads);
-  }
   /// Decides what to do with a packet from a caller.
   SteeringVerdict Steer(TimePoint aNow, FlowPacket const& aPacket);
   /// Removes expired flows and resets those of upstreams that have ended.
@@ -281,7 +275,6 @@
     mSaturationDetectors;
   /// By route.
   std::unordered_map<std::uint64_t, RequestsPerFlow> mRequestsPerFlow;
-  SharedLoadsPointer mSharedLoads;
   FlowTable<Detail::TrackedFlow> mFlows;
   UpstreamSelector mSelector;
   ActiveHealthChecker mChecker;
