--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -2,7 +2,9 @@
 #define TARRAGONSILL_COOKIE_STEERING_HPP_INCLUDED
 
 #include "tarragonsill/coordination/tarragonsill_active_health_checker.hpp"
+#include "tarragonsill/coordination/tarragonsill_answer_observer.hpp"
 #include "tarragonsill/coordination/tarragonsill_crash_detector.hpp"
+#include "tarragonsill/coordination/tarragonsill_expected_delay.hpp"
 #include "tarragonsill/coordination/tarragonsill_opening_hedger.hpp"
 #include "tarragonsill/coordination/tarragonsill_service_admission.hpp"
 #include "tarragonsill/coordination/tarragonsill_upstream_selector.hpp"
@@ -75,6 +77,8 @@
   SteeringCause mCause = SteeringCause::UnknownRoute;
   std::uint32_t mSlot = 0;   ///< The upstream, if the packet is forwarded.
   std::uint32_t mCookie = 0; ///< The cookie to write before forwarding.
+  /// Whether the upstream of a new flow was chosen by the expected delay.
+  bool mIsByDelay = false;
 };
 
 /// A reset that is not an answer to a packet.
@@ -125,6 +129,7 @@
   /// Of a hedged opening; `mSlot` is the second upstream, and `mHealth` that
   /// of the first one.
   std::optional<HedgeOrigin> mHedge{};
+  bool mIsByDelay = false; ///< Whether the cost is the expected delay.
 };
 
 namespace Detail {
@@ -149,9 +154,11 @@
   bool mHasSentData = false;     ///< Data of the flow passed through this VM.
   bool mInProgress = false;      ///< Data was sent and no answer was seen.
   bool mIsPinned = false;        ///< `mSlot` is known to hold the flow.
-  bool mIsClosed = false; ///< Closed by the caller; not part of the load.
   /// The upstream that was offered the flow first, if its opening was hedged.
   std::optional<std::uint32_t> mHedgedFrom;
+  bool mIsClosed = false;      ///< Closed by the caller; not part of the load.
+  bool mIsOpenedHere = false;  ///< This VM got its opening packet.
+  std::uint32_t mRequests = 0; ///< Seen by this VM.
 };
 
 /// Returns the flow table key of a packet's flow.
@@ -175,8 +182,6 @@
   void SetView(RoutingViewPointer aView);
   /// Sets the time as of which the routing view has all acknowledged changes.
   void SetCurrentAsOf(TimePoint aCurrentAsOf) { mCurrentAsOf = aCurrentAsOf; }
-  /// Sets what the other VMs of the zone observe of the upstreams.
-  void SetSharedLoads(SharedLoadsPointer aLoads);
   /// Decides what to do with a packet from a caller.
   SteeringVerdict Steer(TimePoint aNow, FlowPacket const& aPacket);
   /// Removes expired flows and resets those of upstreams that have ended.
@@ -230,6 +235,14 @@
   /// What this VM has observed of its own zone's upstreams.
   ZoneReach OwnZoneReach(TimePoint aNow) const;
 
+  /// Returns what this VM has observed of those upstreams of its zone that have
+  /// flows or answered since the last call.
+  std::vector<UpstreamObservation> TakeObservations();
+  /// Replaces what the other VMs of the zone have observed.
+  void SetSharedLoads(SharedLoadsPointer aLoads);
+  /// Never null; empty while other VMs are silent or their reports too old.
+  SharedLoadsPointer const& SharedLoads() const { return mSharedLoads; }
+
   RoutingView const& View() const { return *mView; }
   std::size_t TrackedFlows() const { return mFlows.Size(); }
   std::vector<UpstreamLoad> const& Loads() const { return mLoads; }
@@ -300,6 +313,10 @@
   void ObserveHedge(TimePoint aNow,
                     Detail::TrackedFlow const& aFlow,
                     std::optional<std::uint32_t> aCookieSlot);
+  /// Records the requests of a flow that its caller closes.
+  void RecordFlowEnd(Detail::TrackedFlow const& aFlow);
+  /// The mean number of requests of a route's flows.
+  double RequestsPerFlowOf(Endpoint aRoute) const;
   SteeringVerdict ForwardTo(std::uint32_t aSlot, SteeringCause aCause) const;
   Detail::TrackedFlow& TrackFlow(TimePoint aNow,
                                  FlowPacket const& aPacket,
@@ -335,6 +352,8 @@
   /// By service and route, as answer times differ between kinds of requests.
   std::unordered_map<std::uint64_t, ZoneSaturationDetector>
     mSaturationDetectors;
+  /// By route.
+  std::unordered_map<std::uint64_t, RequestsPerFlow> mRequestsPerFlow;
   FlowTable<Detail::TrackedFlow> mFlows;
   UpstreamSelector mSelector;
   ActiveHealthChecker mChecker;
@@ -342,8 +361,10 @@
   std::uint64_t mHedgesAnsweredFirst = 0;
   std::vector<CrashDetector> mCrashDetectors; ///< By slot.
   ServiceAdmission mAdmission;
-  SharedLoadsPointer mSharedLoads;
   SteeringLatencies mLatencies;
+  AnswerObserver mAnswerObserver;
+  SharedLoadsPointer mSharedLoads =
+    std::make_shared<tarragonsill::SharedLoads>();
   TimePoint mResumedAt{};
   std::vector<UnsolicitedReset> mResets;
   std::vector<SteeringLogEntry> mLogEntries;
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_admission.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_admission.cpp
@@ -4,12 +4,6 @@
 
 namespace tarragonsill {
 
-void
-CookieSteering::SetSharedLoads(SharedLoadsPointer aLoads)
-{
-  mSharedLoads = std::move(aLoads);
-}
-
 bool
 CookieSteering::IsRejectedForPriority(TimePoint aNow,
                                       FlowPacket const& aPacket,
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -223,10 +223,12 @@
   aFlow.mRetransmissions = 0;
   aFlow.mHasSentData = true;
   if (aPacket.mCloses) {
+    RecordFlowEnd(aFlow);
     ReleaseLoad(aFlow);
   }
   if (aPacket.mDataBytes > 0 && !aFlow.mInProgress && !aFlow.mIsClosed) {
     aFlow.mInProgress = true;
+    ++aFlow.mRequests;
     ++load.mInProgress;
   }
 }
@@ -318,10 +320,11 @@
       aNow < upstream.mColdUntil) {
     return;
   }
-  auto& detector =
-    mSaturationDetectors[SaturationKey(upstream.mService, aFlow.mRoute)];
+  auto const kind = SaturationKey(upstream.mService, aFlow.mRoute);
+  auto& detector = mSaturationDetectors[kind];
   if (upstream.mZone == mView->mOwnZone) {
     detector.RecordAnswer(aNow, time);
+    mAnswerObserver.RecordAnswer(aNow, kind, aFlow.mSlot, time);
   }
   std::chrono::duration<double> const baseline = detector.Baseline();
   if (baseline.count() > 0.0) {
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -74,6 +74,18 @@
   /// The number of services whose upstreams could not serve all that arrived,
   /// at the last sweep. Thread-safe.
   std::uint32_t ServicesShort() const { return mServicesShort; }
+  /// Replaces what the other VMs of the zone observe. Thread-safe.
+  void PostSharedLoads(SharedLoadsPointer aLoads)
+  {
+    std::atomic_store(&mPostedLoads, std::move(aLoads));
+  }
+
+  /// What this VM has observed of its own zone's upstreams in the last
+  /// observation period; null if there was none yet. Thread-safe.
+  ObservationsPointer Observations() const
+  {
+    return std::atomic_load(&mObservations);
+  }
 
   /// Thread-safe.
   SteeringLatencies const& Latencies() const { return mSteering.Latencies(); }
@@ -83,6 +95,7 @@
   static constexpr std::size_t kIdentityBytes = 8;
   static constexpr milliseconds kReceiveTimeout{ 50 };
   static constexpr milliseconds kSweepPeriod{ 100 };
+  static constexpr milliseconds kObservationPeriod{ 500 };
   /// An iteration that takes longer than this means that the VM was paused or
   /// the thread was starved.
   static constexpr milliseconds kPauseThreshold{ 150 };
@@ -131,6 +144,7 @@
       // Read first, so that the view is at least as new.
       mSteering.SetCurrentAsOf(mCurrentAsOf);
       UsePostedView();
+      UsePostedLoads();
       HandleEarlyPackets(now);
       for (auto const& datagram : batch) {
         HandleDatagram(now, datagram.mBytes);
@@ -146,6 +160,7 @@
         mSteering.Sweep(now);
         mOwnZoneReach = mSteering.OwnZoneReach(now);
         mServicesShort = mSteering.ServicesShort();
+        PublishObservations(now);
         SendResets();
         WriteZoneChanges(now);
         WriteShortageEvents(mLog, mSteering.TakeShortageEvents());
@@ -190,6 +205,25 @@
     }
   }
 
+  void UsePostedLoads()
+  {
+    if (auto posted = std::atomic_load(&mPostedLoads);
+        posted && posted != mSteering.SharedLoads()) {
+      mSteering.SetSharedLoads(std::move(posted));
+    }
+  }
+
+  void PublishObservations(TimePoint aNow)
+  {
+    if (aNow < mNextObservation) {
+      return;
+    }
+    mNextObservation = aNow + kObservationPeriod;
+    std::atomic_store(&mObservations,
+                      std::make_shared<UpstreamObservations const>(
+                        mSteering.TakeObservations()));
+  }
+
   /// Handles the results of finished probes and starts due ones.
   void RunProbes(TimePoint aNow)
   {
@@ -310,7 +344,10 @@
       fields.emplace_back(
         "waited_ms", static_cast<std::int64_t>(aEntry.mHedge->mWaited.count()));
     }
-    if (aEntry.mProof) {
+    if (!aEntry.mProof) {
+      fields.emplace_back("basis",
+                          std::string(aEntry.mIsByDelay ? "shared" : "own"));
+    } else {
       fields.emplace_back("proof", std::string(ToText(*aEntry.mProof)));
       fields.emplace_back("last_probe", std::string(ToText(aEntry.mLastProbe)));
       fields.emplace_back("retransmissions",
@@ -382,6 +419,9 @@
       mCounters.Add(*counter);
     }
     mSteering.KeepOpening(aNow, *packet, verdict, aBytes);
+    if (verdict.mIsByDelay) {
+      mCounters.Add(Counter::PlacementsByDelay);
+    }
     auto& header = mHeaders[mUsedHeaders++];
     switch (verdict.mAction) {
       case SteeringAction::Forward:
@@ -430,6 +470,9 @@
   EarlyPackets mEarlyPackets;
   RoutingViewPointer mPostedView;
   RoutingViewPointer mCurrentView;
+  SharedLoadsPointer mPostedLoads;
+  ObservationsPointer mObservations;
+  TimePoint mNextObservation{};
   /// Headers of the queued datagrams.
   std::array<Header, UdpSocket::kBatch> mHeaders{};
   std::size_t mUsedHeaders = 0;
