Exchange load reports between the VMs of a zone

Cause: each VM of a large zone sees too few answers of an upstream to know its speed, and nothing of the load that the other VMs put on it. Change: LoadExchange decides who collects the loads of a shard of upstreams and what a report means; LoadCollector merges; LoadReport travels in PeerMessage; the packet thread publishes observations twice a second and takes the merged loads without waiting. A VM whose collector does not answer reports to the next one, and tries the silent one at growing intervals. Tried before: passing over a silent collector for a fixed time and moving the other shards with it left VMs with different collectors; both are gone.

--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -80,6 +80,10 @@
   , mFreshness(mMembership.Self().mName)
   , mSync(mMembership.Self().mName)
   , mRelay(aMechanisms)
+  , mCounters(aCounters)
+  , mUsesLoadReports(aMechanisms.Uses(Mechanism::LoadReports))
+  , mLoadExchange(
+      { mMembership.Self().NameHash(), mMembership.Self().mIncarnation })
 {
 }
 
@@ -217,6 +221,9 @@
   bool const isOwnZone = from->mZone == mMembership.Self().mZone;
   if (isOwnZone) {
     mZoneReach.RecordReport(aNow, sender, ZoneReachOf(aMessage.zone_reach()));
+    if (aMessage.has_load_report()) {
+      HandleLoadReport(aNow, *from, aMessage.load_report(), aOutbox);
+    }
   } else {
     mOtherZonesSeenAt = aNow;
   }
@@ -290,7 +297,8 @@
     message.set_evacuations_era(mDigest.mEvacuations.mEra);
     message.set_store_era(mEra);
     message.set_zone_reach(ToWire(mZoneReach.Own()));
-    if (mLastWatchAnswer) {
+    // Load reports are too frequent to repeat the state of the watches.
+    if (mLastWatchAnswer && !message.has_load_report()) {
       auto& report = *message.mutable_watch();
       report.set_age_ms(MillisecondsSince(aNow, *mLastWatchAnswer));
       report.set_complete_to_revision(mCompleteTo.mRevision);
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -3,6 +3,7 @@
 
 #include "tarragonsill/coordination/tarragonsill_directory.hpp"
 #include "tarragonsill/coordination/tarragonsill_knowledge_sync.hpp"
+#include "tarragonsill/coordination/tarragonsill_load_exchange.hpp"
 #include "tarragonsill/coordination/tarragonsill_membership.hpp"
 #include "tarragonsill/coordination/tarragonsill_store_freshness.hpp"
 #include "tarragonsill/coordination/tarragonsill_watch_relay.hpp"
@@ -10,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 /// The other entry VMs of a deployment that has no list of them. They are found
@@ -94,6 +96,14 @@
   /// Whether no upstream of the own zone answers, as observed by this VM or, if
   /// it has observed nothing, by other VMs of the zone.
   bool IsZoneSilent(TimePoint aNow) const { return mZoneReach.IsSilent(aNow); }
+  /// Records what this VM has observed of its own zone's upstreams since the
+  /// previous call, and adds the load reports that are due.
+  void RecordObservations(TimePoint aNow,
+                          std::vector<UpstreamObservation> const& aObservations,
+                          Outbox& aOutbox);
+  /// Returns what the other VMs of the zone observe, if it may have changed
+  /// since the previous call.
+  SharedLoadsPointer TakeSharedLoads(TimePoint aNow);
   std::uint64_t SelfHash() const { return mMembership.Self().NameHash(); }
   Membership const& Members() const { return mMembership; }
 
@@ -108,6 +118,12 @@
   bool HasServingPeer() const;
   std::vector<Member> ZoneMembers() const;
   void ReportWatches(TimePoint aNow, Outbox& aOutbox);
+  void UpdateServingVms();
+  void HandleLoadReport(TimePoint aNow,
+                        Member const& aFrom,
+                        wire::LoadReport const& aMessage,
+                        Outbox& aOutbox);
+  void AddLoadReport(Endpoint aTo, LoadReport const& aReport, Outbox& aOutbox);
 
   Membership mMembership;
   std::vector<Endpoint> mSeeds;
@@ -130,6 +146,15 @@
     StorePosition mWatchedTo; ///< No other change exists up to this one.
   };
   std::map<ObjectKind, RelayChain> mRelayChains;
+  Counters& mCounters;
+  bool mUsesLoadReports;
+  LoadExchange mLoadExchange;
+  /// The generations of the members and the shared loads that were last used.
+  std::uint64_t mServingGeneration = 0;
+  std::uint64_t mLoadsGeneration = 0;
+  TimePoint mNextLoadsCheck{};
+  /// The control endpoints of the zone's VMs, by the hashes of their names.
+  std::unordered_map<std::uint64_t, Endpoint> mZoneControls;
   TimePoint mStarted{};
   TimePoint mOtherZonesSeenAt{};
   TimePoint mNextMemberRequest{};
--- a/src/tarragonsill/state/tarragonsill_shared_load.hpp
+++ b/src/tarragonsill/state/tarragonsill_shared_load.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 /// What the VMs of a zone observe of its upstreams and tell each other. It
 /// guides the placement of new flows, and proves nothing about an upstream's
@@ -36,6 +37,9 @@
   double mRelativeTime = 1.0;
 };
 
+using UpstreamObservations = std::vector<UpstreamObservation>;
+using ObservationsPointer = std::shared_ptr<UpstreamObservations const>;
+
 /// What the other VMs of the zone know of an upstream.
 struct SharedLoad
 {
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -66,6 +66,19 @@
   /// Thread-safe.
   ZoneReach OwnZoneReach() const { return mOwnZoneReach; }
 
+  /// Replaces what the other VMs of the zone observe. Thread-safe.
+  void PostSharedLoads(SharedLoadsPointer aLoads)
+  {
+    std::atomic_store(&mPostedLoads, std::move(aLoads));
+  }
+
+  /// What this VM has observed of its own zone's upstreams in the last
+  /// observation period; null if there was none yet. Thread-safe.
+  ObservationsPointer Observations() const
+  {
+    return std::atomic_load(&mObservations);
+  }
+
   /// Thread-safe.
   SteeringLatencies const& Latencies() const { return mSteering.Latencies(); }
 
@@ -74,6 +87,7 @@
   static constexpr std::size_t kIdentityBytes = 8;
   static constexpr milliseconds kReceiveTimeout{ 50 };
   static constexpr milliseconds kSweepPeriod{ 100 };
+  static constexpr milliseconds kObservationPeriod{ 500 };
   /// An iteration that takes longer than this means that the VM was paused or
   /// the thread was starved.
   static constexpr milliseconds kPauseThreshold{ 150 };
@@ -121,6 +135,7 @@
       // Read first, so that the view is at least as new.
       mSteering.SetCurrentAsOf(mCurrentAsOf);
       UsePostedView();
+      UsePostedLoads();
       HandleEarlyPackets(now);
       for (auto const& datagram : batch) {
         HandleDatagram(now, datagram.mBytes);
@@ -131,6 +146,7 @@
         mNextSweep = now + kSweepPeriod;
         mSteering.Sweep(now);
         mOwnZoneReach = mSteering.OwnZoneReach(now);
+        PublishObservations(now);
         SendResets();
         WriteZoneChanges(now);
         WriteLogEntries();
@@ -147,6 +163,25 @@
     }
   }
 
+  void UsePostedLoads()
+  {
+    if (auto posted = std::atomic_load(&mPostedLoads);
+        posted && posted != mSteering.SharedLoads()) {
+      mSteering.SetSharedLoads(std::move(posted));
+    }
+  }
+
+  void PublishObservations(TimePoint aNow)
+  {
+    if (aNow < mNextObservation) {
+      return;
+    }
+    mNextObservation = aNow + kObservationPeriod;
+    std::atomic_store(&mObservations,
+                      std::make_shared<UpstreamObservations const>(
+                        mSteering.TakeObservations()));
+  }
+
   /// Handles the results of finished probes and starts due ones.
   void RunProbes(TimePoint aNow)
   {
@@ -373,6 +408,9 @@
   EarlyPackets mEarlyPackets;
   RoutingViewPointer mPostedView;
   RoutingViewPointer mCurrentView;
+  SharedLoadsPointer mPostedLoads;
+  ObservationsPointer mObservations;
+  TimePoint mNextObservation{};
   /// Headers of the queued datagrams.
   std::array<Header, UdpSocket::kBatch> mHeaders{};
   std::size_t mUsedHeaders = 0;
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -3,6 +3,7 @@
 #include "tarragonsill/coordination/tarragonsill_node_peers.hpp"
 #include "tarragonsill/coordination/tarragonsill_watch_retry.hpp"
 #include "tarragonsill/transport/tarragonsill_directory_log.hpp"
+#include "tarragonsill/transport/tarragonsill_load_status.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -194,6 +195,7 @@
     UpdateCanServe(now);
     Outbox outbox;
     mPeers.Tick(now, outbox);
+    ExchangeLoads(now, outbox);
     Send(outbox);
     if (auto const peer = mPeers.NextPeerToQuery(now, state.mIsComplete)) {
       mSelf->send(mArguments.mFetchActor,
@@ -277,6 +279,20 @@
     }
   }
 
+  /// Reports what the packet thread observed, and hands it what others did.
+  void ExchangeLoads(TimePoint aNow, Outbox& aOutbox)
+  {
+    if (auto observations = mArguments.mObservations();
+        observations && observations != mLastObservations) {
+      mLastObservations = std::move(observations);
+      mPeers.RecordObservations(aNow, *mLastObservations, aOutbox);
+    }
+    if (auto loads = mPeers.TakeSharedLoads(aNow)) {
+      mLoadStatus.Record(aNow, *loads, *mArguments.mState);
+      mArguments.mPublishLoads(std::move(loads));
+    }
+  }
+
   void RetryWatches(TimePoint aNow)
   {
     for (auto const kind : mRetry.Due(aNow)) {
@@ -415,6 +431,8 @@
   std::array<TimePoint, kObjectKinds.size()> mLastAnswerTimes{};
   std::array<caf::actor, kObjectKinds.size()> mWatches;
   std::array<bool, kObjectKinds.size()> mIsListDeferred{};
+  ObservationsPointer mLastObservations;
+  LoadStatus mLoadStatus;
 };
 
 } // namespace
--- a/src/tarragonsill/transport/tarragonsill_node_actor.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.hpp
@@ -2,6 +2,7 @@
 #define TARRAGONSILL_NODE_ACTOR_HPP_INCLUDED
 
 #include "tarragonsill/coordination/tarragonsill_zone_reach.hpp"
+#include "tarragonsill/state/tarragonsill_shared_load.hpp"
 #include "tarragonsill/transport/tarragonsill_node_messages.hpp"
 #include "tarragonsill/transport/tarragonsill_node_state.hpp"
 
@@ -21,6 +22,10 @@
   std::function<void(Endpoint, std::string const&)> mSend;
   /// Returns what this VM has observed of its own zone's upstreams.
   std::function<ZoneReach()> mOwnZoneReach;
+  /// Returns the last observations of its own zone's upstreams; may be null.
+  std::function<ObservationsPointer()> mObservations;
+  /// Hands what other VMs of the zone observe to the packet thread.
+  std::function<void(SharedLoadsPointer)> mPublishLoads;
   caf::actor mFetchActor;
   std::uint64_t mIncarnation = 1;
 };
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -6,6 +6,7 @@
 #include "tarragonsill/transport/tarragonsill_incarnation.hpp"
 #include "tarragonsill/transport/tarragonsill_knowledge_fetch_actor.hpp"
 #include "tarragonsill/transport/tarragonsill_knowledge_server.hpp"
+#include "tarragonsill/transport/tarragonsill_load_status.hpp"
 #include "tarragonsill/transport/tarragonsill_node_actor.hpp"
 #include "tarragonsill/transport/tarragonsill_page_server.hpp"
 #include "tarragonsill/transport/tarragonsill_store_watch_actor.hpp"
@@ -141,6 +142,13 @@
   arguments.mOwnZoneReach = [worker = mWorker.get()] {
     return worker->OwnZoneReach();
   };
+  arguments.mObservations = [worker = mWorker.get()] {
+    return worker->Observations();
+  };
+  arguments.mPublishLoads = [worker =
+                               mWorker.get()](SharedLoadsPointer aLoads) {
+    worker->PostSharedLoads(std::move(aLoads));
+  };
   arguments.mSend = [link = mLink.get()](Endpoint aTo,
                                          std::string const& aBytes) {
     link->Send(aTo, aBytes);
@@ -209,7 +217,8 @@
     page.mBody =
       state->mCounters.ToExposition(name) +
       GaugeLine("tarragonsill_store_era", name, state->mStoreEra) +
-      StateAgeLine(*state) + state->mSettings.mMechanisms.ToExposition(name) +
+      StateAgeLine(*state) + LoadMetrics(*state) +
+      state->mSettings.mMechanisms.ToExposition(name) +
       latencies.mHandshake.ToExposition("tarragonsill_handshake_seconds",
                                         name) +
       latencies.mAnswer.ToExposition("tarragonsill_answer_seconds", name);
--- a/src/tarragonsill/transport/tarragonsill_node_state.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_state.hpp
@@ -36,6 +36,10 @@
   std::atomic<bool> mMayLeave{ true };
   /// The highest observed era of the store.
   std::atomic<std::uint64_t> mStoreEra{ 0 };
+  /// The other VMs of the zone whose load reports are in use.
+  std::atomic<std::uint32_t> mLoadReporters{ 0 };
+  /// When the oldest part of the load reports in use was observed.
+  std::atomic<TimePoint> mLoadsAsOf{ TimePoint{} };
   /// Whether this VM is leaving; its process ends soon.
   std::atomic<bool> mIsLeaving{ false };
 };
--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -51,6 +51,19 @@
   }
   TimePoint Now() const { return mNow; }
 
+  /// Lets a VM observe a flow at an upstream.
+  void Observe(std::size_t aIndex)
+  {
+    Outbox outbox;
+    mPeers[aIndex]->RecordObservations(mNow, { { 77, 1, 1, 1, 1.0 } }, outbox);
+    Deliver(aIndex, outbox, {}, 0);
+  }
+  std::uint64_t Count(Counter aCounter) const
+  {
+    return mCounters.Value(aCounter);
+  }
+  Mechanisms mMechanisms;
+
 private:
   static Endpoint AddressOf(std::size_t aIndex)
   {
@@ -72,7 +85,8 @@
       self,
       std::vector<Endpoint>{ AddressOf(0), AddressOf(1), AddressOf(90) },
       aIndex,
-      mCounters);
+      mCounters,
+      mMechanisms);
     peers->SetStage(MemberStage::Serving);
     return peers;
   }
@@ -488,4 +502,33 @@
     }
   }
   LONGS_EQUAL(3, receivers.size());
-}
+}
+TEST(NodePeers, the_vms_of_a_zone_know_the_loads_that_the_others_observe)
+{
+  for (int round = 0; round < 8; ++round) {
+    mGroup.Run(milliseconds{ 500 });
+    for (std::size_t index = 0; index < 6; ++index) {
+      mGroup.Observe(index);
+    }
+  }
+  // The VMs 0, 2 and 3 are in one zone, VM 5 is alone in another.
+  auto const loads = mGroup.At(2).TakeSharedLoads(mGroup.Now());
+  LONGS_EQUAL(2, loads->mReporters);
+  LONGS_EQUAL(2, loads->mByProcess.at(77).mFlows);
+  LONGS_EQUAL(0, mGroup.At(5).TakeSharedLoads(mGroup.Now())->mReporters);
+  CHECK(mGroup.Count(Counter::LoadReportsReceived) > 0);
+}
+
+TEST(NodePeers, without_load_reports_none_is_sent_or_used)
+{
+  mGroup.mMechanisms = Mechanisms::Without({ "load_reports" }).Take();
+  for (std::size_t index = 0; index < 6; ++index) {
+    mGroup.Restart(index, 2);
+  }
+  for (int round = 0; round < 8; ++round) {
+    mGroup.Run(milliseconds{ 500 });
+    mGroup.Observe(2);
+  }
+  LONGS_EQUAL(0, mGroup.Count(Counter::LoadReportsSent));
+  CHECK(mGroup.At(2).TakeSharedLoads(mGroup.Now()) == nullptr);
+}
