--- a/benchmarks/counted.cpp
+++ b/benchmarks/counted.cpp
@@ -44,6 +44,17 @@
   control->callback(
     [&] { violations = Print(ControlFigures(cores, phaseSeconds)); });
 
+  unsigned vms = 17;
+  unsigned upstreams = 38;
+  unsigned loadSeconds = 20;
+  auto* loads = app.add_subcommand("loads", "Load reports in a zone");
+  loads->add_option("--vms", vms, "Entry VMs in the zone");
+  loads->add_option("--upstreams", upstreams, "Upstreams in the zone");
+  loads->add_option("--seconds", loadSeconds, "Virtual time");
+  loads->callback([&] {
+    violations = Print(LoadReportFigures(vms, upstreams, loadSeconds));
+  });
+
   std::string kind = "untracked";
   std::uint32_t flows = 10000;
   std::uint64_t count = 10000;
--- a/benchmarks/counted.hpp
+++ b/benchmarks/counted.hpp
@@ -25,6 +25,10 @@
 /// Control traffic, detection time and false failures in a zone of a given
 /// size.
 std::vector<Figure> ControlFigures(unsigned aCores, unsigned aSeconds);
+/// Bytes of load reports in a zone of a given size.
+std::vector<Figure> LoadReportFigures(unsigned aVms,
+                                      unsigned aUpstreams,
+                                      unsigned aSeconds);
 /// Forwards packets of established flows. Run it under an instruction counter;
 /// the difference between two runs is the cost of the extra packets.
 void ForwardPackets(std::string const& aKind,
