--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -9,6 +9,8 @@
 "$build/tarragonsill-counted" packets || status=1
 "$build/tarragonsill-counted" control --cores 7 || status=1
 "$build/tarragonsill-counted" control --cores 50 || status=1
+"$build/tarragonsill-counted" loads --vms 17 --upstreams 38 || status=1
+"$build/tarragonsill-counted" loads --vms 75 --upstreams 250 || status=1
 
 # Counts the instructions of one packet as the difference of two runs, so that
 # setup cancels out.
