Priority admission: end a shortage at a lower answer time than it begins

Change: a zone has room below 1.3 times the usual time, and again below 1.1.

A new test varies the zone's answers; it fails with one bound.

Conclusion: hysteresis holds for room as well.

--- a/src/tarragonsill/coordination/tarragonsill_priority_admission.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_priority_admission.cpp
@@ -25,8 +25,10 @@
 /// times as long as usual, and ends when they do not.
 constexpr double kRelativeTimeAtBegin = 1.5;
 constexpr double kRelativeTimeAtEnd = 1.2;
-/// A zone whose answers take less has room.
-constexpr double kRelativeTimeWithRoom = 1.2;
+/// A zone has room if its answers take less than this many times as long as
+/// usual; during a shortage, if they take less than the second number.
+constexpr double kRelativeTimeWithRoom = 1.3;
+constexpr double kRelativeTimeWithRoomAgain = 1.1;
 /// A wait below these shares of the latency target does callers no harm.
 constexpr double kWaitShareAtBegin = 0.1;
 constexpr double kWaitShareAtEnd = 0.05;
@@ -103,7 +105,7 @@
                       mWait >= kWaitShareAtBegin * aLatencyTarget;
   bool const ends = mUtilisation < kUtilisationAtEnd ||
                     mRelativeTime < kRelativeTimeAtEnd ||
-                    mLeastRelativeTime < kRelativeTimeWithRoom ||
+                    mLeastRelativeTime < kRelativeTimeWithRoomAgain ||
                     mWait < kWaitShareAtEnd * aLatencyTarget;
   mIsShort = mIsShort ? !ends : begins;
   auto const byQueue =
--- a/src/tarragonsill/coordination/tarragonsill_priority_admission.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_priority_admission.hpp
@@ -45,8 +45,7 @@
               ServiceLoad const& aLoad,
               milliseconds aLatencyTarget);
   bool IsShort() const { return mIsShort; }
-  /// How severe the shortage is: 0 without one, 1 if no queue is any longer
-  /// than that of waiting callers can use.
+  /// How severe the shortage is: 0 without one, 1 at most.
   double Severity() const { return mIsShort ? mSeverity : 0.0; }
   /// Moving averages.
   double Utilisation() const { return mUtilisation; }
--- a/tests/coordination/test_priority_admission.cpp
+++ b/tests/coordination/test_priority_admission.cpp
@@ -103,6 +103,19 @@
   CHECK_FALSE(mDetector.IsShort());
 }
 
+/// Guards against a shortage that ends and begins by turns while the answers of
+/// one zone are a little late.
+TEST(ShortageDetector, a_zone_whose_answers_vary_does_not_end_a_shortage)
+{
+  RecordFor(seconds{ 2 }, LoadAt(4.0));
+  auto varying = LoadAt(4.0);
+  for (int count = 0; count < 10; ++count) {
+    varying.mLeastRelativeTime = count % 2 == 0 ? 1.15 : 1.35;
+    RecordFor(milliseconds{ 800 }, varying);
+    CHECK(mDetector.IsShort());
+  }
+}
+
 /// Short requests are answered in time from a long queue too.
 TEST(ShortageDetector, a_wait_that_callers_do_not_notice_is_no_shortage)
 {
