Let callers leave a zone out of which nothing gets

Cause: while nothing gets out of an evacuated zone, its VMs hold callers whom VMs of other zones could serve, for new and open flows. Messages still come in, so the rule for a zone that is cut off does not act. Change: each VM observes whether any other zone in use answers it, and reports that to its zone (a new field, which older programs ignore). If most of the zone say that none does, while VMs of another zone report answers there, and the own zone cannot serve, VMs report that they are not ready. Without zone_detours nothing of this acts.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -30,6 +30,7 @@
   : mMechanisms(aMechanisms)
   , mView(std::make_shared<RoutingView>())
   , mSelector(aSeed, aMechanisms)
+  , mOutboundReach(aSeed)
 {
 }
 
@@ -307,6 +308,7 @@
 CookieSteering::Sweep(TimePoint aNow)
 {
   mChecker.ReviewUpstreams(aNow, *mView, mLoads);
+  ReviewOutboundReach(aNow);
   mFlows.EraseIf([&](Detail::TrackedFlow& aFlow) {
     if (aNow > aFlow.mLastSeen + kOpeningTimeout) {
       SetCountsAsOpening(aFlow, false);
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -3,6 +3,7 @@
 
 #include "tarragonsill/coordination/tarragonsill_active_health_checker.hpp"
 #include "tarragonsill/coordination/tarragonsill_crash_detector.hpp"
+#include "tarragonsill/coordination/tarragonsill_outbound_reach.hpp"
 #include "tarragonsill/coordination/tarragonsill_upstream_selector.hpp"
 #include "tarragonsill/protocol/tarragonsill_flow_packet.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
@@ -180,6 +181,8 @@
 
   /// What this VM has observed of its own zone's upstreams.
   ZoneReach OwnZoneReach(TimePoint aNow) const;
+  /// Whether any other zone answered this VM, as of the last sweep.
+  ZoneReach OutboundReach() const { return mOutboundReach.Reach(); }
 
   RoutingView const& View() const { return *mView; }
   std::size_t TrackedFlows() const { return mFlows.Size(); }
@@ -214,6 +217,13 @@
   /// Whether the caller retransmitted data of the flow several times and still
   /// does.
   bool IsRepeating(TimePoint aNow, Detail::TrackedFlow const& aFlow) const;
+  /// Updates whether other zones answer this VM; requests a probe if none does.
+  void ReviewOutboundReach(TimePoint aNow);
+  /// While no other zone answers, an upstream that accepts a connection shows
+  /// that its zone is reached again.
+  void RecordProbeReach(TimePoint aNow,
+                        std::uint32_t aSlot,
+                        ConnectResult aResult);
   std::uint64_t SaturationKey(std::uint32_t aService, Endpoint aRoute) const;
   /// Records the answer time for latencies, zone saturation and relative answer
   /// time.
@@ -256,6 +266,7 @@
   FlowTable<Detail::TrackedFlow> mFlows;
   UpstreamSelector mSelector;
   ActiveHealthChecker mChecker;
+  OutboundReachDetector mOutboundReach;
   std::vector<CrashDetector> mCrashDetectors; ///< By slot.
   SteeringLatencies mLatencies;
   TimePoint mResumedAt{};
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_probes.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_probes.cpp
@@ -36,6 +36,7 @@
   if (aResult == ConnectResult::Reset) {
     mLoads[aSlot].mPassiveHealth.RecordTurnedAway(aNow);
   }
+  RecordProbeReach(aNow, aSlot, aResult);
   mLoads[aSlot].mIsInSilentZone = mMechanisms.Uses(Mechanism::SilentZones) &&
                                   ZoneSilenceOf(aSlot).IsSilent(aNow);
   bool const isAnswered =
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -217,8 +217,11 @@
   bool const isOwnZone = from->mZone == mMembership.Self().mZone;
   if (isOwnZone) {
     mZoneReach.RecordReport(aNow, sender, ZoneReachOf(aMessage.zone_reach()));
+    mOutboundReach.RecordZonePeer(
+      aNow, sender, ZoneReachOf(aMessage.outbound_reach()));
   } else {
     mOtherZonesSeenAt = aNow;
+    mOutboundReach.RecordOtherZone(aNow, ZoneReachOf(aMessage.zone_reach()));
   }
   // Watchers in an older era know nothing of the store's current state.
   if (aMessage.has_watch() && aMessage.store_era() >= mEra) {
@@ -290,6 +293,7 @@
     message.set_evacuations_era(mDigest.mEvacuations.mEra);
     message.set_store_era(mEra);
     message.set_zone_reach(ToWire(mZoneReach.Own()));
+    message.set_outbound_reach(ToWire(mOutboundReach.Own()));
     if (mLastWatchAnswer) {
       auto& report = *message.mutable_watch();
       report.set_age_ms(MillisecondsSince(aNow, *mLastWatchAnswer));
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -4,6 +4,7 @@
 #include "tarragonsill/coordination/tarragonsill_directory.hpp"
 #include "tarragonsill/coordination/tarragonsill_knowledge_sync.hpp"
 #include "tarragonsill/coordination/tarragonsill_membership.hpp"
+#include "tarragonsill/coordination/tarragonsill_outbound_reach.hpp"
 #include "tarragonsill/coordination/tarragonsill_store_freshness.hpp"
 #include "tarragonsill/coordination/tarragonsill_watch_relay.hpp"
 #include "tarragonsill/coordination/tarragonsill_zone_reach.hpp"
@@ -94,6 +95,16 @@
   /// Whether no upstream of the own zone answers, as observed by this VM or, if
   /// it has observed nothing, by other VMs of the zone.
   bool IsZoneSilent(TimePoint aNow) const { return mZoneReach.IsSilent(aNow); }
+  /// Sets whether other zones answer this VM.
+  void SetOutboundReach(TimePoint aNow, ZoneReach aReach)
+  {
+    mOutboundReach.SetOwn(aNow, mMembership.Self().mName, aReach);
+  }
+  /// Whether nothing gets out of the zone, though other zones serve.
+  bool IsOutboundLost(TimePoint aNow) const
+  {
+    return mOutboundReach.IsLost(aNow);
+  }
   std::uint64_t SelfHash() const { return mMembership.Self().NameHash(); }
   Membership const& Members() const { return mMembership; }
 
@@ -115,6 +126,7 @@
   KnowledgeSync mSync;
   WatchRelay mRelay;
   ZoneReachReports mZoneReach;
+  OutboundReachReports mOutboundReach;
   WatchRole mRole = WatchRole::ReliesOnPeers;
   bool mIsFirstStart = false;
   std::optional<TimePoint> mLastWatchAnswer;
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <memory>
 #include <thread>
+#include <utility>
 
 /// The packet thread of an entry VM that steers flows by cookies.
 namespace tarragonsill {
@@ -65,6 +66,8 @@
   /// What this VM had observed of its own zone's upstreams at the last sweep.
   /// Thread-safe.
   ZoneReach OwnZoneReach() const { return mOwnZoneReach; }
+  /// Whether other zones answered this VM, as of the last sweep. Thread-safe.
+  ZoneReach OutboundReach() const { return mOutboundReach; }
 
   /// Thread-safe.
   SteeringLatencies const& Latencies() const { return mSteering.Latencies(); }
@@ -131,6 +134,7 @@
         mNextSweep = now + kSweepPeriod;
         mSteering.Sweep(now);
         mOwnZoneReach = mSteering.OwnZoneReach(now);
+        mOutboundReach = mSteering.OutboundReach();
         SendResets();
         WriteZoneChanges(now);
         WriteLogEntries();
@@ -241,6 +245,10 @@
                  change.mIsSilent ? "zone_silent" : "zone_answers_again",
                  { { "zone", change.mZone } });
     }
+    bool const isLost = mSteering.OutboundReach() == ZoneReach::Silent;
+    if (std::exchange(mIsOutboundLost, isLost) != isLost) {
+      mLog.Write("steer", isLost ? "outbound_lost" : "outbound_regained", {});
+    }
   }
 
   std::vector<LogField> FieldsOf(SteeringLogEntry const& aEntry) const
@@ -377,7 +385,9 @@
   std::array<Header, UdpSocket::kBatch> mHeaders{};
   std::size_t mUsedHeaders = 0;
   TimePoint mNextSweep{};
+  bool mIsOutboundLost = false; ///< As last written to the log.
   std::atomic<ZoneReach> mOwnZoneReach{ ZoneReach::Unknown };
+  std::atomic<ZoneReach> mOutboundReach{ ZoneReach::Unknown };
   std::atomic<bool> mStop{ false };
   std::thread mThread;
 };
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -332,30 +332,35 @@
     }
   }
 
-  /// Updates whether this VM can serve callers. In a zone that is cut off and
-  /// has no upstream that serves and answers, VMs report that they are not
-  /// ready: routers then use VMs of other zones, which can serve the callers.
+  /// Updates whether this VM can serve callers. In a zone that is cut off, or
+  /// from which no packet reaches another zone, and that has no upstream that
+  /// serves and answers, VMs report that they are not ready: routers then use
+  /// VMs of other zones, which can serve the callers.
   void UpdateCanServe(TimePoint aNow)
   {
     if (!mDirectory.IsComplete()) {
       return;
     }
     mPeers.SetZoneReach(mArguments.mOwnZoneReach());
+    mPeers.SetOutboundReach(aNow, mArguments.mOutboundReach());
     auto const& mechanisms = mArguments.mState->mSettings.mMechanisms;
     bool const isCutOff =
       mechanisms.Uses(Mechanism::CutZoneUnready) && mPeers.IsZoneCutOff(aNow);
+    bool const isOutboundLost =
+      mechanisms.Uses(Mechanism::ZoneDetours) && mPeers.IsOutboundLost(aNow);
     bool const isZoneSilent = mPeers.IsZoneSilent(aNow);
-    bool const canServe =
-      !isCutOff || (mDirectory.OwnZoneServes(aNow) && !isZoneSilent);
+    bool const canServe = !(isCutOff || isOutboundLost) ||
+                          (mDirectory.OwnZoneServes(aNow) && !isZoneSilent);
     if (mArguments.mState->mCanServe.exchange(canServe) == canServe) {
       return;
     }
-    Log().Write(
-      "entry",
-      canServe ? "can_serve_again" : "cannot_serve",
-      { { "reason",
-          isZoneSilent ? "zone cut off, none of its upstreams answers"
-                       : "zone cut off, none of its upstreams in use" } });
+    std::string const reason =
+      isOutboundLost ? "no packet leaves the zone, which cannot serve by itself"
+      : isZoneSilent ? "zone cut off, none of its upstreams answers"
+                     : "zone cut off, none of its upstreams in use";
+    Log().Write("entry",
+                canServe ? "can_serve_again" : "cannot_serve",
+                { { "reason", reason } });
   }
 
   NodeLog& Log() { return mArguments.mState->mLog; }
--- a/src/tarragonsill/transport/tarragonsill_node_actor.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.hpp
@@ -21,6 +21,8 @@
   std::function<void(Endpoint, std::string const&)> mSend;
   /// Returns what this VM has observed of its own zone's upstreams.
   std::function<ZoneReach()> mOwnZoneReach;
+  /// Returns whether other zones answer this VM.
+  std::function<ZoneReach()> mOutboundReach;
   caf::actor mFetchActor;
   std::uint64_t mIncarnation = 1;
 };
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -141,6 +141,9 @@
   arguments.mOwnZoneReach = [worker = mWorker.get()] {
     return worker->OwnZoneReach();
   };
+  arguments.mOutboundReach = [worker = mWorker.get()] {
+    return worker->OutboundReach();
+  };
   arguments.mSend = [link = mLink.get()](Endpoint aTo,
                                          std::string const& aBytes) {
     link->Send(aTo, aBytes);
--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -285,6 +285,34 @@
   CHECK_FALSE(mGroup.At(2).IsZoneSilent(mGroup.Now()));
 }
 
+/// Failure pattern *one way out*, found on yardline-tx-grown: nothing gets out
+/// of an evacuated zone for 6.6 s, while messages from other zones arrive. Its
+/// VMs stay ready, and hold callers whom VMs of other zones could serve.
+TEST(NodePeers, all_vms_of_a_zone_learn_that_nothing_gets_out_of_it)
+{
+  auto const nothingLeavesZoneA = [](std::size_t aFrom, std::size_t aTo) {
+    return LinkWithZoneACutOff(aFrom, aTo) || LinkWithZoneACutOff(aTo, 0);
+  };
+  mGroup.Run(seconds{ 5 });
+  for (std::size_t const vm : { 1, 4, 5 }) {
+    mGroup.At(vm).SetZoneReach(ZoneReach::Answering); // VMs of other zones.
+  }
+  for (auto const end = mGroup.Now() + seconds{ 2 }; mGroup.Now() < end;) {
+    mGroup.At(0).SetOutboundReach(mGroup.Now(), ZoneReach::Silent);
+    mGroup.Run(milliseconds{ 50 }, nothingLeavesZoneA);
+  }
+  for (std::size_t const vm : { 0, 2, 3 }) {
+    CHECK_FALSE(mGroup.At(vm).IsZoneCutOff(mGroup.Now()));
+    CHECK(mGroup.At(vm).IsOutboundLost(mGroup.Now()));
+  }
+  CHECK_FALSE(mGroup.At(1).IsOutboundLost(mGroup.Now()));
+  mGroup.At(0).SetOutboundReach(mGroup.Now(), ZoneReach::Answering);
+  mGroup.Run(seconds{ 2 });
+  for (std::size_t const vm : { 0, 2, 3 }) {
+    CHECK_FALSE(mGroup.At(vm).IsOutboundLost(mGroup.Now()));
+  }
+}
+
 namespace {
 
 /// Relays one change of a revision and returns the revision after which the
