--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -6,6 +6,7 @@
 #include "tarragonsill/coordination/tarragonsill_crash_detector.hpp"
 #include "tarragonsill/coordination/tarragonsill_expected_delay.hpp"
 #include "tarragonsill/coordination/tarragonsill_opening_hedger.hpp"
+#include "tarragonsill/coordination/tarragonsill_outbound_reach.hpp"
 #include "tarragonsill/coordination/tarragonsill_service_admission.hpp"
 #include "tarragonsill/coordination/tarragonsill_upstream_selector.hpp"
 #include "tarragonsill/protocol/tarragonsill_flow_packet.hpp"
@@ -234,6 +235,8 @@
 
   /// What this VM has observed of its own zone's upstreams.
   ZoneReach OwnZoneReach(TimePoint aNow) const;
+  /// Whether any other zone answered this VM, as of the last sweep.
+  ZoneReach OutboundReach() const { return mOutboundReach.Reach(); }
 
   /// Returns what this VM has observed of those upstreams of its zone that have
   /// flows or answered since the last call.
@@ -290,6 +293,13 @@
   /// Whether the caller retransmitted data of the flow several times and still
   /// does.
   bool IsRepeating(TimePoint aNow, Detail::TrackedFlow const& aFlow) const;
+  /// Updates whether other zones answer this VM; requests a probe if none does.
+  void ReviewOutboundReach(TimePoint aNow);
+  /// While no other zone answers, an upstream that accepts a connection shows
+  /// that its zone is reached again.
+  void RecordProbeReach(TimePoint aNow,
+                        std::uint32_t aSlot,
+                        ConnectResult aResult);
   std::uint64_t SaturationKey(std::uint32_t aService, Endpoint aRoute) const;
   /// Records the answer time for latencies, zone saturation and relative answer
   /// time.
@@ -359,6 +369,7 @@
   ActiveHealthChecker mChecker;
   OpeningHedger mHedger;
   std::uint64_t mHedgesAnsweredFirst = 0;
+  OutboundReachDetector mOutboundReach;
   std::vector<CrashDetector> mCrashDetectors; ///< By slot.
   ServiceAdmission mAdmission;
   SteeringLatencies mLatencies;
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -224,8 +224,11 @@
     if (aMessage.has_load_report()) {
       HandleLoadReport(aNow, *from, aMessage.load_report(), aOutbox);
     }
+    mOutboundReach.RecordZonePeer(
+      aNow, sender, ZoneReachOf(aMessage.outbound_reach()));
   } else {
     mOtherZonesSeenAt = aNow;
+    mOutboundReach.RecordOtherZone(aNow, ZoneReachOf(aMessage.zone_reach()));
   }
   // Watchers in an older era know nothing of the store's current state.
   if (aMessage.has_watch() && aMessage.store_era() >= mEra) {
@@ -297,6 +300,7 @@
     message.set_evacuations_era(mDigest.mEvacuations.mEra);
     message.set_store_era(mEra);
     message.set_zone_reach(ToWire(mZoneReach.Own()));
+    message.set_outbound_reach(ToWire(mOutboundReach.Own()));
     // Load reports are too frequent to repeat the state of the watches.
     if (mLastWatchAnswer && !message.has_load_report()) {
       auto& report = *message.mutable_watch();
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -5,6 +5,7 @@
 #include "tarragonsill/coordination/tarragonsill_knowledge_sync.hpp"
 #include "tarragonsill/coordination/tarragonsill_load_exchange.hpp"
 #include "tarragonsill/coordination/tarragonsill_membership.hpp"
+#include "tarragonsill/coordination/tarragonsill_outbound_reach.hpp"
 #include "tarragonsill/coordination/tarragonsill_store_freshness.hpp"
 #include "tarragonsill/coordination/tarragonsill_watch_relay.hpp"
 #include "tarragonsill/coordination/tarragonsill_zone_reach.hpp"
@@ -104,6 +105,16 @@
   /// Returns what the other VMs of the zone observe, if it may have changed
   /// since the previous call.
   SharedLoadsPointer TakeSharedLoads(TimePoint aNow);
+  /// Sets whether other zones answer this VM.
+  void SetOutboundReach(TimePoint aNow, ZoneReach aReach)
+  {
+    mOutboundReach.SetOwn(aNow, mMembership.Self().mName, aReach);
+  }
+  /// Whether nothing gets out of the zone, though other zones serve.
+  bool IsOutboundLost(TimePoint aNow) const
+  {
+    return mOutboundReach.IsLost(aNow);
+  }
   std::uint64_t SelfHash() const { return mMembership.Self().NameHash(); }
   Membership const& Members() const { return mMembership; }
 
@@ -131,6 +142,7 @@
   KnowledgeSync mSync;
   WatchRelay mRelay;
   ZoneReachReports mZoneReach;
+  OutboundReachReports mOutboundReach;
   WatchRole mRole = WatchRole::ReliesOnPeers;
   bool mIsFirstStart = false;
   std::optional<TimePoint> mLastWatchAnswer;
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -16,6 +16,7 @@
 #include <atomic>
 #include <memory>
 #include <thread>
+#include <utility>
 
 /// The packet thread of an entry VM that steers flows by cookies.
 namespace tarragonsill {
@@ -70,6 +71,8 @@
   /// What this VM had observed of its own zone's upstreams at the last sweep.
   /// Thread-safe.
   ZoneReach OwnZoneReach() const { return mOwnZoneReach; }
+  /// Whether other zones answered this VM, as of the last sweep. Thread-safe.
+  ZoneReach OutboundReach() const { return mOutboundReach; }
 
   /// The number of services whose upstreams could not serve all that arrived,
   /// at the last sweep. Thread-safe.
@@ -161,6 +164,7 @@
         mOwnZoneReach = mSteering.OwnZoneReach(now);
         mServicesShort = mSteering.ServicesShort();
         PublishObservations(now);
+        mOutboundReach = mSteering.OutboundReach();
         SendResets();
         WriteZoneChanges(now);
         WriteShortageEvents(mLog, mSteering.TakeShortageEvents());
@@ -318,6 +322,10 @@
                  change.mIsSilent ? "zone_silent" : "zone_answers_again",
                  { { "zone", change.mZone } });
     }
+    bool const isLost = mSteering.OutboundReach() == ZoneReach::Silent;
+    if (std::exchange(mIsOutboundLost, isLost) != isLost) {
+      mLog.Write("steer", isLost ? "outbound_lost" : "outbound_regained", {});
+    }
   }
 
   std::vector<LogField> FieldsOf(SteeringLogEntry const& aEntry) const
@@ -477,9 +485,11 @@
   std::array<Header, UdpSocket::kBatch> mHeaders{};
   std::size_t mUsedHeaders = 0;
   TimePoint mNextSweep{};
+  bool mIsOutboundLost = false; ///< As last written to the log.
   std::atomic<ZoneReach> mOwnZoneReach{ ZoneReach::Unknown };
   std::atomic<double> mMaxHedgeShare{ 0.0 };
   std::atomic<std::uint32_t> mServicesShort{ 0 };
+  std::atomic<ZoneReach> mOutboundReach{ ZoneReach::Unknown };
   std::atomic<bool> mStop{ false };
   std::thread mThread;
 };
--- a/src/tarragonsill/transport/tarragonsill_node_actor.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.hpp
@@ -26,6 +26,8 @@
   std::function<ObservationsPointer()> mObservations;
   /// Hands what other VMs of the zone observe to the packet thread.
   std::function<void(SharedLoadsPointer)> mPublishLoads;
+  /// Returns whether other zones answer this VM.
+  std::function<ZoneReach()> mOutboundReach;
   caf::actor mFetchActor;
   std::uint64_t mIncarnation = 1;
 };
