--- a/src/tarragonsill/state/tarragonsill_counters.cpp
+++ b/src/tarragonsill/state/tarragonsill_counters.cpp
@@ -83,8 +83,6 @@
   "tarragonsill_openings_rejected_total",
   "tarragonsill_openings_hedged_total",
   "tarragonsill_hedges_answered_first_total",
-  "tarragonsill_packets_detoured_total",
-  "tarragonsill_packets_detoured_for_peer_total",
 };
 
 } // namespace
--- a/src/tarragonsill/state/tarragonsill_counters.hpp
+++ b/src/tarragonsill/state/tarragonsill_counters.hpp
@@ -90,8 +90,6 @@
   OpeningsRejected,
   OpeningsHedged,
   HedgesAnsweredFirst,
-  PacketsDetoured,
-  PacketsDetouredForPeer,
   Count,
 };
 
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -159,196 +159,201 @@
   arguments.mObservations = [worker = mWorker.get()] {
     return worker->Observations();
   };
-  arguments.mPublishLoads =
-    [worker = mWorker.get()](SharedLoadsPointer aLoads) {
-      worker->PostSharedLoads(std::move(aLoads));
-      arguments.mOutboundReach = [worker = mWorker.get()] {
-        return worker->OutboundReach();
-      };
-      arguments.mSend = [link = mLink.get()](Endpoint aTo,
-                                             std::string const& aBytes) {
-        link->Send(aTo, aBytes);
-      };
-      arguments.mFetchActor = mSystem.spawn<caf::detached>(KnowledgeFetchActor);
-      arguments.mIncarnation = NewIncarnation();
-      mActors.push_back(arguments.mFetchActor);
-      mNodeActor = mSystem.spawn(NodeActor, std::move(arguments));
-      for (auto const kind : kObjectKinds) {
-        mWatches.push_back(
-          std::make_shared<PlatformWatch>(mState->mSettings.mStore,
-                                          kind,
-                                          mState->mCounters,
-                                          mState->mFreshness,
-                                          mState->mSettings.mMechanisms));
-        mActors.push_back(mSystem.spawn<caf::detached>(
-          StoreWatchActor, mState, mNodeActor, kind, mWatches.back()));
+  arguments.mPublishLoads = [worker =
+                               mWorker.get()](SharedLoadsPointer aLoads) {
+    worker->PostSharedLoads(std::move(aLoads));
+  };
+  arguments.mOutboundReach = [worker = mWorker.get()] {
+    return worker->OutboundReach();
+  };
+  arguments.mSend = [link = mLink.get()](Endpoint aTo,
+                                         std::string const& aBytes) {
+    link->Send(aTo, aBytes);
+  };
+  arguments.mFetchActor = mSystem.spawn<caf::detached>(KnowledgeFetchActor);
+  arguments.mIncarnation = NewIncarnation();
+  mActors.push_back(arguments.mFetchActor);
+  mNodeActor = mSystem.spawn(NodeActor, std::move(arguments));
+  for (auto const kind : kObjectKinds) {
+    mWatches.push_back(
+      std::make_shared<PlatformWatch>(mState->mSettings.mStore,
+                                      kind,
+                                      mState->mCounters,
+                                      mState->mFreshness,
+                                      mState->mSettings.mMechanisms));
+    mActors.push_back(mSystem.spawn<caf::detached>(
+      StoreWatchActor, mState, mNodeActor, kind, mWatches.back()));
+  }
+  mActors.push_back(mNodeActor);
+  mLink->Start(mNodeActor);
+}
+
+Result<Success>
+NodeDaemon::Impl::StartPeerCommunication()
+{
+  auto socket = UdpSocket::Bind(mState->mSettings.mPeers);
+  if (!socket) {
+    return socket.LastReason();
+  }
+  mLink = std::make_unique<ControlLink>(
+    socket.Take(), mState->mCounters, [](Endpoint) { return true; });
+  StartActors();
+  auto server = KnowledgeServer::Start(
+    mState->mSettings.mKnowledge,
+    [node =
+       mNodeActor](auto const& aPeerDigest) -> std::optional<KnowledgeLists> {
+      auto const promise = std::make_shared<std::promise<KnowledgeLists>>();
+      auto future = promise->get_future();
+      caf::anon_send(node, KnowledgeRequested{ aPeerDigest, promise });
+      if (future.wait_for(kPeerAnswerTimeout) != std::future_status::ready) {
+        return std::nullopt;
       }
-      mActors.push_back(mNodeActor);
-      mLink->Start(mNodeActor);
-    }
+      return future.get();
+    });
+  if (!server) {
+    return server.LastReason();
+  }
+  mKnowledgeServer = server.Take();
+  return Success{};
+}
 
-  Result<Success>
-  NodeDaemon::Impl::StartPeerCommunication()
-  {
-    auto socket = UdpSocket::Bind(mState->mSettings.mPeers);
-    if (!socket) {
-      return socket.LastReason();
-    }
-    mLink = std::make_unique<ControlLink>(
-      socket.Take(), mState->mCounters, [](Endpoint) { return true; });
-    StartActors();
-    auto server = KnowledgeServer::Start(
-      mState->mSettings.mKnowledge,
-      [node =
-         mNodeActor](auto const& aPeerDigest) -> std::optional<KnowledgeLists> {
-        auto const promise = std::make_shared<std::promise<KnowledgeLists>>();
-        auto future = promise->get_future();
-        caf::anon_send(node, KnowledgeRequested{ aPeerDigest, promise });
-        if (future.wait_for(kPeerAnswerTimeout) != std::future_status::ready) {
-          return std::nullopt;
-        }
-        return future.get();
-      });
+Result<Success>
+NodeDaemon::Impl::StartPageServers()
+{
+  auto const readiness = [state = mState](auto const&) {
+    bool const ready =
+      state->mIsComplete && state->mCanServe && !state->mIsLeaving;
+    return Page{ ready ? HttpConnection::kStatusOk : kStatusUnavailable,
+                 "text/plain",
+                 ready ? "ready\n" : "not ready\n" };
+  };
+  auto const metrics = [state = mState, worker = mWorker.get()](auto const&) {
+    auto const& name = state->mSettings.mName;
+    auto const& latencies = worker->Latencies();
+    Page page;
+    page.mBody =
+      state->mCounters.ToExposition(name) +
+      GaugeLine("tarragonsill_store_era", name, state->mStoreEra) +
+      GaugeLine("tarragonsill_services_short", name, worker->ServicesShort()) +
+      StateAgeLine(*state) + LoadMetrics(*state) +
+      state->mSettings.mMechanisms.ToExposition(name) +
+      latencies.mHandshake.ToExposition("tarragonsill_handshake_seconds",
+                                        name) +
+      latencies.mAnswer.ToExposition("tarragonsill_answer_seconds", name);
+    return page;
+  };
+  auto const& settings = mState->mSettings;
+  for (auto const& [address, path, handler] :
+       { std::tuple(settings.mReadiness,
+                    std::string("/readiness"),
+                    PageServer::Handler(readiness)),
+         std::tuple(settings.mMetrics,
+                    std::string("/metrics"),
+                    PageServer::Handler(metrics)) }) {
+    auto server = PageServer::Start(address, { { path, handler } });
     if (!server) {
       return server.LastReason();
     }
-    mKnowledgeServer = server.Take();
-    return Success{};
-  }
-
-  Result<Success> NodeDaemon::Impl::StartPageServers()
-  {
-    auto const readiness = [state = mState](auto const&) {
-      bool const ready =
-        state->mIsComplete && state->mCanServe && !state->mIsLeaving;
-      return Page{ ready ? HttpConnection::kStatusOk : kStatusUnavailable,
-                   "text/plain",
-                   ready ? "ready\n" : "not ready\n" };
-    };
-    auto const metrics = [state = mState, worker = mWorker.get()](auto const&) {
-      auto const& name = state->mSettings.mName;
-      auto const& latencies = worker->Latencies();
-      Page page;
-      page.mBody =
-        state->mCounters.ToExposition(name) +
-        GaugeLine("tarragonsill_store_era", name, state->mStoreEra) +
-        GaugeLine(
-          "tarragonsill_services_short", name, worker->ServicesShort()) +
-        StateAgeLine(*state) + LoadMetrics(*state) +
-        state->mSettings.mMechanisms.ToExposition(name) +
-        latencies.mHandshake.ToExposition("tarragonsill_handshake_seconds",
-                                          name) +
-        latencies.mAnswer.ToExposition("tarragonsill_answer_seconds", name);
-      return page;
-    };
-    auto const& settings = mState->mSettings;
-    for (auto const& [address, path, handler] :
-         { std::tuple(settings.mReadiness,
-                      std::string("/readiness"),
-                      PageServer::Handler(readiness)),
-           std::tuple(settings.mMetrics,
-                      std::string("/metrics"),
-                      PageServer::Handler(metrics)) }) {
-      auto server = PageServer::Start(address, { { path, handler } });
-      if (!server) {
-        return server.LastReason();
-      }
-      mPageServers.push_back(server.Take());
-    }
-    return Success{};
+    mPageServers.push_back(server.Take());
   }
+  return Success{};
+}
 
-  NodeDaemon::NodeDaemon(std::unique_ptr<Impl> aImpl)
-    : mImpl(std::move(aImpl))
-  {
-  }
+NodeDaemon::NodeDaemon(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
 
-  NodeDaemon::~NodeDaemon() = default;
+NodeDaemon::~NodeDaemon() = default;
 
-  Result<std::unique_ptr<NodeDaemon>> NodeDaemon::Start(NodeSettings aSettings)
-  {
-    auto impl = std::make_unique<Impl>(std::move(aSettings));
-    auto const& settings = impl->mState->mSettings;
-    impl->mState->mLog.Write("entry",
-                             "started",
-                             { { "zone", settings.mZone },
-                               { "packets", ToText(settings.mPackets) },
-                               { "store", ToText(settings.mStore) } });
-    for (auto const& name : settings.mMechanisms.DisabledNames()) {
-      impl->mState->mLog.Write("entry", "mechanism_off", { { "name", name } });
-    }
-    auto worker = Worker::Start(settings.mPackets,
-                                HashText(settings.mName),
-                                settings.mMechanisms,
-                                impl->mState->mCurrentAsOf,
-                                impl->mState->mCounters,
-                                impl->mState->mLog);
-    if (!worker) {
-      return worker.LastReason();
-    }
-    impl->mWorker = worker.Take();
-    impl->ApplyHedgeShare(settings);
-    auto const peers = impl->StartPeerCommunication();
-    if (!peers) {
-      return peers.LastReason();
-    }
-    auto const pages = impl->StartPageServers();
-    if (!pages) {
-      return pages.LastReason();
-    }
-    return std::unique_ptr<NodeDaemon>(new NodeDaemon(std::move(impl)));
+Result<std::unique_ptr<NodeDaemon>>
+NodeDaemon::Start(NodeSettings aSettings)
+{
+  auto impl = std::make_unique<Impl>(std::move(aSettings));
+  auto const& settings = impl->mState->mSettings;
+  impl->mState->mLog.Write("entry",
+                           "started",
+                           { { "zone", settings.mZone },
+                             { "packets", ToText(settings.mPackets) },
+                             { "store", ToText(settings.mStore) } });
+  for (auto const& name : settings.mMechanisms.DisabledNames()) {
+    impl->mState->mLog.Write("entry", "mechanism_off", { { "name", name } });
   }
-
-  void NodeDaemon::Reload(NodeSettings const& aSettings)
-  {
-    auto const& current = mImpl->mState->mSettings;
-    auto const changedSetting = FindRestartSetting(current, aSettings);
-    if (!changedSetting) {
-      mImpl->mShutdownGrace = aSettings.mBounds.mGrace;
-      mImpl->ApplyHedgeShare(aSettings);
-      caf::anon_send(
-        mImpl->mNodeActor,
-        SettingsChanged{ std::make_shared<NodeSettings const>(aSettings) });
-    }
-    mImpl->mState->mLog.Write(
-      "entry",
-      "reloaded",
-      { { "outcome",
-          changedSetting ? "refused, needs a restart"
-                         : "bounds and times taken over" },
-        { "reason", changedSetting ? *changedSetting + " differs" : "" } });
+  auto worker = Worker::Start(settings.mPackets,
+                              HashText(settings.mName),
+                              settings.mMechanisms,
+                              impl->mState->mCurrentAsOf,
+                              impl->mState->mCounters,
+                              impl->mState->mLog);
+  if (!worker) {
+    return worker.LastReason();
+  }
+  impl->mWorker = worker.Take();
+  impl->ApplyHedgeShare(settings);
+  auto const peers = impl->StartPeerCommunication();
+  if (!peers) {
+    return peers.LastReason();
   }
+  auto const pages = impl->StartPageServers();
+  if (!pages) {
+    return pages.LastReason();
+  }
+  return std::unique_ptr<NodeDaemon>(new NodeDaemon(std::move(impl)));
+}
 
-  void NodeDaemon::LogReloadError(Reason const& aReason)
-  {
-    mImpl->mState->mLog.Write("entry",
-                              "reloaded",
-                              { { "outcome", "refused, nothing changed" },
-                                { "reason", aReason.mText } });
+void
+NodeDaemon::Reload(NodeSettings const& aSettings)
+{
+  auto const& current = mImpl->mState->mSettings;
+  auto const changedSetting = FindRestartSetting(current, aSettings);
+  if (!changedSetting) {
+    mImpl->mShutdownGrace = aSettings.mBounds.mGrace;
+    mImpl->ApplyHedgeShare(aSettings);
+    caf::anon_send(
+      mImpl->mNodeActor,
+      SettingsChanged{ std::make_shared<NodeSettings const>(aSettings) });
   }
+  mImpl->mState->mLog.Write(
+    "entry",
+    "reloaded",
+    { { "outcome",
+        changedSetting ? "refused, needs a restart"
+                       : "bounds and times taken over" },
+      { "reason", changedSetting ? *changedSetting + " differs" : "" } });
+}
 
-  void NodeDaemon::Leave()
-  {
-    auto& state = *mImpl->mState;
-    auto const requestTime = Clock::now();
-    auto const deadline =
-      requestTime + mImpl->mShutdownGrace - kRouterRemovalTime - kShutdownTime;
-    state.mLog.Write("entry", "asked_to_leave", {});
-    bool const staysReady =
-      state.mSettings.mMechanisms.Uses(Mechanism::StayReady);
-    while (staysReady && !state.mMayLeave && Clock::now() < deadline) {
-      std::this_thread::sleep_for(kLeavePollPeriod);
-    }
-    auto const waited =
-      std::chrono::duration_cast<milliseconds>(Clock::now() - requestTime);
-    state.mLog.Write(
-      "entry", "leaving", { { "waited_ms", std::int64_t{ waited.count() } } });
-    state.mIsLeaving = true;
-    std::this_thread::sleep_for(kRouterRemovalTime);
-    for (auto const& watch : mImpl->mWatches) {
-      watch->Cancel();
-    }
-    state.mLog.Write("entry", "stopped", {});
+void
+NodeDaemon::LogReloadError(Reason const& aReason)
+{
+  mImpl->mState->mLog.Write(
+    "entry",
+    "reloaded",
+    { { "outcome", "refused, nothing changed" }, { "reason", aReason.mText } });
+}
+
+void
+NodeDaemon::Leave()
+{
+  auto& state = *mImpl->mState;
+  auto const requestTime = Clock::now();
+  auto const deadline =
+    requestTime + mImpl->mShutdownGrace - kRouterRemovalTime - kShutdownTime;
+  state.mLog.Write("entry", "asked_to_leave", {});
+  bool const staysReady =
+    state.mSettings.mMechanisms.Uses(Mechanism::StayReady);
+  while (staysReady && !state.mMayLeave && Clock::now() < deadline) {
+    std::this_thread::sleep_for(kLeavePollPeriod);
+  }
+  auto const waited =
+    std::chrono::duration_cast<milliseconds>(Clock::now() - requestTime);
+  state.mLog.Write(
+    "entry", "leaving", { { "waited_ms", std::int64_t{ waited.count() } } });
+  state.mIsLeaving = true;
+  std::this_thread::sleep_for(kRouterRemovalTime);
+  for (auto const& watch : mImpl->mWatches) {
+    watch->Cancel();
   }
+  state.mLog.Write("entry", "stopped", {});
+}
 
 } // namespace tarragonsill
