Place new flows by the delay expected at each upstream

Cause: new flows are spread evenly over a zone's upstreams, as a VM knows neither the load nor the speed of an upstream that also serves the other VMs. Change: among candidates of equal rank in the own zone, UpstreamSelector takes the better of two that are drawn by room, by relative answer time and utilization from the shared loads and the VM's own flows. Requests per flow are observed per route. The checks before it (health, registration, evacuation, cold limits, zone) stay, and without fresh loads the decision is that of before. New: field `basis` of new_flow and second_choice, counter placements_by_delay.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -228,7 +228,12 @@
     mSelector.Pick(aNow,
                    *mView,
                    mView->mServices[service],
-                   { mLoads, mZoneSilence, isSaturated, avoid });
+                   { mLoads,
+                     mZoneSilence,
+                     isSaturated,
+                     avoid,
+                     mSharedLoads.get(),
+                     RequestsPerFlowOf(aPacket.mDestination) });
   if (!selection) {
     return NotForwarded(SteeringAction::Drop, SteeringCause::NoUpstream);
   }
@@ -236,6 +241,7 @@
   EraseFlow(key);
   auto& flow = TrackFlow(aNow, aPacket, selection->mSlot);
   flow.mIsOpening = true;
+  flow.mIsOpenedHere = true;
   SetCountsAsOpening(flow, true);
   auto& tracker = mLoads[selection->mSlot].mPassiveHealth;
   auto const cause =
@@ -247,7 +253,9 @@
               tracker.Health(aNow));
   tracker.RecordOpening(aNow);
   ZoneSilenceOf(selection->mSlot).RecordAttempt(aNow, selection->mSlot);
-  return ForwardTo(selection->mSlot, cause);
+  auto verdict = ForwardTo(selection->mSlot, cause);
+  verdict.mIsByDelay = selection->mIsByDelay;
+  return verdict;
 }
 
 SteeringVerdict
@@ -284,6 +292,7 @@
       known->mFirstSequence = opening.mFirstSequence;
       known->mDataSent = opening.mDataSent;
       known->mIsOpening = true;
+      known->mIsOpenedHere = opening.mIsOpenedHere;
     }
   }
   known->mIsPinned = isPinned || isFirstPacket || isAnswered;
@@ -350,6 +359,7 @@
                           hasUpstream,
                           aHealth,
                           std::nullopt });
+  mLogEntries.back().mIsByDelay = aSelection.mIsByDelay;
 }
 
 void
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -4,6 +4,7 @@
 #include "tarragonsill/coordination/tarragonsill_active_health_checker.hpp"
 #include "tarragonsill/coordination/tarragonsill_answer_observer.hpp"
 #include "tarragonsill/coordination/tarragonsill_crash_detector.hpp"
+#include "tarragonsill/coordination/tarragonsill_expected_delay.hpp"
 #include "tarragonsill/coordination/tarragonsill_upstream_selector.hpp"
 #include "tarragonsill/protocol/tarragonsill_flow_packet.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
@@ -73,6 +74,8 @@
   SteeringCause mCause = SteeringCause::UnknownRoute;
   std::uint32_t mSlot = 0;   ///< The upstream, if the packet is forwarded.
   std::uint32_t mCookie = 0; ///< The cookie to write before forwarding.
+  /// Whether the upstream of a new flow was chosen by the expected delay.
+  bool mIsByDelay = false;
 };
 
 /// A reset that is not an answer to a packet.
@@ -106,6 +109,7 @@
   ConnectResult mLastProbe = ConnectResult::Accepted;
   std::uint32_t mRetransmissions = 0;
   milliseconds mAnswerAge{ 0 }; ///< Since the last answer to any flow.
+  bool mIsByDelay = false;      ///< Whether the cost is the expected delay.
 };
 
 namespace Detail {
@@ -130,7 +134,9 @@
   bool mHasSentData = false;     ///< Data of the flow passed through this VM.
   bool mInProgress = false;      ///< Data was sent and no answer was seen.
   bool mIsPinned = false;        ///< `mSlot` is known to hold the flow.
-  bool mIsClosed = false; ///< Closed by the caller; not part of the load.
+  bool mIsClosed = false;      ///< Closed by the caller; not part of the load.
+  bool mIsOpenedHere = false;  ///< This VM got its opening packet.
+  std::uint32_t mRequests = 0; ///< Seen by this VM.
 };
 
 /// Returns the flow table key of a packet's flow.
@@ -228,6 +234,10 @@
   /// Records the answer time for latencies, zone saturation and relative answer
   /// time.
   void RecordAnswerTime(TimePoint aNow, Detail::TrackedFlow const& aFlow);
+  /// Records the requests of a flow that its caller closes.
+  void RecordFlowEnd(Detail::TrackedFlow const& aFlow);
+  /// The mean number of requests of a route's flows.
+  double RequestsPerFlowOf(Endpoint aRoute) const;
   SteeringVerdict ForwardTo(std::uint32_t aSlot, SteeringCause aCause) const;
   Detail::TrackedFlow& TrackFlow(TimePoint aNow,
                                  FlowPacket const& aPacket,
@@ -263,6 +273,8 @@
   /// By service and route, as answer times differ between kinds of requests.
   std::unordered_map<std::uint64_t, ZoneSaturationDetector>
     mSaturationDetectors;
+  /// By route.
+  std::unordered_map<std::uint64_t, RequestsPerFlow> mRequestsPerFlow;
   FlowTable<Detail::TrackedFlow> mFlows;
   UpstreamSelector mSelector;
   ActiveHealthChecker mChecker;
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -219,10 +219,12 @@
   aFlow.mRetransmissions = 0;
   aFlow.mHasSentData = true;
   if (aPacket.mCloses) {
+    RecordFlowEnd(aFlow);
     ReleaseLoad(aFlow);
   }
   if (aPacket.mDataBytes > 0 && !aFlow.mInProgress && !aFlow.mIsClosed) {
     aFlow.mInProgress = true;
+    ++aFlow.mRequests;
     ++load.mInProgress;
   }
 }
--- a/src/tarragonsill/coordination/tarragonsill_upstream_selector.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_selector.cpp
@@ -128,10 +128,10 @@
 }
 
 double
-UpstreamSelector::Cost(TimePoint aNow,
-                       RoutingView const& aView,
-                       std::uint32_t aSlot,
-                       SelectionContext const& aContext) const
+UpstreamSelector::LoadCost(TimePoint aNow,
+                           RoutingView const& aView,
+                           std::uint32_t aSlot,
+                           SelectionContext const& aContext) const
 {
   auto const& upstream = aView.mUpstreams[aSlot];
   auto const& load = aContext.mLoads[aSlot];
@@ -141,7 +141,18 @@
   auto const slowness = mMechanisms.Uses(Mechanism::AnswerPace)
                           ? load.mAnswerTime.Slowness(aNow)
                           : 1.0;
-  double cost = work * slowness / slots;
+  return work * slowness / slots;
+}
+
+double
+UpstreamSelector::Rank(TimePoint aNow,
+                       RoutingView const& aView,
+                       std::uint32_t aSlot,
+                       SelectionContext const& aContext) const
+{
+  auto const& upstream = aView.mUpstreams[aSlot];
+  auto const& load = aContext.mLoads[aSlot];
+  double cost = 0.0;
   // If this VM alone has filled every slot, the next request is queued, while
   // the round trip to another zone takes only a millisecond.
   bool const isFull =
@@ -205,7 +216,7 @@
 {
   auto& loads = aContext.mLoads;
   std::optional<UpstreamSelection> best;
-  std::uint32_t candidates = 0;
+  mCandidates.clear();
   std::uint32_t ties = 0;
   for (auto const slot : aService.mUpstreams) {
     auto const& upstream = aView.mUpstreams[slot];
@@ -214,8 +225,9 @@
         (isCold && !CanTakeColdFlow(aNow, aView, upstream, loads[slot]))) {
       continue;
     }
-    ++candidates;
-    auto const cost = Cost(aNow, aView, slot, aContext);
+    auto const rank = Rank(aNow, aView, slot, aContext);
+    auto const cost = LoadCost(aNow, aView, slot, aContext) + rank;
+    mCandidates.push_back({ slot, rank });
     if (best && cost > best->mCost) {
       continue;
     }
@@ -229,7 +241,10 @@
   if (!best) {
     return std::nullopt;
   }
-  best->mCandidates = candidates;
+  best->mCandidates = static_cast<std::uint32_t>(mCandidates.size());
+  if (auto const byDelay = PickByDelay(aNow, aView, aContext, *best)) {
+    best = byDelay;
+  }
   auto& chosen = loads[best->mSlot];
   auto& zoneSilence =
     aContext.mZoneSilence[aView.mUpstreams[best->mSlot].mZone];
--- a/src/tarragonsill/coordination/tarragonsill_upstream_selector.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_selector.hpp
@@ -6,6 +6,7 @@
 #include "tarragonsill/coordination/tarragonsill_zone_silence_detector.hpp"
 #include "tarragonsill/state/tarragonsill_mechanisms.hpp"
 #include "tarragonsill/state/tarragonsill_routing_view.hpp"
+#include "tarragonsill/state/tarragonsill_shared_load.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -61,6 +62,9 @@
   std::uint32_t mSlot = 0;
   double mCost = 0.0;
   std::uint32_t mCandidates = 0;
+  /// Whether the cost is the expected delay, relative to the usual answer time,
+  /// from the loads of all VMs.
+  bool mIsByDelay = false;
 };
 
 class UpstreamSelector
@@ -85,6 +89,10 @@
     bool mIsZoneSaturated = false;
     /// An upstream that has already been offered this flow.
     std::optional<std::uint32_t> mAvoid;
+    /// What the other VMs of the zone observe; may be null.
+    SharedLoads const* mSharedLoads = nullptr;
+    /// The mean number of requests of the route's flows.
+    double mRequestsPerFlow = 1.0;
   };
   /// Selects the upstream for a new flow.
   std::optional<UpstreamSelection> Pick(TimePoint aNow,
@@ -101,7 +109,13 @@
                        RoutingView const& aView,
                        ResolvedUpstream const& aUpstream,
                        UpstreamLoad& aLoad) const;
-  double Cost(TimePoint aNow,
+  /// The cost of an upstream's load as observed by this VM.
+  double LoadCost(TimePoint aNow,
+                  RoutingView const& aView,
+                  std::uint32_t aSlot,
+                  SelectionContext const& aContext) const;
+  /// The cost of what goes before the load: health, registration and zone.
+  double Rank(TimePoint aNow,
               RoutingView const& aView,
               std::uint32_t aSlot,
               SelectionContext const& aContext) const;
@@ -110,8 +124,23 @@
                     PassiveHealthTracker const& aTracker,
                     ZoneSilenceDetector const& aZoneSilence) const;
 
+  /// Selects one of the candidates of the same rank as that of least cost by
+  /// the expected delay, if the loads of other VMs are known.
+  std::optional<UpstreamSelection> PickByDelay(
+    TimePoint aNow,
+    RoutingView const& aView,
+    SelectionContext const& aContext,
+    UpstreamSelection const& aLeastCost);
+
+  struct Candidate
+  {
+    std::uint32_t mSlot = 0;
+    double mRank = 0.0;
+  };
+
   std::mt19937_64 mRandom;
   Mechanisms mMechanisms;
+  std::vector<Candidate> mCandidates; ///< Of the selection in progress.
 };
 
 } // namespace tarragonsill
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -296,7 +296,10 @@
     fields.emplace_back("cost", aEntry.mCost);
     fields.emplace_back("candidates",
                         static_cast<std::int64_t>(aEntry.mCandidates));
-    if (aEntry.mProof) {
+    if (!aEntry.mProof) {
+      fields.emplace_back("basis",
+                          std::string(aEntry.mIsByDelay ? "shared" : "own"));
+    } else {
       fields.emplace_back("proof", std::string(ToText(*aEntry.mProof)));
       fields.emplace_back("last_probe", std::string(ToText(aEntry.mLastProbe)));
       fields.emplace_back("retransmissions",
@@ -360,6 +363,9 @@
     if (auto const counter = CounterOf(verdict.mCause)) {
       mCounters.Add(*counter);
     }
+    if (verdict.mIsByDelay) {
+      mCounters.Add(Counter::PlacementsByDelay);
+    }
     auto& header = mHeaders[mUsedHeaders++];
     switch (verdict.mAction) {
       case SteeringAction::Forward:
