Name the mechanism by what it does; give log lines files of their own

Change: the mechanism is outbound_reach; the fields of steering log lines and failed probes are in tarragonsill_steering_log, the steering's own entries in tarragonsill_cookie_steering_log.cpp. No decision changes.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_reach.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_reach.cpp
@@ -5,7 +5,7 @@
 void
 CookieSteering::ReviewOutboundReach(TimePoint aNow)
 {
-  if (!mMechanisms.Uses(Mechanism::ZoneDetours) ||
+  if (!mMechanisms.Uses(Mechanism::OutboundReach) ||
       !mMechanisms.Uses(Mechanism::SilentZones)) {
     return;
   }
--- a/src/tarragonsill/state/tarragonsill_mechanisms.cpp
+++ b/src/tarragonsill/state/tarragonsill_mechanisms.cpp
@@ -19,7 +19,7 @@
   "stay_ready",         "peers_first",      "drawn_watchers",
   "watch_scout",        "gathered_changes", "replica_lists",
   "missing_patience",   "load_reports",     "expected_delay",
-  "priority_admission", "hedged_openings",  "zone_detours",
+  "priority_admission", "hedged_openings",  "outbound_reach",
 };
 
 std::string
--- a/src/tarragonsill/state/tarragonsill_mechanisms.hpp
+++ b/src/tarragonsill/state/tarragonsill_mechanisms.hpp
@@ -43,7 +43,7 @@
   ExpectedDelay,     ///< Place flows by the delay expected at each upstream.
   PriorityAdmission, ///< Reject openings by priority during a shortage.
   HedgedOpenings,    ///< Offer a late opening to a second upstream.
-  ZoneDetours,       ///< Leave callers to other zones if no packet gets out.
+  OutboundReach,     ///< Leave callers to other zones if no packet gets out.
   Count,
 };
 
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -9,6 +9,7 @@
 #include "tarragonsill/transport/tarragonsill_connect_prober.hpp"
 #include "tarragonsill/transport/tarragonsill_node_log.hpp"
 #include "tarragonsill/transport/tarragonsill_shortage_log.hpp"
+#include "tarragonsill/transport/tarragonsill_steering_log.hpp"
 #include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
 
 #include <algorithm>
@@ -253,28 +254,10 @@
     return mSteering.View().mUpstreams[aSlot].mRegistration.mAddress;
   }
 
-  void LogFailedProbe(TimePoint aNow, ConnectProber::Result const& aResult)
-  {
-    auto const& upstream = mSteering.View().mUpstreams[aResult.mSlot];
-    auto const& tracker = mSteering.Loads()[aResult.mSlot].mPassiveHealth;
-    auto const answerAge =
-      std::chrono::duration_cast<milliseconds>(aNow - tracker.LastAnswer());
-    mLog.Write(
-      "steer",
-      "probe_failed",
-      { { "upstream", upstream.mRegistration.mName },
-        { "zone", upstream.mRegistration.mZone },
-        { "result", std::string(ToText(aResult.mResult)) },
-        { "registration", std::string(ToText(upstream.mAvailability)) },
-        { "answer_age_ms", static_cast<std::int64_t>(answerAge.count()) },
-        { "retransmissions",
-          static_cast<std::int64_t>(tracker.Retransmissions()) } });
-  }
-
   void HandleProbeResult(TimePoint aNow, ConnectProber::Result const& aResult)
   {
     if (aResult.mResult != ConnectResult::Accepted) {
-      LogFailedProbe(aNow, aResult);
+      WriteFailedProbe(mLog, aNow, mSteering, aResult.mSlot, aResult.mResult);
     }
     for (auto const slot :
          mSteering.RecordProbeResult(aNow, aResult.mSlot, aResult.mResult)) {
@@ -311,7 +294,9 @@
         mCounters.Add(Counter::LogLinesDropped);
         continue;
       }
-      mLog.Write("steer", ToText(entry.mCause).data(), FieldsOf(entry));
+      mLog.Write("steer",
+                 ToText(entry.mCause).data(),
+                 FieldsOf(entry, mSteering.View()));
     }
   }
 
@@ -328,44 +313,6 @@
     }
   }
 
-  std::vector<LogField> FieldsOf(SteeringLogEntry const& aEntry) const
-  {
-    auto const& view = mSteering.View();
-    std::vector<LogField> fields = {
-      { "flow", ToText(aEntry.mCaller) },
-      { "route", ToText(aEntry.mRoute) },
-      { "version", static_cast<std::int64_t>(view.mVersion) },
-    };
-    if (!aEntry.mHasUpstream) {
-      return fields;
-    }
-    auto const& registration = view.mUpstreams[aEntry.mSlot].mRegistration;
-    fields.emplace_back("upstream", registration.mName);
-    fields.emplace_back("zone", registration.mZone);
-    fields.emplace_back("health", std::string(ToText(aEntry.mHealth)));
-    fields.emplace_back("cost", aEntry.mCost);
-    fields.emplace_back("candidates",
-                        static_cast<std::int64_t>(aEntry.mCandidates));
-    if (aEntry.mHedge) {
-      auto const& first = view.mUpstreams[aEntry.mHedge->mSlot].mRegistration;
-      fields.emplace_back("first_upstream", first.mName);
-      fields.emplace_back(
-        "waited_ms", static_cast<std::int64_t>(aEntry.mHedge->mWaited.count()));
-    }
-    if (!aEntry.mProof) {
-      fields.emplace_back("basis",
-                          std::string(aEntry.mIsByDelay ? "shared" : "own"));
-    } else {
-      fields.emplace_back("proof", std::string(ToText(*aEntry.mProof)));
-      fields.emplace_back("last_probe", std::string(ToText(aEntry.mLastProbe)));
-      fields.emplace_back("retransmissions",
-                          static_cast<std::int64_t>(aEntry.mRetransmissions));
-      fields.emplace_back("answer_age_ms",
-                          static_cast<std::int64_t>(aEntry.mAnswerAge.count()));
-    }
-    return fields;
-  }
-
   /// Sends all queued datagrams.
   void Flush()
   {
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -363,7 +363,7 @@
     bool const isCutOff =
       mechanisms.Uses(Mechanism::CutZoneUnready) && mPeers.IsZoneCutOff(aNow);
     bool const isOutboundLost =
-      mechanisms.Uses(Mechanism::ZoneDetours) && mPeers.IsOutboundLost(aNow);
+      mechanisms.Uses(Mechanism::OutboundReach) && mPeers.IsOutboundLost(aNow);
     bool const isZoneSilent = mPeers.IsZoneSilent(aNow);
     bool const canServe = !(isCutOff || isOutboundLost) ||
                           (mDirectory.OwnZoneServes(aNow) && !isZoneSilent);
--- a/tests/coordination/test_cookie_outbound_reach.cpp
+++ b/tests/coordination/test_cookie_outbound_reach.cpp
@@ -105,7 +105,7 @@
 
 TEST(CookieOutboundReach, without_the_mechanism_nothing_is_observed)
 {
-  CookieSteering steering(1, Mechanisms::Without({ "zone_detours" }).Take());
+  CookieSteering steering(1, Mechanisms::Without({ "outbound_reach" }).Take());
   steering.SetView(mStore.View(mNow));
   LoseAllOpenings(steering);
   CHECK(steering.OutboundReach() == ZoneReach::Unknown);
