--- a/review/stand-ins-2/main.cpp
+++ b/review/stand-ins-2/main.cpp
@@ -211,10 +211,14 @@
 public:
   bool Start()
   {
-    mListener =
-      BindSocket(SOCK_STREAM, { gNetwork.Ip(3, 1), gNetwork.Store() });
-    if (mListener < 0) {
-      return false;
+    for (unsigned vm = 1; vm <= kMaxVms; ++vm) {
+      mListeners.push_back(
+        { BindSocket(SOCK_STREAM, { gNetwork.Ip(3, vm), gNetwork.Store() }),
+          POLLIN,
+          0 });
+      if (mListeners.back().fd < 0) {
+        return false;
+      }
     }
     mThread = std::thread([this] { Accept(); });
     return true;
@@ -228,7 +232,9 @@
     for (auto& thread : mConnections) {
       thread.join();
     }
-    ::close(mListener);
+    for (auto const& listener : mListeners) {
+      ::close(listener.fd);
+    }
   }
 
   /// Returns whether the write was acknowledged.
@@ -265,6 +271,39 @@
     return true;
   }
 
+  /// Calls of a VM about hosts.
+  struct Calls
+  {
+    int mLists = 0;
+    int mWatches = 0;
+    double mLastCall = 0.0;
+  };
+
+  /// Discards all history up to now: watches from before are answered by 410.
+  void DiscardHistory()
+  {
+    std::lock_guard const lock(mMutex);
+    gRecord.Line("the store discards its history");
+    mDiscards.push_back(Now());
+    mCompactedTo = mRevision;
+    mEvents.clear();
+    mChanged.notify_all();
+  }
+  double LastDiscardBefore(double aTime) const
+  {
+    double last = -100.0;
+    for (auto const at : mDiscards) {
+      last = at <= aTime ? at : last;
+    }
+    return last;
+  }
+
+  Calls CallsOf(unsigned aVm)
+  {
+    std::lock_guard const lock(mMutex);
+    return mVms[aVm];
+  }
+
   void SetDown(bool aIsDown)
   {
     std::lock_guard const lock(mMutex);
@@ -297,21 +336,27 @@
   void Accept()
   {
     while (!mStop) {
-      pollfd entry{ mListener, POLLIN, 0 };
-      if (::poll(&entry, 1, 50) <= 0) {
+      if (::poll(mListeners.data(), mListeners.size(), 50) <= 0) {
         continue;
       }
-      int const connection =
-        ::accept4(mListener, nullptr, nullptr, SOCK_CLOEXEC);
-      if (connection >= 0) {
-        int const one = 1;
-        ::setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-        mConnections.emplace_back([this, connection] { Serve(connection); });
+      for (std::size_t index = 0; index < mListeners.size(); ++index) {
+        if (mListeners[index].revents == 0) {
+          continue;
+        }
+        int const connection =
+          ::accept4(mListeners[index].fd, nullptr, nullptr, SOCK_CLOEXEC);
+        if (connection >= 0) {
+          int const one = 1;
+          ::setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+          mConnections.emplace_back([this, connection, vm = index + 1] {
+            Serve(connection, static_cast<unsigned>(vm));
+          });
+        }
       }
     }
   }
 
-  void Serve(int aConnection)
+  void Serve(int aConnection, unsigned aVm)
   {
     std::string input;
     while (!mStop) {
@@ -319,7 +364,7 @@
       if (end != std::string::npos) {
         auto const line = input.substr(0, input.find("\r\n"));
         input.erase(0, end + 4);
-        auto const answer = Answer(line);
+        auto const answer = Answer(aVm, line);
         if (::send(aConnection, answer.data(), answer.size(), MSG_NOSIGNAL) <
             0) {
           break;
@@ -347,7 +392,7 @@
            std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
   }
 
-  std::string Answer(std::string const& aRequestLine)
+  std::string Answer(unsigned aVm, std::string const& aRequestLine)
   {
     std::istringstream words(aRequestLine);
     std::string method;
@@ -371,6 +416,11 @@
     if (mIsDown) {
       return Http(503, "{}");
     }
+    if (kind == "servers") {
+      auto& vm = mVms[aVm];
+      (query.count("watch") == 0 ? vm.mLists : vm.mWatches) += 1;
+      vm.mLastCall = Now();
+    }
     if (query.count("watch") == 0) {
       return List(kind, query["after"]);
     }
@@ -409,8 +459,11 @@
              R"(,"object":)" + ToJson(event.mName, event.mObject) + "}");
         }
       }
-      return !events.empty() || mIsDown || mStop;
+      return !events.empty() || mIsDown || mStop || aFrom < mCompactedTo;
     });
+    if (aFrom < mCompactedTo) {
+      return Http(410, "{}");
+    }
     if (mIsDown) {
       return Http(503, "{}");
     }
@@ -419,7 +472,9 @@
                   std::to_string(mRevision) + "}");
   }
 
-  int mListener = -1;
+  static constexpr unsigned kMaxVms = 16;
+
+  std::vector<pollfd> mListeners;
   std::thread mThread;
   std::deque<std::thread> mConnections;
   std::atomic<bool> mStop{ false };
@@ -428,6 +483,9 @@
   std::map<std::string, std::map<std::string, Object>> mObjects;
   std::vector<Event> mEvents;
   std::uint64_t mRevision = 1;
+  std::uint64_t mCompactedTo = 0;
+  std::vector<double> mDiscards;
+  std::map<unsigned, Calls> mVms;
   bool mIsDown = false;
 };
 
@@ -601,6 +659,26 @@
 
   double NextBeat() const { return mNextBeat; }
 
+  /// Reports `draining`.
+  void Drain()
+  {
+    mDrainedAt = Now();
+    Beat();
+    mDrainedAt = Now();
+    gRecord.Line("the store acknowledged that host " + Name() + " drains");
+  }
+  double DrainedAt() const { return mDrainedAt; }
+  /// Leaves: its entry is removed.
+  void Leave()
+  {
+    gStore.Remove("servers", Name());
+    gRecord.Line("host " + Name() + " has left");
+    ::close(mSocket);
+    ::close(mListener);
+    mSocket = -1;
+    mListener = -1;
+  }
+
   /// A full host takes no new flows and serves those that it has.
   void SetFull(bool aIsFull)
   {
@@ -698,14 +776,7 @@
   void Beat()
   {
     mNextBeat = Now() + kHeartbeat;
-    auto const left = std::max(0.0, mColdUntil - Now());
-    std::string const spec =
-      R"({"service":")" + mOptions.mService + R"(","address":")" +
-      Text({ gNetwork.Ip(2, mOptions.mNumber), gNetwork.Host() }) +
-      R"(","zone":")" + mOptions.mZone + R"(","version":"v1","slots":)" +
-      std::to_string(kSlots) + R"(,"state":"ready","coldLeftMs":)" +
-      std::to_string(static_cast<int>(left * 1000.0)) + R"(,"seq":)" +
-      std::to_string(++mBeats) + R"(,"born":)" + std::to_string(mBorn) + "}";
+    auto const spec = Spec();
     // The entry changes when more than `seq` changes.
     auto const content = spec.substr(0, spec.find(",\"seq\""));
     if (content == mLastContent && mBorn == mLastBorn) {
@@ -718,6 +789,19 @@
     }
   }
 
+  std::string Spec()
+  {
+    auto const left = std::max(0.0, mColdUntil - Now());
+    return R"({"service":")" + mOptions.mService + R"(","address":")" +
+           Text({ gNetwork.Ip(2, mOptions.mNumber), gNetwork.Host() }) +
+           R"(","zone":")" + mOptions.mZone + R"(","version":"v1","slots":)" +
+           std::to_string(kSlots) + R"(,"state":")" +
+           (mDrainedAt > 0.0 ? "draining" : "ready") + R"(","coldLeftMs":)" +
+           std::to_string(static_cast<int>(left * 1000.0)) + R"(,"seq":)" +
+           std::to_string(++mBeats) + R"(,"born":)" + std::to_string(mBorn) +
+           "}";
+  }
+
   void Handle(Packet const& aPacket, std::uint32_t aVm)
   {
     auto const key = std::pair(aPacket.mSource, aPacket.mDestination);
@@ -797,6 +881,7 @@
   std::string mLastContent;
   double mNextBeat = 0.0;
   double mColdUntil = 0.0;
+  double mDrainedAt = 0.0;
   bool mIsFull = false;
   std::vector<std::pair<double, double>> mColdSpans;
   std::map<std::pair<Address, Address>, Flow> mFlows;
@@ -859,6 +944,7 @@
   unsigned mNumber = 0;
   pid_t mPid = 0;
   bool mIsRemoved = false;
+  std::vector<double> mStarts;
   int mMisses = 2; ///< Readiness checks in succession without 200.
   std::uint32_t Ip() const { return gNetwork.Ip(1, mNumber); }
 };
@@ -917,7 +1003,7 @@
        "250\nmaxStretchMs = 12000\nwarmupBurstFactor = 1.5\ncoldSlack = "
        "5\nevacuationDelayMs = 5000\nrecoveryS = 12\nflowSlackMs = "
        "2000\nmaxFlowS = 60\n[platform]\naddress = "
-    << quoted(Text({ gNetwork.Ip(3, 1), gNetwork.Store() }))
+    << quoted(Text({ gNetwork.Ip(3, aVm.mNumber), gNetwork.Store() }))
     << "\nproxyMode = \"objects\"\nwriteRateS = 400\nreadRateS = "
        "2000\nhistoryS = 20\nmaxValueBytes = 1048576\nminTtlMs = 1000\n";
   settings.close();
@@ -926,6 +1012,7 @@
   std::string const path = "PATH=/usr/bin:/bin";
   std::string port = "9464";
   gRecord.Line("platform starts " + aVm.mName + " at " + ip);
+  aVm.mStarts.push_back(Now());
   aVm.mPid = ::fork();
   if (aVm.mPid == 0) {
     // The VM ends with this program, also if that is killed.
@@ -1777,6 +1864,171 @@
   return broken == 0 && !effects.empty();
 }
 
+/// Starts a VM and returns the time until it is ready.
+static double
+MeasureStart(Vm& aVm)
+{
+  auto const begin = Now();
+  StartVm(aVm, false);
+  while (!AnswersReady(aVm) && Now() < begin + 5.0) {
+    SleepUntil(Now() + 0.002);
+  }
+  return Now() - begin;
+}
+
+/// Hosts are replaced one after the other. The store discards its history just
+/// after one of them has reported that it drains, and a VM process that was
+/// killed starts again. Several rounds.
+static bool
+DrainBeforeCompaction(std::function<void()> const& aBeginTrouble)
+{
+  gDeployment.mZones = { "a", "b" };
+  for (auto const* zone : { "a", "a", "a", "a", "b", "b" }) {
+    AddVm(zone);
+  }
+  gDeployment.mSeeds = { 1, 2, 3 };
+  for (unsigned number = 1; number <= 5; ++number) {
+    gHosts.Add(MakeHost(number, number <= 3 ? "a" : "b"));
+  }
+  if (!StartAll({ { "a", 120.0 }, { "b", 20.0 } })) {
+    return false;
+  }
+  SleepUntil(Now() + 6.0);
+  aBeginTrouble();
+  // Two VMs of a zone watch the store. Of the others, the last one restarts.
+  std::vector<unsigned> watching;
+  Vm* starter = nullptr;
+  for (std::size_t index = 0; index < 4; ++index) {
+    auto& vm = VmOf(index);
+    if (Now() - gStore.CallsOf(vm.mNumber).mLastCall < 2.5) {
+      watching.push_back(vm.mNumber);
+    } else {
+      starter = &vm;
+    }
+  }
+  if (starter == nullptr) {
+    gRecord.Summary("all VMs of the zone watch the store");
+    return false;
+  }
+  KillVm(*starter);
+  SleepUntil(Now() + 2.0);
+  auto const startTime = MeasureStart(*starter);
+  SleepUntil(Now() + 4.0);
+  unsigned number = 20;
+  auto const addHost = [&] {
+    auto& added = gHosts.Add(MakeHost(number++, "a"));
+    gHosts.Change([&] { (void)added.Start(false); });
+  };
+  for (int round = 0; round < 9; ++round) {
+    KillVm(*starter);
+    SleepUntil(Now() + 1.5);
+    Host* leaving = nullptr;
+    for (auto const& host : gHosts.All()) {
+      if (host->Options().mZone == "a" && host->DrainedAt() == 0.0) {
+        leaving = host.get();
+      }
+    }
+    std::map<unsigned, Store::Calls> before;
+    // The VM asks a peer for its state shortly before it is ready.
+    auto const asksAt = Now() + std::max(0.35, startTime + 0.02);
+    std::vector<std::pair<double, std::function<void()>>> events = {
+      { asksAt - startTime, [&] { StartVm(*starter, false); } },
+      { asksAt - 0.33, addHost },
+      { asksAt - 0.27, [&] { gHosts.Change([&] { leaving->Drain(); }); } },
+      { asksAt - 0.23,
+        [&] {
+          for (auto const vm : watching) {
+            before[vm] = gStore.CallsOf(vm);
+          }
+          if (gHasTrouble) {
+            gStore.DiscardHistory();
+          }
+        } },
+      { asksAt - 0.1,
+        [&] {
+          // Until the VMs that watch have listed the hosts again.
+          while (gHasTrouble && Now() < asksAt + 0.2 &&
+                 !std::all_of(watching.begin(), watching.end(), [&](auto aVm) {
+                   auto const calls = gStore.CallsOf(aVm);
+                   return calls.mLists > before[aVm].mLists &&
+                          calls.mWatches > before[aVm].mWatches + 1;
+                 })) {
+            SleepUntil(Now() + 0.001);
+          }
+          addHost();
+        } },
+    };
+    std::stable_sort(
+      events.begin(), events.end(), [](auto const& aLeft, auto const& aRight) {
+        return aLeft.first < aRight.first;
+      });
+    for (auto const& [at, event] : events) {
+      SleepUntil(at);
+      event();
+    }
+    SleepUntil(Now() + 6.5);
+    gHosts.Change([&] { leaving->Leave(); });
+    SleepUntil(Now() + 0.5);
+  }
+  return true;
+}
+
+/// Returns whether no draining host took a flow later than drainMs after the
+/// store's ack through a VM in touch.
+static bool
+CheckDrain()
+{
+  constexpr double kDrain = 3.0;
+  constexpr double kStabilityWindow = 4.0;
+  bool isKept = true;
+  for (auto const& host : gHosts.All()) {
+    if (host->DrainedAt() == 0.0) {
+      continue;
+    }
+    std::map<std::uint32_t, int> late;
+    double last = 0.0;
+    for (auto const& opening : host->Openings()) {
+      double sent = opening.mArrived;
+      for (auto const& clients : gClients) {
+        if (clients->Ip() == opening.mClient.mIp) {
+          sent = clients->SentAt(opening.mClient.mPort, opening.mArrived);
+        }
+      }
+      auto inTouchFrom = gStore.LastDiscardBefore(sent) + kStabilityWindow;
+      for (auto const& vm : gDeployment.mVms) {
+        if (vm.Ip() != opening.mVm) {
+          continue;
+        }
+        for (auto const started : vm.mStarts) {
+          inTouchFrom = started <= sent
+                          ? std::max(inTouchFrom, started + kStabilityWindow)
+                          : inTouchFrom;
+        }
+      }
+      bool const isLate = opening.mHasOpened && sent > inTouchFrom &&
+                          opening.mArrived > host->DrainedAt() + kDrain;
+      if (isLate) {
+        ++late[opening.mVm];
+        last = opening.mArrived - host->DrainedAt();
+      }
+    }
+    std::ostringstream text;
+    text << "host " << host->Name() << ", drains since " << host->DrainedAt()
+         << " s:";
+    for (auto const& [vm, count] : late) {
+      text << ' ' << count << " late flows from VM " << IpText(vm) << ',';
+    }
+    if (late.empty()) {
+      text << " no late flow";
+    } else {
+      text << " the last " << last << " s after the ack  BROKEN";
+    }
+    gRecord.Summary(text.str());
+    isKept = isKept && late.empty();
+  }
+  return isKept;
+}
+
 static int
 RunScenario(std::string const& aScenario)
 {
@@ -1793,9 +2045,10 @@
     { "three-zones-admit", [&] { return ThreeZonesAdmit(beginTrouble); } },
     { "restart-in-outage", [&] { return RestartInOutage(beginTrouble); } },
     { "copy-after-change", [&] { return CopyAfterChange(beginTrouble); } },
+    { "drain-before-compaction",
+      [&] { return DrainBeforeCompaction(beginTrouble); } },
   };
-  auto const found = scenarios.find(aScenario);
-  bool const hasRun = found != scenarios.end() && found->second();
+  bool const hasRun = scenarios.at(aScenario)();
   for (auto& clients : gClients) {
     clients->Stop();
   }
@@ -1827,8 +2080,13 @@
     return 2;
   }
   bool const isRegress = aScenario == "copy-after-change";
-  bool const isKept = isRegress ? CheckRegress() : CheckColdHosts();
-  std::string const rule = isRegress ? "CONFIG" : "FAILBACK";
+  bool const isDrain = aScenario == "drain-before-compaction";
+  bool const isKept = isRegress ? CheckRegress()
+                      : isDrain ? CheckDrain()
+                                : CheckColdHosts();
+  std::string const rule = isRegress ? "CONFIG"
+                           : isDrain ? "DRAIN"
+                                     : "FAILBACK";
   gRecord.Summary(rule + (isKept ? " held" : " was broken"));
   return isKept ? 0 : 1;
 }
