Add review case 7: a VM that is suspended as it starts resets open flows

Opening packets that were queued while a VM started are kept for its first view as if they were new, and are forwarded seconds late. A second upstream answers, and the caller's next packet reaches it by its cookie.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# A process is killed and starts again as an evacuated zone is taken back.
-# TROUBLE=0 does the same without the disruption.
+# A killed process starts again, and its machine is suspended before it is ready.
+# TROUBLE=0 does the same without the suspension.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
-exec bash "$folder/../stand-ins-2/run-scenario.sh" restart-at-return "$folder"
+exec bash "$folder/../stand-ins-2/run-scenario.sh" suspend-at-start "$folder"
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# A zone is evacuated and a cold host is added in another one.
+# A process is killed and starts again as an evacuated zone is taken back.
 # TROUBLE=0 does the same without the disruption.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
-exec bash "$folder/../stand-ins-2/run-scenario.sh" three-zones-admit "$folder"
+exec bash "$folder/../stand-ins-2/run-scenario.sh" restart-at-return "$folder"
--- a/review/stand-ins-2/main.cpp
+++ b/review/stand-ins-2/main.cpp
@@ -1,7 +1,6 @@
 // Stand-ins for the platform's store, routers, hosts and clients, and a runner
-// that starts entry VMs as separate processes. Each scenario checks FAILBACK:
-// a cold host gets at most coldRateS x warmupBurstFactor + coldSlack new flows
-// in any second, by the flows that the hosts took.
+// that starts entry VMs as separate processes. Each scenario disturbs them and
+// checks one rule by what hosts, clients and the store saw.
 //
 // usage: stand-ins SCENARIO PROGRAM RECORD DIRECTORY
 // Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
@@ -745,6 +744,12 @@
   }
 
   std::vector<Opening> const& Openings() const { return mOpenings; }
+  /// Packets of flows that this host does not hold, which it reset.
+  std::vector<Opening> const& Strays() const { return mStrays; }
+  std::string IpAddress() const
+  {
+    return IpText(gNetwork.Ip(2, mOptions.mNumber));
+  }
   std::vector<std::pair<double, double>> const& ColdSpans() const
   {
     return mColdSpans;
@@ -840,6 +845,8 @@
       (found->second.mIsOpen || aPacket.mAck == found->second.mSeq + 1);
     if (!isKnown) {
       if ((aPacket.mFlags & kRst) == 0) {
+        mStrays.push_back(
+          { Now(), aPacket.mSource, aPacket.mDestination, aVm, false });
         answer.mFlags = kRst;
         answer.mSeq = aPacket.mAck;
         reply();
@@ -886,6 +893,7 @@
   std::vector<std::pair<double, double>> mColdSpans;
   std::map<std::pair<Address, Address>, Flow> mFlows;
   std::vector<Opening> mOpenings;
+  std::vector<Opening> mStrays;
   std::uint64_t mForged = 0;
   std::mt19937 mRandom{ std::random_device{}() };
 };
@@ -1103,6 +1111,7 @@
     mThread = std::thread([this] {
       while (!mStop) {
         auto const next = Now() + 0.5;
+        ++mRounds;
         for (std::size_t index = 0; index < Count() && !mStop; ++index) {
           auto const vm = Copy(index);
           bool const isReady = vm.mPid > 0 && AnswersReady(vm);
@@ -1120,6 +1129,9 @@
     mThread.join();
   }
 
+  /// The number of rounds of readiness checks that have begun.
+  int Rounds() const { return mRounds; }
+
   /// The VM for a packet of a client in a zone.
   static std::uint32_t Choose(std::string const& aZone, std::uint64_t aHash)
   {
@@ -1163,6 +1175,7 @@
 
   std::thread mThread;
   std::atomic<bool> mStop{ false };
+  std::atomic<int> mRounds{ 0 };
 };
 
 static Routers gRouters;
@@ -1178,11 +1191,13 @@
           unsigned aNumber,
           double aPerSecond,
           Address aRoute,
-          int aLongFlows = 0)
+          int aLongFlows = 0,
+          double aPause = 0.0)
     : mZone(std::move(aZone))
     , mAddress{ gNetwork.Ip(4, aNumber), gNetwork.mPackets }
     , mPerSecond(aPerSecond)
     , mLongFlows(aLongFlows)
+    , mPause(aPause)
     , mRoute(aRoute)
   {
   }
@@ -1215,6 +1230,25 @@
     return sent;
   }
   std::uint32_t Ip() const { return mAddress.mIp; }
+  /// An open flow that was reset.
+  struct ResetFlow
+  {
+    Address mClient;
+    std::string mHost;
+    std::string mResetBy;
+    double mAt = 0.0;
+  };
+  std::vector<ResetFlow> ResetFlows() const
+  {
+    std::vector<ResetFlow> resets;
+    for (auto const& [port, flow] : mFlows) {
+      if (!flow.mResetBy.empty()) {
+        resets.push_back(
+          { { mAddress.mIp, port }, flow.mHost, flow.mResetBy, flow.mResetAt });
+      }
+    }
+    return resets;
+  }
   /// Requests sent in a span of time, and how many of them were answered.
   std::pair<int, int> Answered(double aFrom, double aTo) const
   {
@@ -1264,6 +1298,8 @@
     bool mWasReset = false;
     double mAnsweredAt = 0.0;
     std::string mHost;
+    std::string mResetBy; ///< Who sent a reset of the open flow.
+    double mResetAt = 0.0;
   };
 
   static constexpr std::uint16_t kRequestBytes = 100;
@@ -1277,7 +1313,7 @@
     while (!mStop) {
       auto const now = Now();
       for (; mPerSecond > 0.0 && next <= now; next += 1.0 / mPerSecond) {
-        (void)Open(now);
+        Open(now).mIsLong = mPause > 0.0;
       }
       for (auto const port : mActive) {
         auto& flow = mFlows[port];
@@ -1380,7 +1416,11 @@
     }
     auto& flow = found->second;
     if ((aPacket.mFlags & kRst) != 0) {
-      flow.mWasReset = !flow.mIsAnswered;
+      flow.mWasReset = !flow.mIsAnswered || flow.mIsLong;
+      if (flow.mIsAnswered && flow.mStage == Stage::Requesting) {
+        flow.mResetBy = IpText(aFrom);
+        flow.mResetAt = Now();
+      }
       flow.mStage = Stage::Ended;
       return;
     }
@@ -1399,7 +1439,8 @@
       flow.mSeq += kRequestBytes;
       flow.mAck = aPacket.mSeq + aPacket.mLen;
       flow.mSends = 0;
-      flow.mNextSend = Now() + 0.02; // The next request.
+      // The next request.
+      flow.mNextSend = Now() + std::max(mPause, 0.02);
     } else if (!flow.mIsLong && flow.mStage == Stage::Requesting &&
                aPacket.mLen > 0) {
       flow.mIsAnswered = true;
@@ -1419,6 +1460,7 @@
   Address mAddress;
   double mPerSecond;
   int mLongFlows;
+  double mPause; ///< Between the requests of a flow; 0: one request a flow.
   Address mRoute;
   int mSocket = -1;
   std::uint16_t mNextPort = 1025;
@@ -2029,6 +2071,106 @@
   return isKept;
 }
 
+/// A killed process starts again, and its machine is suspended for a while
+/// before it is ready.
+static bool
+SuspendAtStart(std::function<void()> const& aBeginTrouble)
+{
+  gDeployment.mZones = { "a", "b" };
+  for (auto const* zone : { "a", "a", "a", "b", "b" }) {
+    AddVm(zone);
+  }
+  gDeployment.mSeeds = { 1, 2, 4 };
+  for (unsigned number = 1; number <= 8; ++number) {
+    gHosts.Add(MakeHost(number, number <= 6 ? "a" : "b"));
+  }
+  if (!StartAll({ { "b", 20.0 } })) {
+    return false;
+  }
+  gClients.push_back(std::make_unique<Clients>("a", 9, 120.0, Route(), 0, 7.0));
+  if (!gClients.back()->Start()) {
+    return false;
+  }
+  SleepUntil(Now() + 8.0);
+  aBeginTrouble();
+  auto& vm = VmOf(0);
+  auto const round = gRouters.Rounds();
+  while (gRouters.Rounds() == round) {
+    SleepUntil(Now() + 0.005);
+  }
+  SleepUntil(Now() + 0.05);
+  KillVm(vm);
+  SleepUntil(Now() + 0.2);
+  StartVm(vm, false);
+  if (gHasTrouble) {
+    // Until the process has bound its packet address.
+    for (int probe = 0; probe >= 0;) {
+      SleepUntil(Now() + 0.001);
+      probe = BindSocket(SOCK_DGRAM, { vm.Ip(), gNetwork.mPackets });
+      ::close(probe);
+    }
+    gRecord.Line("the machine of " + vm.mName + " is suspended");
+    ::kill(vm.mPid, SIGSTOP);
+    SleepUntil(Now() + 2.5);
+    ::kill(vm.mPid, SIGCONT);
+    gRecord.Line("the machine of " + vm.mName + " goes on");
+  }
+  vm.mStarts.push_back(Now());
+  SleepUntil(Now() + 11.0);
+  return true;
+}
+
+/// Returns whether no open flow was reset by another host than its own, or by a
+/// VM, with all machines in touch.
+static bool
+CheckFlows()
+{
+  constexpr double kStabilityWindow = 4.0;
+  int broken = 0;
+  int excused = 0;
+  for (auto const& clients : gClients) {
+    for (auto const& reset : clients->ResetFlows()) {
+      if (reset.mResetBy == reset.mHost) {
+        continue;
+      }
+      // The VM that took the packet which the wrong host reset.
+      std::uint32_t by = 0;
+      for (auto const& host : gHosts.All()) {
+        for (auto const& stray : host->Strays()) {
+          by = stray.mClient == reset.mClient &&
+                   host->IpAddress() == reset.mResetBy
+                 ? stray.mVm
+                 : by;
+        }
+      }
+      bool isInTouch = true;
+      for (auto const& vm : gDeployment.mVms) {
+        for (auto const started : vm.mStarts) {
+          bool const isRecent =
+            started <= reset.mAt && reset.mAt < started + kStabilityWindow;
+          isInTouch = isInTouch && !(vm.Ip() == by && isRecent);
+        }
+      }
+      ++(isInTouch ? broken : excused);
+      std::ostringstream text;
+      text << "the open flow of " << Text(reset.mClient) << " at host "
+           << reset.mHost << " was reset at " << reset.mAt << " s by "
+           << reset.mResetBy << "; VM " << IpText(by) << " took the packet"
+           << (isInTouch ? "  BROKEN" : ", not in touch");
+      if (broken + excused <= 12) {
+        gRecord.Summary(text.str());
+      } else {
+        gRecord.Line(text.str(), reset.mAt);
+      }
+    }
+  }
+  gRecord.Summary(std::to_string(broken) +
+                  " open flows were reset though their host serves, through "
+                  "machines in touch; " +
+                  std::to_string(excused) + " through others");
+  return broken == 0;
+}
+
 static int
 RunScenario(std::string const& aScenario)
 {
@@ -2045,6 +2187,7 @@
     { "three-zones-admit", [&] { return ThreeZonesAdmit(beginTrouble); } },
     { "restart-in-outage", [&] { return RestartInOutage(beginTrouble); } },
     { "copy-after-change", [&] { return CopyAfterChange(beginTrouble); } },
+    { "suspend-at-start", [&] { return SuspendAtStart(beginTrouble); } },
     { "drain-before-compaction",
       [&] { return DrainBeforeCompaction(beginTrouble); } },
   };
@@ -2081,10 +2224,13 @@
   }
   bool const isRegress = aScenario == "copy-after-change";
   bool const isDrain = aScenario == "drain-before-compaction";
+  bool const isFlow = aScenario == "suspend-at-start";
   bool const isKept = isRegress ? CheckRegress()
+                      : isFlow  ? CheckFlows()
                       : isDrain ? CheckDrain()
                                 : CheckColdHosts();
   std::string const rule = isRegress ? "CONFIG"
+                           : isFlow  ? "FLOW"
                            : isDrain ? "DRAIN"
                                      : "FAILBACK";
   gRecord.Summary(rule + (isKept ? " held" : " was broken"));
