Review case 6: restart the VM by SIGTERM, as planned work

The kill was a second disruption that the case does not need. What is left is planned work (hosts are replaced, one machine is restarted) and the loss of the store's history.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Hosts are replaced, the store discards its history and a process starts again.
-# TROUBLE=0 does the same without the disruption.
+# Hosts are replaced, a machine is restarted and the store discards its history.
+# TROUBLE=0 does the same, and the store keeps its history.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 exec bash "$folder/../stand-ins-2/run-scenario.sh" drain-before-compaction "$folder"
--- a/review/stand-ins-2/main.cpp
+++ b/review/stand-ins-2/main.cpp
@@ -1918,9 +1918,9 @@
   return Now() - begin;
 }
 
-/// Hosts are replaced one after the other. The store discards its history just
-/// after one of them has reported that it drains, and a VM process that was
-/// killed starts again. Several rounds.
+/// Hosts are replaced one after the other, and a VM is restarted as planned.
+/// The store discards its history just after a host has reported that it
+/// drains. Several rounds.
 static bool
 DrainBeforeCompaction(std::function<void()> const& aBeginTrouble)
 {
@@ -1952,8 +1952,8 @@
     gRecord.Summary("all VMs of the zone watch the store");
     return false;
   }
-  KillVm(*starter);
-  SleepUntil(Now() + 2.0);
+  TerminateVm(*starter);
+  SleepUntil(Now() + 1.0);
   auto const startTime = MeasureStart(*starter);
   SleepUntil(Now() + 4.0);
   unsigned number = 20;
@@ -1962,8 +1962,8 @@
     gHosts.Change([&] { (void)added.Start(false); });
   };
   for (int round = 0; round < 9; ++round) {
-    KillVm(*starter);
-    SleepUntil(Now() + 1.5);
+    TerminateVm(*starter);
+    SleepUntil(Now() + 0.2);
     Host* leaving = nullptr;
     for (auto const& host : gHosts.All()) {
       if (host->Options().mZone == "a" && host->DrainedAt() == 0.0) {
