Log when changes of the store are missing, and when they no longer are

Cause: the log of a VM that misses a change does not show whether it knows so.

Change: config changes_missing and no_changes_missing, with the positions between which changes are missing and the source of the update.

--- a/src/tarragonsill/coordination/tarragonsill_directory.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.hpp
@@ -111,6 +111,9 @@
   /// The store position up to which no change of any kind is missing; unset
   /// until all kinds were listed in the store's current era.
   StorePosition CompleteTo() const;
+  /// The store positions of a kind between which changes may be missing; unset
+  /// if none is.
+  std::optional<PositionRange> MissingChanges(ObjectKind aKind) const;
   /// Advances the complete position of each kind in which this VM is not behind
   /// the last changes of a peer that is complete up to the given position.
   void AdvanceCompleteTo(KnowledgeDigest const& aLastChanges,
--- a/src/tarragonsill/coordination/tarragonsill_directory_sync.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_sync.cpp
@@ -61,6 +61,17 @@
            GaplessPosition(ObjectKind::Evacuations) };
 }
 
+std::optional<PositionRange>
+Directory::MissingChanges(ObjectKind aKind) const
+{
+  auto const listed = mCoverage.find(aKind);
+  bool const hasGap = listed != mCoverage.end() &&
+                      listed->second.mComplete < listed->second.mGapEnd;
+  return hasGap ? std::optional(PositionRange{ listed->second.mComplete,
+                                               listed->second.mGapEnd })
+                : std::nullopt;
+}
+
 StorePosition
 Directory::CompleteTo(ObjectKind aKind) const
 {
--- a/src/tarragonsill/transport/tarragonsill_directory_log.cpp
+++ b/src/tarragonsill/transport/tarragonsill_directory_log.cpp
@@ -56,4 +56,20 @@
   }
 }
 
+void
+WriteMissingChanges(NodeLog& aLog,
+                    ObjectKind aKind,
+                    std::optional<PositionRange> const& aMissing,
+                    std::string const& aSource)
+{
+  std::vector<LogField> fields{ { "kind", std::string(ToText(aKind)) },
+                                { "source", aSource } };
+  if (aMissing) {
+    fields.push_back({ "after", ToText(aMissing->mAfter) });
+    fields.push_back({ "up_to", ToText(aMissing->mUpTo) });
+  }
+  aLog.Write(
+    "config", aMissing ? "changes_missing" : "no_changes_missing", fields);
+}
+
 } // namespace tarragonsill
--- a/src/tarragonsill/transport/tarragonsill_directory_log.hpp
+++ b/src/tarragonsill/transport/tarragonsill_directory_log.hpp
@@ -21,6 +21,13 @@
                            std::vector<DirectoryChange> const& aChanges,
                            std::string const& aSource);
 
+/// Logs that changes of a kind are missing, or no longer are. `aSource` is the
+/// origin of the update that showed it.
+void WriteMissingChanges(NodeLog& aLog,
+                         ObjectKind aKind,
+                         std::optional<PositionRange> const& aMissing,
+                         std::string const& aSource);
+
 } // namespace tarragonsill
 
 #endif // TARRAGONSILL_DIRECTORY_LOG_HPP_INCLUDED
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -72,6 +72,7 @@
     ObserveEra(aUpdate.mUpTo.mEra, aSource);
     auto const changes = mDirectory.Apply(Clock::now(), aUpdate);
     WriteDirectoryChanges(Log(), aUpdate, changes, aSource);
+    WriteMissingChangesIfChanged(aUpdate.mKind, aSource);
     PublishIfChanged();
   }
 
@@ -232,6 +233,18 @@
     UpdatePeerPositions();
   }
 
+  /// Logs when changes of a kind turn out to be missing, and when they no
+  /// longer are.
+  void WriteMissingChangesIfChanged(ObjectKind aKind,
+                                    std::string const& aSource)
+  {
+    auto const missing = mDirectory.MissingChanges(aKind);
+    auto& wasMissing = mHasMissingChanges[static_cast<std::size_t>(aKind)];
+    if (std::exchange(wasMissing, missing.has_value()) != missing.has_value()) {
+      WriteMissingChanges(Log(), aKind, missing, aSource);
+    }
+  }
+
   /// Starts or stops this VM's watches and records whether the store answers.
   void UpdateWatchRole(TimePoint aNow)
   {
@@ -436,6 +449,7 @@
   std::array<TimePoint, kObjectKinds.size()> mLastAnswerTimes{};
   std::array<caf::actor, kObjectKinds.size()> mWatches;
   std::array<bool, kObjectKinds.size()> mIsListDeferred{};
+  std::array<bool, kObjectKinds.size()> mHasMissingChanges{};
   ObservationsPointer mLastObservations;
   LoadStatus mLoadStatus;
 };
