Take state for complete only up to the position that its source states

Cause: a VM that starts takes the whole list of a peer. If that peer had a gap, the list had a change after the gap, and the receiver took the newest change for the position up to which it misses nothing. It was behind no peer any more, a watcher's next report moved its position beyond the gap, and it vouched for its state to the next VM that asked.

Evidence: the lines changes_missing and no_changes_missing. front-a-1 knew of its gap, front-a-4 started and took its list without a gap, front-a-1 then asked front-a-4 and its gap closed; both kept the drained upstream as serving.

Change: the complete position follows only from the range that a list or an update states. The same rule mends changes that are relayed before the first list. A removal counts with the upper bound of its position, since it may carry the revision of the change before it, or none if only a list shows it.

Conclusion: works as the receiver keeps asking until a peer without the gap has answered.

--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -44,7 +44,7 @@
 bool
 Directory::IsComplete() const
 {
-  return mConfiguration && mCoverage.size() == kObjectKinds.size();
+  return mConfiguration && mCompleteTo.size() == kObjectKinds.size();
 }
 
 bool
@@ -116,7 +116,7 @@
   if (aUpdate.mKind == ObjectKind::Upstreams) {
     UpdateMaxChangePositions(changes, aUpdate.mUpTo);
   }
-  UpdateCoverage(aUpdate);
+  UpdatePositions(aUpdate, changes);
   mIsDirty = mIsDirty || !changes.empty();
   return changes;
 }
--- a/src/tarragonsill/coordination/tarragonsill_directory.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.hpp
@@ -196,7 +196,7 @@
   ObjectPage AllUpstreams(TimePoint aNow) const;
   ObjectChange ToChange(KnownUpstream const& aUpstream, TimePoint aNow) const;
   ObjectPage EvacuationList(TimePoint aNow) const;
-  void UpdateCoverage(StoreUpdate const& aUpdate);
+  void UpdatePositions(StoreUpdate const& aUpdate, Changes const& aChanges);
   void UpdateMaxChangePositions(Changes const& aChanges, StorePosition aUpTo);
   StorePosition LastChange(ObjectKind aKind) const;
   StorePosition GaplessPosition(ObjectKind aKind) const;
@@ -227,15 +227,11 @@
   std::map<std::string, KnownZone> mZones;
   StorePosition mConfigurationPosition;
   std::uint64_t mEra = 0;
-  /// Positions up to which a kind is known.
-  struct Coverage
-  {
-    StorePosition mComplete; ///< No change up to this one is missing.
-    StorePosition mGapEnd;   ///< A change up to this one may be missing.
-  };
-  /// The kinds of which a whole list was applied.
-  std::map<ObjectKind, Coverage> mCoverage;
-  /// The newest position of any object of each kind.
+  /// The positions up to which no change of a kind is missing, of the kinds of
+  /// which a whole list was applied.
+  std::map<ObjectKind, StorePosition> mCompleteTo;
+  /// The position of the last known change of each kind, or an upper bound if
+  /// that was a removal.
   std::map<ObjectKind, StorePosition> mLastChange;
   std::vector<std::uint64_t> mAdmittingVms;
   std::uint64_t mSelf = 0;
--- a/src/tarragonsill/coordination/tarragonsill_directory_rollback.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_rollback.cpp
@@ -12,7 +12,7 @@
   if (aEra <= mEra) {
     return std::nullopt;
   }
-  if (mCoverage.empty()) {
+  if (mCompleteTo.empty()) {
     mEra = aEra; // Nothing was listed that a rollback could lose.
     return std::nullopt;
   }
@@ -35,9 +35,9 @@
 bool
 Directory::IsFirstListAfterRollback(StoreUpdate const& aUpdate) const
 {
-  auto const listed = mCoverage.find(aUpdate.mKind);
-  return aUpdate.mIsWholeList && listed != mCoverage.end() &&
-         listed->second.mComplete.mEra < aUpdate.mUpTo.mEra;
+  auto const listed = mCompleteTo.find(aUpdate.mKind);
+  return aUpdate.mIsWholeList && listed != mCompleteTo.end() &&
+         listed->second.mEra < aUpdate.mUpTo.mEra;
 }
 
 void
--- a/src/tarragonsill/coordination/tarragonsill_directory_sync.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_sync.cpp
@@ -19,11 +19,11 @@
 StorePosition
 Directory::LastChange(ObjectKind aKind) const
 {
-  auto const listed = mCoverage.find(aKind);
-  if (listed == mCoverage.end()) {
+  auto const listed = mCompleteTo.find(aKind);
+  if (listed == mCompleteTo.end()) {
     return {};
   }
-  auto const& complete = listed->second.mComplete;
+  auto const complete = listed->second;
   auto const last = mLastChange.at(aKind);
   if (last.mEra > complete.mEra) {
     return complete; // A change of a new era arrived before its list.
@@ -43,14 +43,10 @@
 StorePosition
 Directory::GaplessPosition(ObjectKind aKind) const
 {
-  auto const listed = mCoverage.find(aKind);
-  if (listed == mCoverage.end()) {
-    return {};
-  }
-  auto const& coverage = listed->second;
-  bool const hasGap = coverage.mComplete < coverage.mGapEnd;
-  return hasGap ? coverage.mComplete
-                : std::max(coverage.mComplete, LastChange(aKind));
+  // The last change says nothing of those before it: peers may send changes
+  // that follow one that they miss themselves.
+  auto const listed = mCompleteTo.find(aKind);
+  return listed == mCompleteTo.end() ? StorePosition{} : listed->second;
 }
 
 KnowledgeDigest
@@ -64,21 +60,15 @@
 std::optional<PositionRange>
 Directory::MissingChanges(ObjectKind aKind) const
 {
-  auto const listed = mCoverage.find(aKind);
-  bool const hasGap = listed != mCoverage.end() &&
-                      listed->second.mComplete < listed->second.mGapEnd;
-  return hasGap ? std::optional(PositionRange{ listed->second.mComplete,
-                                               listed->second.mGapEnd })
-                : std::nullopt;
+  PositionRange const missing{ GaplessPosition(aKind), LastChange(aKind) };
+  return missing.mAfter < missing.mUpTo ? std::optional(missing) : std::nullopt;
 }
 
 StorePosition
 Directory::CompleteTo(ObjectKind aKind) const
 {
-  auto const listed = mCoverage.find(aKind);
-  bool const isKnown =
-    listed != mCoverage.end() && listed->second.mComplete.mEra == mEra;
-  return isKnown ? listed->second.mComplete : StorePosition{};
+  auto const position = GaplessPosition(aKind);
+  return position.mEra == mEra ? position : StorePosition{};
 }
 
 StorePosition
@@ -95,9 +85,9 @@
 {
   auto const held = GaplessDigest();
   auto const advance = [&](ObjectKind aKind, bool aHasLastChange) {
-    auto const listed = mCoverage.find(aKind);
-    if (listed != mCoverage.end() && aHasLastChange) {
-      auto& complete = listed->second.mComplete;
+    auto const listed = mCompleteTo.find(aKind);
+    if (listed != mCompleteTo.end() && aHasLastChange) {
+      auto& complete = listed->second;
       complete =
         complete.mEra == aUpTo.mEra ? std::max(complete, aUpTo) : complete;
     }
@@ -206,23 +196,26 @@
 }
 
 void
-Directory::UpdateCoverage(StoreUpdate const& aUpdate)
+Directory::UpdatePositions(StoreUpdate const& aUpdate, Changes const& aChanges)
 {
   auto& last = mLastChange[aUpdate.mKind];
   for (auto const& change : aUpdate.mChanges) {
+    // A removal may carry the revision of the change before it.
+    last = std::max(last, change.mRemoved ? aUpdate.mUpTo : change.mPosition);
+  }
+  for (auto const& change : aChanges) {
+    // Objects that a list lacks were removed at an unknown position before it.
     last = std::max(last, change.mPosition);
   }
-  bool const isFirst = mCoverage.count(aUpdate.mKind) == 0;
+  bool const isFirst = mCompleteTo.count(aUpdate.mKind) == 0;
   if (isFirst && !aUpdate.mIsWholeList) {
     return;
   }
   mIsDirty = mIsDirty || isFirst;
-  auto& coverage = mCoverage[aUpdate.mKind];
-  if (aUpdate.mIsWholeList || aUpdate.mAfter <= coverage.mComplete) {
-    coverage.mComplete = std::max(coverage.mComplete, aUpdate.mUpTo);
-    return;
+  auto& complete = mCompleteTo[aUpdate.mKind];
+  if (aUpdate.mIsWholeList || aUpdate.mAfter <= complete) {
+    complete = std::max(complete, aUpdate.mUpTo);
   }
-  coverage.mGapEnd = std::max(coverage.mGapEnd, aUpdate.mAfter);
 }
 
 } // namespace tarragonsill
