Drop opening packets that were queued while a VM was suspended at its start

Cause: opening packets that waited in the socket's queue were judged by when the program read them. EarlyPackets kept them for 150 ms from then on; the view was complete some 30 ms after the pause, later than the 20 ms in which queued opening packets were dropped. A pause before the packet thread had begun was not noticed at all. The upstreams' late answers changed the flows' cookies.

Change: ReceiveBacklog bounds the age of queued packets from the reads of the queue, beginning before the socket is bound, on the clock that counts suspended time, until a read has emptied the queue. Opening packets that may be older than 150 ms are dropped, also without a view and when a batch took that long; younger ones wait for less. Expired early packets are no longer steered as new.

Conclusion: holds wherever the pause begins, as the age counts from before the socket exists.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds kOpeningTimeout{ 1400 };
 /// The time to read the packets that were queued during a local pause.
 constexpr milliseconds kBacklogReadTime{ 20 };
+/// Callers send a copy of an opening packet after 200 ms (operators' platform);
+/// 50 ms are for delays in transit.
+constexpr milliseconds kMaxOpeningAge{ 150 };
 
 SteeringVerdict
 NotForwarded(SteeringAction aAction, SteeringCause aCause)
@@ -111,9 +114,11 @@
 }
 
 SteeringVerdict
-CookieSteering::Steer(TimePoint aNow, FlowPacket const& aPacket)
+CookieSteering::Steer(TimePoint aNow,
+                      FlowPacket const& aPacket,
+                      Duration aMaxAge)
 {
-  auto const verdict = Decide(aNow, aPacket);
+  auto const verdict = Decide(aNow, aPacket, aMaxAge);
   // Flows of silent upstreams are logged when they are reset, and rejections
   // during a shortage by their counts.
   bool const needsLogEntry = verdict.mAction != SteeringAction::Forward &&
@@ -126,8 +131,14 @@
 }
 
 SteeringVerdict
-CookieSteering::Decide(TimePoint aNow, FlowPacket const& aPacket)
+CookieSteering::Decide(TimePoint aNow,
+                       FlowPacket const& aPacket,
+                       Duration aMaxAge)
 {
+  if (aPacket.mOpens && !aPacket.mAcknowledges &&
+      IsLateOpening(aNow, aMaxAge)) {
+    return NotForwarded(SteeringAction::Drop, SteeringCause::LateOpening);
+  }
   if (!mView->mIsComplete) {
     return NotForwarded(SteeringAction::Drop, SteeringCause::NoConfiguration);
   }
@@ -143,13 +154,6 @@
   if (!aPacket.mOpens) {
     return SteerOpenFlow(aNow, aPacket);
   }
-  // The caller has retransmitted the packet meanwhile, and may have opened the
-  // flow at another upstream through another VM. A second answer would break
-  // that flow.
-  if (mMechanisms.Uses(Mechanism::LateOpenings) &&
-      aNow < mResumedAt + kBacklogReadTime) {
-    return NotForwarded(SteeringAction::Drop, SteeringCause::LateOpening);
-  }
   if (isKnown) {
     return SteerOpening(aNow, aPacket, route->second);
   }
@@ -164,6 +168,16 @@
                       SteeringCause::UnknownRoute);
 }
 
+bool
+CookieSteering::IsLateOpening(TimePoint aNow, Duration aMaxAge) const
+{
+  // The caller has retransmitted the packet meanwhile, and may have opened the
+  // flow at another upstream through another VM. A second answer would break
+  // that flow.
+  return mMechanisms.Uses(Mechanism::LateOpenings) &&
+         (aMaxAge > kMaxOpeningAge || aNow < mResumedAt + kBacklogReadTime);
+}
+
 bool
 CookieSteering::IsViewFromBeforePause() const
 {
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -48,7 +48,8 @@
   UnknownCookie,
   NotFromCaller,
   SilentUpstream,
-  /// An opening packet was queued while this VM was paused, or overtaken.
+  /// An opening packet was queued for too long, for instance while this VM was
+  /// paused, or overtaken.
   LateOpening,
   StaleRoute, ///< The route was removed, but this VM may be behind.
   /// A late opening packet is offered to a second upstream as well.
@@ -183,8 +184,11 @@
   void SetView(RoutingViewPointer aView);
   /// Sets the time as of which the routing view has all acknowledged changes.
   void SetCurrentAsOf(TimePoint aCurrentAsOf) { mCurrentAsOf = aCurrentAsOf; }
-  /// Decides what to do with a packet from a caller.
-  SteeringVerdict Steer(TimePoint aNow, FlowPacket const& aPacket);
+  /// Decides what to do with a packet from a caller that was queued for
+  /// `aMaxAge` at most.
+  SteeringVerdict Steer(TimePoint aNow,
+                        FlowPacket const& aPacket,
+                        Duration aMaxAge = {});
   /// Removes expired flows and resets those of upstreams that have ended.
   /// Must be called several times a second.
   void Sweep(TimePoint aNow);
@@ -256,7 +260,11 @@
   /// Further log entries are dropped.
   static constexpr std::size_t kMaxLogEntries = 256;
 
-  SteeringVerdict Decide(TimePoint aNow, FlowPacket const& aPacket);
+  SteeringVerdict Decide(TimePoint aNow,
+                         FlowPacket const& aPacket,
+                         Duration aMaxAge);
+  /// Whether the caller may have sent a copy of an opening packet meanwhile.
+  bool IsLateOpening(TimePoint aNow, Duration aMaxAge) const;
   /// Whether this VM may not know yet what changed during its last local pause.
   bool IsViewFromBeforePause() const;
   /// Decides about a packet whose route was removed.
--- a/src/tarragonsill/coordination/tarragonsill_early_packets.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_early_packets.cpp
@@ -20,23 +20,23 @@
 
 } // namespace
 
-milliseconds
-EarlyPackets::MaxWait(FlowPacket const& aPacket)
+Duration
+EarlyPackets::MaxWait(FlowPacket const& aPacket, Duration aMaxAge)
 {
   if (!aPacket.mOpens) {
     return kMaxRetransmissionInterval;
   }
   auto const copy = std::min<std::size_t>(aPacket.mOpeningRetransmissions,
                                           kOpeningWaits.size() - 1);
-  return kOpeningWaits.at(copy);
+  return std::max(Duration{ 0 }, kOpeningWaits.at(copy) - aMaxAge);
 }
 
 bool
 EarlyPackets::Keep(TimePoint aNow,
-                   milliseconds aMaxWait,
+                   Duration aMaxWait,
                    std::span<std::byte const> aBytes)
 {
-  if (mBytes + aBytes.size() > kMaxBytes) {
+  if (aMaxWait <= Duration{ 0 } || mBytes + aBytes.size() > kMaxBytes) {
     return false;
   }
   mPackets.push_back({ aNow + aMaxWait, { aBytes.begin(), aBytes.end() } });
--- a/src/tarragonsill/coordination/tarragonsill_early_packets.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_early_packets.hpp
@@ -21,17 +21,18 @@
 public:
   using Bytes = std::vector<std::byte>;
 
-  /// Returns how long a packet may wait. An opening packet must be dropped
-  /// before the caller sends the next copy, which might open the flow at
-  /// another upstream. Other packets cannot do harm; their callers retransmit
-  /// them late.
-  static milliseconds MaxWait(FlowPacket const& aPacket);
+  /// Returns how long a packet that was queued for `aMaxAge` at most may wait;
+  /// 0 if it must be dropped. An opening packet must be dropped before the
+  /// caller sends the next copy, which might open the flow at another upstream.
+  /// Other packets cannot do harm; their callers retransmit them late.
+  static Duration MaxWait(FlowPacket const& aPacket, Duration aMaxAge = {});
   /// Limits memory to the size of a few hundred full packets.
   static constexpr std::size_t kMaxBytes = 512 * 1024;
 
-  /// Stores a copy of a packet; returns false if the buffer is full.
+  /// Stores a copy of a packet; returns false if it may not wait or the buffer
+  /// is full.
   bool Keep(TimePoint aNow,
-            milliseconds aMaxWait,
+            Duration aMaxWait,
             std::span<std::byte const> aBytes);
   /// Removes and returns packets that waited too long, in order of arrival.
   std::vector<Bytes> TakeExpired(TimePoint aNow);
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -3,6 +3,7 @@
 
 #include "tarragonsill/coordination/tarragonsill_cookie_steering.hpp"
 #include "tarragonsill/coordination/tarragonsill_early_packets.hpp"
+#include "tarragonsill/coordination/tarragonsill_receive_backlog.hpp"
 #include "tarragonsill/protocol/tarragonsill_byte_order.hpp"
 #include "tarragonsill/state/tarragonsill_counters.hpp"
 #include "tarragonsill/transport/tarragonsill_boot_time.hpp"
@@ -37,12 +38,14 @@
     Counters& aCounters,
     NodeLog& aLog)
   {
+    ReceiveBacklog const backlog(TimeSinceBoot(), kPauseThreshold);
     auto socket = UdpSocket::Bind(aPackets);
     if (!socket) {
       return socket.LastReason();
     }
     auto worker =
       std::unique_ptr<CookieWorker>(new CookieWorker(socket.Take(),
+                                                     backlog,
                                                      aPackets.mPort,
                                                      { aSeed, aMechanisms },
                                                      aCurrentAsOf,
@@ -114,12 +117,14 @@
   };
 
   CookieWorker(UdpSocket aSocket,
+               ReceiveBacklog const& aBacklog,
                std::uint16_t aCallerPort,
                Options aOptions,
                std::atomic<TimePoint> const& aCurrentAsOf,
                Counters& aCounters,
                NodeLog& aLog)
     : mSocket(std::move(aSocket))
+    , mBacklog(aBacklog)
     , mCallerPort(aCallerPort)
     , mCurrentAsOf(aCurrentAsOf)
     , mCounters(aCounters)
@@ -131,20 +136,19 @@
 
   void Run()
   {
-    auto lastLoopTime = TimeSinceBoot();
     while (!mStop) {
       mSteering.SetMaxHedgeShare(mMaxHedgeShare);
+      auto const readStart = TimeSinceBoot();
       auto const batch = mSocket.Receive(ReceiveTimeout());
       auto const now = Clock::now();
-      auto const timeSinceBoot = TimeSinceBoot();
-      if (timeSinceBoot > lastLoopTime + kPauseThreshold) {
+      bool const isQueueEmpty = batch.size() < UdpSocket::kBatch;
+      if (mBacklog.RecordRead(readStart, TimeSinceBoot(), isQueueEmpty)) {
         mSteering.HandleLocalPause(now);
         mProber.Clear();
         // The age of the buffered packets is unknown, since the steady clock
         // stops while the VM is suspended.
-        SteerPackets(now, mEarlyPackets.TakeAll());
+        SteerPackets(now, mEarlyPackets.TakeAll(), Duration::max());
       }
-      lastLoopTime = timeSinceBoot;
       // Read first, so that the view is at least as new.
       mSteering.SetCurrentAsOf(mCurrentAsOf);
       UsePostedView();
@@ -155,7 +159,7 @@
       }
       Flush();
       // Otherwise answers may still be in the receive queue.
-      if (batch.size() < UdpSocket::kBatch) {
+      if (isQueueEmpty) {
         SendHedges(now);
       }
       RunProbes(now);
@@ -320,26 +324,30 @@
     mUsedHeaders = 0;
   }
 
-  /// Steers buffered packets once the view is complete; packets that expire
-  /// before that are dropped.
+  /// Steers buffered packets once the view is complete; opening packets that
+  /// expire before that are dropped.
   void HandleEarlyPackets(TimePoint aNow)
   {
     if (mEarlyPackets.IsEmpty()) {
       return;
     }
-    SteerPackets(aNow,
-                 mSteering.View().mIsComplete
-                   ? mEarlyPackets.TakeAll()
-                   : mEarlyPackets.TakeExpired(aNow));
+    SteerPackets(aNow, mEarlyPackets.TakeExpired(aNow), Duration::max());
+    if (mSteering.View().mIsComplete) {
+      SteerPackets(aNow, mEarlyPackets.TakeAll(), Duration{ 0 });
+    }
   }
 
-  void SteerPackets(TimePoint aNow, std::vector<EarlyPackets::Bytes> aPackets)
+  void SteerPackets(TimePoint aNow,
+                    std::vector<EarlyPackets::Bytes> aPackets,
+                    Duration aMaxAge)
   {
-    for (auto& packet : aPackets) {
+    for (auto& bytes : aPackets) {
       if (mUsedHeaders == mHeaders.size()) {
         Flush();
       }
-      SteerPacket(aNow, packet);
+      if (auto const packet = Format::Read(bytes)) {
+        SteerPacket(aNow, *packet, bytes, aMaxAge);
+      }
     }
     // Queued datagrams refer to the bytes of the packets.
     Flush();
@@ -348,32 +356,32 @@
   void HandleDatagram(TimePoint aNow, std::span<std::byte> aBytes)
   {
     mCounters.Add(Counter::PacketsReceived);
+    auto const packet = Format::Read(aBytes);
+    if (!packet) {
+      mCounters.Add(Counter::DropTruncated);
+      return;
+    }
+    // The VM may also be paused while it handles a batch.
+    auto const maxAge =
+      packet->mOpens ? mBacklog.MaxAge(TimeSinceBoot()) : Duration{ 0 };
     bool const isEarly = mBuffersEarlyPackets && !mSteering.View().mIsComplete;
-    if (isEarly && KeepEarlyPacket(aNow, aBytes)) {
+    if (isEarly && mEarlyPackets.Keep(
+                     aNow, EarlyPackets::MaxWait(*packet, maxAge), aBytes)) {
       return;
     }
-    SteerPacket(aNow, aBytes);
-  }
-
-  bool KeepEarlyPacket(TimePoint aNow, std::span<std::byte const> aBytes)
-  {
-    auto const packet = Format::Read(aBytes);
-    return packet &&
-           mEarlyPackets.Keep(aNow, EarlyPackets::MaxWait(*packet), aBytes);
+    SteerPacket(aNow, *packet, aBytes, maxAge);
   }
 
-  void SteerPacket(TimePoint aNow, std::span<std::byte> aBytes)
+  void SteerPacket(TimePoint aNow,
+                   FlowPacket const& aPacket,
+                   std::span<std::byte> aBytes,
+                   Duration aMaxAge)
   {
-    auto const packet = Format::Read(aBytes);
-    if (!packet) {
-      mCounters.Add(Counter::DropTruncated);
-      return;
-    }
-    auto const verdict = mSteering.Steer(aNow, *packet);
+    auto const verdict = mSteering.Steer(aNow, aPacket, aMaxAge);
     if (auto const counter = CounterOf(verdict.mCause)) {
       mCounters.Add(*counter);
     }
-    mSteering.KeepOpening(aNow, *packet, verdict, aBytes);
+    mSteering.KeepOpening(aNow, aPacket, verdict, aBytes);
     if (verdict.mIsByDelay) {
       mCounters.Add(Counter::PlacementsByDelay);
     }
@@ -384,8 +392,8 @@
         break;
       case SteeringAction::Reset:
         Format::WriteReset(
-          header, packet->mDestination, packet->mSource, packet->mAcknowledged);
-        mSocket.Queue({ packet->mSource.mAddress, mCallerPort }, header, {});
+          header, aPacket.mDestination, aPacket.mSource, aPacket.mAcknowledged);
+        mSocket.Queue({ aPacket.mSource.mAddress, mCallerPort }, header, {});
         mCounters.Add(Counter::PacketsToCaller);
         break;
       case SteeringAction::Drop:
@@ -415,6 +423,7 @@
   using Header = std::array<std::byte, Format::kHeaderBytes>;
 
   UdpSocket mSocket;
+  ReceiveBacklog mBacklog;
   std::uint16_t mCallerPort;
   std::atomic<TimePoint> const& mCurrentAsOf;
   Counters& mCounters;
--- a/tests/coordination/test_cookie_silence.cpp
+++ b/tests/coordination/test_cookie_silence.cpp
@@ -240,6 +240,20 @@
   CHECK(retransmission.mAction == SteeringAction::Forward);
 }
 
+// Guards against review/7: only the packets of the first moment after a pause
+// were late, however long the backlog was.
+TEST(CookieSilence, opening_packets_that_were_queued_for_long_are_dropped)
+{
+  SampleFlow flow;
+  auto const late = mSteering.Steer(mNow, flow.Opening(), milliseconds{ 151 });
+  CHECK(late.mCause == SteeringCause::LateOpening);
+  auto const prompt = mSteering.Steer(mNow, flow.Opening(), milliseconds{ 99 });
+  CHECK(prompt.mAction == SteeringAction::Forward);
+  auto const later =
+    mSteering.Steer(mNow, flow.FirstData(prompt.mCookie), seconds{ 2 });
+  CHECK(later.mAction == SteeringAction::Forward);
+}
+
 // One lost packet reset a flow of an upstream that serves, because of other
 // flows' losses long before.
 TEST(CookieSilence, a_repetition_does_not_revive_expired_ones)
--- a/tests/coordination/test_early_packets.cpp
+++ b/tests/coordination/test_early_packets.cpp
@@ -48,6 +48,17 @@
   CHECK(mPackets.IsEmpty());
 }
 
+/// Guards against review/7: packets that were queued while the VM was suspended
+/// were buffered as if they were new.
+TEST(EarlyPackets, an_opening_packet_waits_less_the_longer_it_was_queued)
+{
+  milliseconds const queued{ 100 };
+  CHECK(EarlyPackets::MaxWait(Opening(0), queued) == kFirstCopyWait - queued);
+  auto const late = EarlyPackets::MaxWait(Opening(0), seconds{ 2 });
+  CHECK(late == Duration{ 0 });
+  CHECK_FALSE(mPackets.Keep(kStart, late, {}));
+}
+
 TEST(EarlyPackets, packets_expire_before_their_callers_retransmit)
 {
   CHECK(Keep(milliseconds{ 0 }));
