Send a copy of an opening packet only to a service that the route has now

Cause: SteerOpening forwards a copy to the upstream that was offered the first packet if that takes new flows and is healthy. It did not ask whether the route's shares still hold the upstream's service.

Change: the copy keeps its upstream only while a share of the present route with a weight holds its service; otherwise the flow is placed anew. Hedged openings use the same check, ResolvedRoute::SendsTo.

CookieOpeningCopies: 2 of 3 tests fail before, 0 after.

Conclusion: mended for moved routes and for shares that lose their weight.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -227,8 +227,10 @@
       known->mHedgedFrom && aPacket.mOpeningRetransmissions <= 1;
     bool const isHealthy = health == UpstreamHealth::Answering || isHedged ||
                            !mMechanisms.Uses(Mechanism::SecondChoice);
-    if (UpstreamSelector::CanTakeNewFlows(mView->mUpstreams[slot]) &&
-        isHealthy) {
+    auto const& upstream = mView->mUpstreams[slot];
+    // The route may have moved to another service since the first packet.
+    if (aRoute.SendsTo(upstream.mService) &&
+        UpstreamSelector::CanTakeNewFlows(upstream) && isHealthy) {
       known->mLastSeen = aNow;
       return ForwardTo(slot, SteeringCause::OpeningCopy);
     }
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_hedges.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_hedges.cpp
@@ -1,6 +1,5 @@
 #include "tarragonsill/coordination/tarragonsill_cookie_steering.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace tarragonsill {
@@ -93,12 +92,7 @@
       route->second.mKind != RequestKind::Idempotent) {
     return nullptr;
   }
-  auto const& shares = route->second.mShares;
-  bool const isAllowed =
-    std::any_of(shares.begin(), shares.end(), [&](auto const& aShare) {
-      return aShare.mService == service && aShare.mWeight > 0;
-    });
-  return isAllowed ? &mView->mServices[service] : nullptr;
+  return route->second.SendsTo(service) ? &mView->mServices[service] : nullptr;
 }
 
 HedgeEvidence
--- a/src/tarragonsill/state/tarragonsill_routing_view.cpp
+++ b/src/tarragonsill/state/tarragonsill_routing_view.cpp
@@ -1,7 +1,17 @@
 #include "tarragonsill/state/tarragonsill_routing_view.hpp"
 
+#include <algorithm>
+
 namespace tarragonsill {
 
+bool
+ResolvedRoute::SendsTo(std::uint32_t aService) const
+{
+  return std::any_of(mShares.begin(), mShares.end(), [&](Share const& aShare) {
+    return aShare.mService == aService && aShare.mWeight > 0;
+  });
+}
+
 std::string_view
 ToText(UpstreamAvailability aAvailability)
 {
--- a/src/tarragonsill/state/tarragonsill_routing_view.hpp
+++ b/src/tarragonsill/state/tarragonsill_routing_view.hpp
@@ -64,6 +64,9 @@
     std::uint32_t mWeight = 1;
   };
   std::vector<Share> mShares;
+
+  /// Whether new flows of the route go to a service.
+  bool SendsTo(std::uint32_t aService) const;
 };
 
 /// The snapshot by which an entry VM steers flows.
--- /dev/null
+++ b/tests/coordination/test_cookie_opening_copies.cpp
@@ -0,0 +1,70 @@
+#include "support/cookie_fixture.hpp"
+
+using namespace tarragonsill;
+using namespace tarragonsill::Test;
+
+/// Copies of opening packets: the upstream that was offered the first packet
+/// may no longer be the right one.
+TEST_GROUP_BASE(CookieOpeningCopies, CookieFixture)
+{
+  std::vector<SampleFlow> mHeld;
+  std::vector<std::uint32_t> mCookies;
+
+  void ConfigureShares(std::vector<RouteShare> aShares)
+  {
+    auto next = SampleConfiguration(2);
+    next.mRoutes.front().mShares = std::move(aShares);
+    mStore.Configure(mNow, next);
+    RefreshView();
+  }
+
+  /// Offers a flow to an upstream that answers others, but not this one.
+  SteeringVerdict Offer(SampleFlow const& aFlow)
+  {
+    for (int flow = 0; flow < 20; ++flow) {
+      mHeld.emplace_back(CallerAt(mNextPort++));
+      mCookies.push_back(CompleteRequest(mHeld.back()).mCookie);
+    }
+    return mSteering.Steer(mNow, aFlow.Opening());
+  }
+
+  SteeringVerdict SendCopy(SampleFlow const& aFlow)
+  {
+    mNow += milliseconds{ 200 };
+    for (std::size_t flow = 0; flow < mHeld.size(); ++flow) {
+      Answer(mHeld[flow], mCookies[flow]);
+    }
+    return mSteering.Steer(mNow, aFlow.Opening(1));
+  }
+};
+
+/// Guards against review/9: a copy went to the service of the route's earlier
+/// version.
+TEST(CookieOpeningCopies, a_copy_goes_to_the_service_that_the_route_has_now)
+{
+  SampleFlow flow;
+  (void)Offer(flow);
+  ConfigureShares({ { "label", 1 } });
+  auto const copy = SendCopy(flow);
+  CHECK(copy.mAction == SteeringAction::Forward);
+  CHECK_EQUAL("l1", UpstreamOf(copy));
+}
+
+/// Guards against review/9 with a service that keeps a share without weight.
+TEST(CookieOpeningCopies, a_copy_does_not_go_to_a_service_that_lost_its_weight)
+{
+  SampleFlow flow;
+  (void)Offer(flow);
+  ConfigureShares({ { "web", 0 }, { "label", 1 } });
+  CHECK_EQUAL("l1", UpstreamOf(SendCopy(flow)));
+}
+
+TEST(CookieOpeningCopies, a_copy_keeps_its_upstream_while_the_route_has_it)
+{
+  SampleFlow flow;
+  auto const first = Offer(flow);
+  ConfigureShares({ { "web", 1 }, { "label", 1000 } });
+  auto const copy = SendCopy(flow);
+  LONGS_EQUAL(first.mSlot, copy.mSlot);
+  CHECK(copy.mCause == SteeringCause::OpeningCopy);
+}
