Tell a VM that starts which zones have just returned

Cause: all upstreams of a zone that returns count as cold until they must have reported, but only on VMs that saw the evacuation end. The store forgets an evacuation as it ends, and peers sent evacuated zones only.

Evidence: VMs that had watched write taken back for the zone; the VM that started writes nothing of it, as its list came from a peer. The other VM of the zone kept to 5 flows.

Change: replies between VMs hold the zones that returned recently, with ages, and since when the sender knows of all returns; older programs ignore both. A VM that is not vouched for asks up to three peers, the first started ones, so that VMs that start together do not reassure each other; the same after a list that replaces lost history. The end of an evacuation that was never listed counts as a return.

Conclusion: holds for one VM and two at once while a VM that watched is left. If all VMs start as a zone returns, nobody knows of it; that is left.

--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -113,6 +113,10 @@
   if (aUpdate.mIsWholeList) {
     RemoveUnlisted(aNow, aUpdate, changes);
   }
+  if (aUpdate.mIsWholeList && aUpdate.mKind == ObjectKind::Evacuations) {
+    // A list does not show evacuations that have ended.
+    mReturnsKnownSince = aNow;
+  }
   if (aUpdate.mKind == ObjectKind::Upstreams) {
     UpdateMaxChangePositions(changes, aUpdate.mUpTo);
   }
@@ -261,8 +265,13 @@
                            ObjectChange const& aChange,
                            Changes& aChanges)
 {
-  auto& zone = mZones[aChange.mName];
   bool const evacuated = !aChange.mRemoved;
+  auto const [entry, isNew] = mZones.try_emplace(aChange.mName);
+  auto& zone = entry->second;
+  if (isNew && !evacuated) {
+    // The evacuation began and ended before this VM had listed any.
+    zone.mReturnedAt = aNow;
+  }
   // A removal may carry the revision of the change before it.
   bool const isBeforeRemoval =
     aChange.mPosition == zone.mPosition && evacuated && !zone.mIsEvacuated;
--- a/src/tarragonsill/coordination/tarragonsill_directory.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.hpp
@@ -81,6 +81,11 @@
   /// something was listed, returns the rollback; earlier lists no longer count
   /// as complete.
   std::optional<StoreRollback> ObserveEra(std::uint64_t aEra);
+  /// Applies the returns of zones that a peer knows. Returns the changes.
+  std::vector<DirectoryChange> ApplyReturns(TimePoint aNow,
+                                            ZoneReturns const& aReturns);
+  /// Whether this VM misses no return of a zone that still matters.
+  bool KnowsReturns(TimePoint aNow) const;
   /// Ends evacuations that were not written again in time after a store
   /// rollback. Returns the changes; must be called periodically.
   std::vector<DirectoryChange> ExpireUnconfirmedEvacuations(TimePoint aNow);
@@ -196,6 +201,11 @@
   ObjectPage AllUpstreams(TimePoint aNow) const;
   ObjectChange ToChange(KnownUpstream const& aUpstream, TimePoint aNow) const;
   ObjectPage EvacuationList(TimePoint aNow) const;
+  ZoneReturns RecentReturns(TimePoint aNow) const;
+  /// How long the upstreams of a returned zone count as cold.
+  milliseconds ReturnColdTime(milliseconds aColdTime) const;
+  /// The longest such time of any service.
+  milliseconds MaxReturnColdTime() const;
   void UpdatePositions(StoreUpdate const& aUpdate, Changes const& aChanges);
   void UpdateMaxChangePositions(Changes const& aChanges, StorePosition aUpTo);
   StorePosition LastChange(ObjectKind aKind) const;
@@ -225,6 +235,9 @@
   /// Removals up to this position may no longer be in `mUpstreams`.
   StorePosition mForgottenRemovalsTo;
   std::map<std::string, KnownZone> mZones;
+  /// The time from which on this VM knows of all returns of zones; unset until
+  /// evacuations were listed.
+  TimePoint mReturnsKnownSince{};
   StorePosition mConfigurationPosition;
   std::uint64_t mEra = 0;
   /// The positions up to which no change of a kind is missing, of the kinds of
--- a/src/tarragonsill/coordination/tarragonsill_directory_sync.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_sync.cpp
@@ -121,6 +121,7 @@
   if (own.mEvacuations.mEra == mEra && own.mEvacuations > aHeld.mEvacuations) {
     lists.mEvacuations = EvacuationList(aNow);
   }
+  lists.mReturns = RecentReturns(aNow);
   return lists;
 }
 
--- a/src/tarragonsill/coordination/tarragonsill_directory_view.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_view.cpp
@@ -25,9 +25,14 @@
   // may not have reported it yet.
   auto const* rule = FindRule(aUpstream.mRegistration.mService);
   auto const cold = rule != nullptr ? rule->mColdTime : milliseconds{ 0 };
-  auto const until = zone->second.mReturnedAt +
-                     std::max(cold, mSettings.mHeartbeat + kReportDelay);
-  return std::max(aUpstream.mColdUntil, until);
+  return std::max(aUpstream.mColdUntil,
+                  zone->second.mReturnedAt + ReturnColdTime(cold));
+}
+
+milliseconds
+Directory::ReturnColdTime(milliseconds aColdTime) const
+{
+  return std::max(aColdTime, mSettings.mHeartbeat + kReportDelay);
 }
 
 RoutingViewPointer
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -17,6 +17,9 @@
 /// Messages from VMs of other zones arrive several times a second. If none
 /// arrives for this long, the zone is cut off.
 constexpr milliseconds kCutOffTimeout{ 1200 };
+/// Peers that may have started together with this VM cannot tell it which zones
+/// returned before, so a few are queried.
+constexpr std::size_t kMaxReturnsQueries = 3;
 /// Keeps an answer below the usual MTU.
 constexpr std::size_t kMembersPerAnswer = 16;
 /// Added to an incarnation that peers reject as outdated because it was taken
@@ -328,7 +331,42 @@
   }
   auto const name = mSync.NextPeerToQuery(aNow, mGaplessDigest, aIsComplete);
   auto const* member = name ? mMembership.Find(*name) : nullptr;
-  return member != nullptr ? std::optional(*member) : std::nullopt;
+  return member != nullptr ? std::optional(*member) : NextPeerWithReturns(aNow);
+}
+
+void
+NodePeers::SetKnowsReturns(bool aKnowsReturns)
+{
+  mKnowsReturns = aKnowsReturns;
+  if (aKnowsReturns) {
+    mQueriedForReturns.clear();
+  }
+}
+
+std::optional<Member>
+NodePeers::NextPeerWithReturns(TimePoint aNow)
+{
+  bool const isDue = !mKnowsReturns && !mIsFirstStart &&
+                     aNow >= mNextReturnsQuery &&
+                     mQueriedForReturns.size() < kMaxReturnsQueries;
+  if (!isDue) {
+    return std::nullopt;
+  }
+  std::optional<Member> oldest;
+  for (auto const& member : mMembership.Members()) {
+    bool const isCandidate = member.IsServing() &&
+                             member.mName != mMembership.Self().mName &&
+                             mQueriedForReturns.count(member.mName) == 0;
+    bool const isOlder = !oldest || member.mIncarnation < oldest->mIncarnation;
+    if (isCandidate && isOlder) {
+      oldest = member;
+    }
+  }
+  if (oldest) {
+    mQueriedForReturns.insert(oldest->mName);
+    mNextReturnsQuery = aNow + KnowledgeSync::kQueryInterval;
+  }
+  return oldest;
 }
 
 bool
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -12,6 +12,8 @@
 
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -54,6 +56,9 @@
   void SetStage(MemberStage aStage) { mMembership.SetSelfStage(aStage); }
   /// Returns the peer to query for newer state now, if any.
   std::optional<Member> NextPeerToQuery(TimePoint aNow, bool aIsComplete);
+  /// Sets whether this VM knows of all recent returns of zones. If not, it
+  /// queries peers although they have no newer state.
+  void SetKnowsReturns(bool aKnowsReturns);
   /// Returns the name hashes of the VMs of the zone that admit flows, including
   /// this VM. Empty until this VM has had time to find the others.
   std::vector<std::uint64_t> AdmittingVms(TimePoint aNow) const;
@@ -127,6 +132,8 @@
                          std::uint32_t aOffset,
                          Outbox& aOutbox) const;
   bool HasServingPeer() const;
+  /// Returns the peer to query for returns of zones now, if any.
+  std::optional<Member> NextPeerWithReturns(TimePoint aNow);
   std::vector<Member> ZoneMembers() const;
   void ReportWatches(TimePoint aNow, Outbox& aOutbox);
   void UpdateServingVms();
@@ -170,6 +177,10 @@
   TimePoint mStarted{};
   TimePoint mOtherZonesSeenAt{};
   TimePoint mNextMemberRequest{};
+  bool mKnowsReturns = true;
+  /// The peers that were queried for returns since they were last known.
+  std::set<std::string> mQueriedForReturns;
+  TimePoint mNextReturnsQuery{};
 };
 
 } // namespace tarragonsill
--- a/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
@@ -1,6 +1,7 @@
 #include "tarragonsill/protocol/tarragonsill_knowledge_message.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace tarragonsill {
 
@@ -297,6 +298,15 @@
     known.set_doubted_ms(
       static_cast<std::uint32_t>(change.mUnconfirmedFor.count()));
   }
+  for (auto const& returned : aLists.mReturns.mZones) {
+    auto& known = *reply.add_returned_zones();
+    known.set_zone(returned.mZone);
+    known.set_age_ms(static_cast<std::uint32_t>(returned.mAge.count()));
+  }
+  auto const knownFor =
+    std::min<milliseconds::rep>(aLists.mReturns.mKnownFor.count(),
+                                std::numeric_limits<std::uint32_t>::max());
+  reply.set_returns_known_ms(static_cast<std::uint32_t>(knownFor));
   return reply;
 }
 
@@ -322,6 +332,11 @@
         EvacuationRecord{},
         milliseconds{ known.doubted_ms() } });
   }
+  for (auto const& known : aReply.returned_zones()) {
+    lists.mReturns.mZones.push_back(
+      { known.zone(), milliseconds{ known.age_ms() } });
+  }
+  lists.mReturns.mKnownFor = milliseconds{ aReply.returns_known_ms() };
   return lists;
 }
 
--- a/src/tarragonsill/protocol/tarragonsill_knowledge_message.hpp
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.hpp
@@ -25,6 +25,22 @@
   }
 };
 
+/// A zone whose evacuation has ended.
+struct ReturnedZone
+{
+  std::string mZone;
+  milliseconds mAge{ 0 }; ///< Since the evacuation ended.
+};
+
+/// The zones that returned recently. The store forgets an evacuation as it
+/// ends, so that only VMs that have watched it know of its end.
+struct ZoneReturns
+{
+  std::vector<ReturnedZone> mZones;
+  /// No return that is less old than this is missing.
+  milliseconds mKnownFor{ 0 };
+};
+
 /// The objects that one VM sends to another, one page per kind.
 struct KnowledgeLists
 {
@@ -35,6 +51,7 @@
   /// the complete list.
   StorePosition mUpstreamsAfter;
   ObjectPage mEvacuations;
+  ZoneReturns mReturns;
 };
 
 /// Makes the request of a VM whose state has this digest.
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -99,6 +99,9 @@
     applyPage(ObjectKind::Configuration, lists.mConfiguration, {});
     applyPage(ObjectKind::Upstreams, lists.mUpstreams, lists.mUpstreamsAfter);
     applyPage(ObjectKind::Evacuations, lists.mEvacuations, {});
+    auto const returns = mDirectory.ApplyReturns(Clock::now(), lists.mReturns);
+    WriteDirectoryChanges(Log(), {}, returns, source);
+    PublishIfChanged();
   }
 
   void HandleDatagram(DatagramReceived const& aReceived)
@@ -198,6 +201,8 @@
     mPeers.Tick(now, outbox);
     ExchangeLoads(now, outbox);
     Send(outbox);
+    mPeers.SetKnowsReturns(!mDirectory.IsComplete() ||
+                           mDirectory.KnowsReturns(now));
     if (auto const peer = mPeers.NextPeerToQuery(now, state.mIsComplete)) {
       mSelf->send(mArguments.mFetchActor,
                   FetchKnowledge{ *peer, mDirectory.GaplessDigest() });
--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -150,6 +150,38 @@
   LONGS_EQUAL(1, mGroup.At(5).AdmittingVms(mGroup.Now()).size());
 }
 
+/// Guards against review/8 with two VMs that start at once: neither can tell
+/// the other which zones returned before.
+TEST(NodePeers, a_vm_that_may_miss_returns_of_zones_queries_the_oldest_peers)
+{
+  mGroup.Run(seconds{ 3 });
+  mGroup.Restart(2, 1000);
+  mGroup.Restart(3, 1001);
+  mGroup.Run(seconds{ 3 });
+  auto& started = mGroup.At(2);
+  std::vector<std::string> queried;
+  auto const query = [&] {
+    for (int interval = 0; interval < 8; ++interval) {
+      if (auto const peer = started.NextPeerToQuery(mGroup.Now(), true)) {
+        queried.push_back(peer->mName);
+      }
+      mGroup.Run(KnowledgeSync::kQueryInterval);
+    }
+  };
+  query();
+  CHECK(queried.empty());
+  started.SetKnowsReturns(false);
+  query();
+  LONGS_EQUAL(3, std::set(queried.begin(), queried.end()).size());
+  LONGS_EQUAL(3, queried.size());
+  LONGS_EQUAL(0, std::count(queried.begin(), queried.end(), "vm-3"));
+  started.SetKnowsReturns(true);
+  started.SetKnowsReturns(false);
+  started.SetFirstStart(true);
+  query();
+  LONGS_EQUAL(3, queried.size());
+}
+
 TEST(NodePeers, a_vm_without_state_queries_a_peer_that_has_it)
 {
   mGroup.At(0).SetDigest({ 4, { 0, 20 }, { 0, 1 } },
--- a/tests/transport/test_node_runs.cpp
+++ b/tests/transport/test_node_runs.cpp
@@ -6,6 +6,7 @@
 #include "support/loopback_network.hpp"
 #include "tarragonsill/transport/tarragonsill_node_daemon.hpp"
 
+#include <array>
 #include <memory>
 #include <thread>
 
@@ -180,6 +181,44 @@
     LONGS_EQUAL(0, report.mStalled);
     LONGS_EQUAL(kFlows, report.mOpened);
   }
+
+  /// Ends the evacuation of zone `a` while some VMs are down, and starts them.
+  void RestartAsZoneReturns(std::vector<std::size_t> const& aVms)
+  {
+    mStore->Put("evacuations", "a", nlohmann::json::object());
+    RunFor(milliseconds{ 600 });
+    SetRotation({ 2 });
+    for (auto const index : aVms) {
+      mVms[index].reset();
+    }
+    mStore->Remove("evacuations", "a");
+    RunFor(milliseconds{ 200 });
+    for (auto const index : aVms) {
+      StartVm(index);
+    }
+    RunFor(milliseconds{ 400 });
+    SetRotation(aVms);
+  }
+
+  void CheckFewFlowsToReturnedZone()
+  {
+    // `coldRateS` times the default factor, plus the default allowance.
+    constexpr std::uint64_t kColdLimit = 8;
+    constexpr std::size_t kZoneUpstreams[] = { 0, 2 };
+    std::array<std::uint64_t, 2> before{};
+    for (std::size_t index = 0; index < before.size(); ++index) {
+      before[index] = mUpstreams[kZoneUpstreams[index]].OpenedFlows();
+    }
+    for (int flow = 0; flow < 40; ++flow) {
+      mCallers->Open(Clock::now(), kRoute);
+    }
+    RunFor(milliseconds{ 700 });
+    for (std::size_t index = 0; index < before.size(); ++index) {
+      auto const after = mUpstreams[kZoneUpstreams[index]].OpenedFlows();
+      CHECK(after - before[index] <= kColdLimit);
+    }
+    LONGS_EQUAL(kFlows + 40, mCallers->Report().mOpened);
+  }
 };
 
 TEST(NodeRuns, flows_survive_a_crash_and_restart_of_all_vms)
@@ -329,3 +368,18 @@
   LONGS_EQUAL(0, mCallers->Report().mResets);
   LONGS_EQUAL(kFlows + 20, mCallers->Report().mOpened);
 }
+
+/// Guards against review/8: a VM that starts does not know that the upstreams
+/// of a zone that was just taken back may be cold.
+TEST(NodeRuns, a_vm_that_starts_as_a_zone_returns_keeps_the_limit_of_cold_ones)
+{
+  RestartAsZoneReturns({ 0 });
+  CheckFewFlowsToReturnedZone();
+}
+
+/// As above, and the other VM of the zone cannot tell it.
+TEST(NodeRuns, two_vms_that_start_as_a_zone_returns_ask_a_third_one)
+{
+  RestartAsZoneReturns({ 0, 1 });
+  CheckFewFlowsToReturnedZone();
+}
