Place a copy anew if the upstream of its first packet has restarted

Cause: a copy kept the upstream of the first packet by its slot. If the upstream restarted under its name meanwhile, the copy reached the new process although that never saw the flow, past its limit while it is cold.

Change: when a view shows another process in a slot, the flows that were offered to the former one and may not be open are forgotten; their copies are new flows.

Not seen with real processes.

Conclusion: the cold limit counts copies for a restarted upstream.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -65,6 +65,8 @@
       replaced.push_back(static_cast<std::uint32_t>(slot));
     }
   }
+  // Copies of their opening packets are new to the process that runs now.
+  EraseOpeningFlows(replaced);
   for (auto slot = before.size(); slot < aView->mUpstreams.size(); ++slot) {
     replaced.push_back(static_cast<std::uint32_t>(slot));
   }
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -345,6 +345,8 @@
   /// Removes a flow from its upstream's load.
   void ReleaseLoad(Detail::TrackedFlow& aFlow);
   void EraseFlow(std::uint64_t aKey);
+  /// Erases the flows that were offered to upstreams and may not be open.
+  void EraseOpeningFlows(std::vector<std::uint32_t> const& aSlots);
   void AddLogEntry(SteeringCause aCause,
                    Endpoint aCaller,
                    Endpoint aRoute,
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -302,6 +302,23 @@
   mFlows.Erase(aKey);
 }
 
+void
+CookieSteering::EraseOpeningFlows(std::vector<std::uint32_t> const& aSlots)
+{
+  if (aSlots.empty()) {
+    return;
+  }
+  mFlows.EraseIf([&](Detail::TrackedFlow& aFlow) {
+    bool const isOffered =
+      aFlow.mIsOpening &&
+      std::find(aSlots.begin(), aSlots.end(), aFlow.mSlot) != aSlots.end();
+    if (isOffered) {
+      ReleaseLoad(aFlow);
+    }
+    return isOffered;
+  });
+}
+
 std::uint64_t
 CookieSteering::SaturationKey(std::uint32_t aService, Endpoint aRoute) const
 {
--- a/tests/coordination/test_cookie_opening_copies.cpp
+++ b/tests/coordination/test_cookie_opening_copies.cpp
@@ -68,3 +68,29 @@
   LONGS_EQUAL(first.mSlot, copy.mSlot);
   CHECK(copy.mCause == SteeringCause::OpeningCopy);
 }
+
+/// Guards against a flood of an upstream that restarted under its name: copies
+/// of packets for its former process passed its limit while it is cold.
+TEST(CookieOpeningCopies, a_copy_for_an_upstream_that_restarted_is_a_new_flow)
+{
+  constexpr int kFlows = 40;
+  std::vector<SampleFlow> flows;
+  for (int flow = 0; flow < kFlows; ++flow) {
+    flows.emplace_back(CallerAt(mNextPort++));
+    (void)mSteering.Steer(mNow, flows.back().Opening());
+  }
+  mNow += milliseconds{ 150 };
+  mStore.TargetDirectory().SetAdmittingVms({ 1 }, 1);
+  auto restarted = SampleUpstream("a1", "a");
+  restarted.mStartMark = 2;
+  restarted.mRemainingColdTime = seconds{ 2 };
+  mStore.Register(mNow, restarted);
+  RefreshView();
+  int atRestarted = 0;
+  for (auto const& flow : flows) {
+    auto const copy = mSteering.Steer(mNow, flow.Opening(1));
+    atRestarted += UpstreamOf(copy) == "a1" ? 1 : 0;
+  }
+  auto const slot = SlotOf(mSteering.View(), "a1");
+  CHECK(atRestarted <= mSteering.View().mUpstreams[slot].mColdLimit);
+}
