Count the time that messages between VMs were queued, and suspended time

Cause: a report of a watcher carries the age of the store position that it confirms. A VM that was suspended read reports that had been queued meanwhile as if they had just been sent, and took its state for current as of a time that it had not seen. The other way round, a watcher that was suspended reported an age of the steady clock, which had stood still.

Change: the receive thread of the control socket bounds how long a datagram was queued, by ReceiveBacklog, and the age of the confirmed position includes that. A VM forgets confirmed positions and its watches' answers when the clock that counts suspended time has run ahead of the steady clock.

Not seen with real processes: no order of events is known in which a rule broke.

Conclusion: after a suspension the age of the state is unknown until the store or a peer has answered, as for a VM that starts.

--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -206,7 +206,8 @@
 void
 NodePeers::Handle(TimePoint aNow,
                   wire::PeerMessage const& aMessage,
-                  Outbox& aOutbox)
+                  Outbox& aOutbox,
+                  Duration aMaxAge)
 {
   if (!mMembership.Handle(aNow, aMessage, aOutbox)) {
     return;
@@ -235,7 +236,7 @@
   }
   // Watchers in an older era know nothing of the store's current state.
   if (aMessage.has_watch() && aMessage.store_era() >= mEra) {
-    HandleWatchReport(aNow, aMessage, isOwnZone);
+    HandleWatchReport(aNow, aNow - aMaxAge, aMessage, isOwnZone);
   }
   if (aMessage.has_join_request()) {
     AnswerJoinRequest(*from, aMessage.join_request().offset(), aOutbox);
@@ -249,13 +250,14 @@
 
 void
 NodePeers::HandleWatchReport(TimePoint aNow,
+                             TimePoint aSentAt,
                              wire::PeerMessage const& aMessage,
                              bool aIsOwnZone)
 {
   auto const& report = aMessage.watch();
   mFreshness.RecordReport(
     { { report.confirmed_era(), report.confirmed_revision() },
-      aNow - milliseconds{ report.confirmed_age_ms() },
+      aSentAt - milliseconds{ report.confirmed_age_ms() },
       report.confirmation() });
   if (!aIsOwnZone) {
     return; // Watchers of other zones relay nothing to this VM.
@@ -270,6 +272,13 @@
     std::chrono::duration_cast<milliseconds>(aNow - currentAsOf));
 }
 
+void
+NodePeers::ForgetConfirmed()
+{
+  mFreshness = StoreFreshness(mMembership.Self().mName);
+  mLastWatchAnswer.reset();
+}
+
 void
 NodePeers::AnswerJoinRequest(Member const& aFrom,
                              std::uint32_t aOffset,
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -38,9 +38,11 @@
 
   /// Advances timers; must be called at least every 50 ms.
   void Tick(TimePoint aNow, Outbox& aOutbox);
+  /// Handles a message that was queued here for `aMaxAge` at most.
   void Handle(TimePoint aNow,
               wire::PeerMessage const& aMessage,
-              Outbox& aOutbox);
+              Outbox& aOutbox,
+              Duration aMaxAge = {});
   /// Fills in the fields that every message has; must be called before messages
   /// are sent.
   void FillCommonFields(TimePoint aNow, Outbox& aOutbox);
@@ -82,6 +84,9 @@
   {
     mFreshness.RecordAnswer(aConfirmed);
   }
+  /// Forgets them after a time that the steady clock did not count, as their
+  /// ages are unknown then.
+  void ForgetConfirmed();
   /// The positions that calls of this VM and of its peers confirmed.
   StoreFreshness const& Freshness() const { return mFreshness; }
   /// Sets the highest observed era of the store. Watches of peers that have
@@ -126,6 +131,7 @@
 private:
   void RequestMembers(TimePoint aNow, Outbox& aOutbox);
   void HandleWatchReport(TimePoint aNow,
+                         TimePoint aSentAt,
                          wire::PeerMessage const& aMessage,
                          bool aIsOwnZone);
   void AnswerJoinRequest(Member const& aFrom,
--- a/src/tarragonsill/transport/tarragonsill_actor_messages.hpp
+++ b/src/tarragonsill/transport/tarragonsill_actor_messages.hpp
@@ -18,6 +18,7 @@
 struct DatagramReceived
 {
   std::shared_ptr<wire::PeerMessage const> mMessage;
+  Duration mMaxAge{ 0 }; ///< How long it was queued here at most.
 };
 
 /// A configuration that was fetched from the platform or from a peer.
--- a/src/tarragonsill/transport/tarragonsill_control_link.cpp
+++ b/src/tarragonsill/transport/tarragonsill_control_link.cpp
@@ -1,6 +1,7 @@
 #include "tarragonsill/transport/tarragonsill_control_link.hpp"
 
 #include "tarragonsill/protocol/tarragonsill_peer_message.hpp"
+#include "tarragonsill/transport/tarragonsill_boot_time.hpp"
 
 namespace tarragonsill {
 
@@ -8,6 +9,9 @@
 
 /// The thread checks at least this often whether it has to stop.
 constexpr milliseconds kReceiveTimeout{ 200 };
+/// Reads that are further apart mean that the VM was paused or the thread was
+/// starved.
+constexpr milliseconds kPauseThreshold{ 350 };
 
 } // namespace
 
@@ -15,6 +19,7 @@
                          Counters& aCounters,
                          IsAllowed aIsAllowed)
   : mSocket(std::move(aSocket))
+  , mBacklog(TimeSinceBoot(), kPauseThreshold)
   , mCounters(aCounters)
   , mIsAllowed(std::move(aIsAllowed))
 {
@@ -46,7 +51,11 @@
 ControlLink::Run(caf::actor const& aControl)
 {
   while (!mStop) {
-    for (auto const& datagram : mSocket.Receive(kReceiveTimeout)) {
+    auto const readStart = TimeSinceBoot();
+    auto const batch = mSocket.Receive(kReceiveTimeout);
+    bool const isQueueEmpty = batch.size() < UdpSocket::kBatch;
+    (void)mBacklog.RecordRead(readStart, TimeSinceBoot(), isQueueEmpty);
+    for (auto const& datagram : batch) {
       Handle(datagram, aControl);
     }
   }
@@ -62,9 +71,10 @@
     mCounters.Add(Counter::ControlMessagesRejected);
     return;
   }
-  caf::anon_send(aControl,
-                 DatagramReceived{
-                   std::make_shared<wire::PeerMessage const>(message.Take()) });
+  caf::anon_send(
+    aControl,
+    DatagramReceived{ std::make_shared<wire::PeerMessage const>(message.Take()),
+                      mBacklog.MaxAge(TimeSinceBoot()) });
 }
 
 } // namespace tarragonsill
--- a/src/tarragonsill/transport/tarragonsill_control_link.hpp
+++ b/src/tarragonsill/transport/tarragonsill_control_link.hpp
@@ -1,6 +1,7 @@
 #ifndef TARRAGONSILL_CONTROL_LINK_HPP_INCLUDED
 #define TARRAGONSILL_CONTROL_LINK_HPP_INCLUDED
 
+#include "tarragonsill/coordination/tarragonsill_receive_backlog.hpp"
 #include "tarragonsill/transport/tarragonsill_actor_messages.hpp"
 #include "tarragonsill/transport/tarragonsill_udp_socket.hpp"
 
@@ -19,6 +20,7 @@
   /// Returns whether datagrams from and to an address are allowed.
   using IsAllowed = std::function<bool(Endpoint)>;
 
+  /// The socket must have been bound just now.
   ControlLink(UdpSocket aSocket, Counters& aCounters, IsAllowed aIsAllowed);
   ~ControlLink();
 
@@ -31,6 +33,7 @@
   void Handle(Datagram const& aDatagram, caf::actor const& aControl);
 
   UdpSocket mSocket;
+  ReceiveBacklog mBacklog;
   Counters& mCounters;
   IsAllowed mIsAllowed;
   std::atomic<bool> mStop{ false };
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -2,6 +2,7 @@
 
 #include "tarragonsill/coordination/tarragonsill_node_peers.hpp"
 #include "tarragonsill/coordination/tarragonsill_watch_retry.hpp"
+#include "tarragonsill/transport/tarragonsill_boot_time.hpp"
 #include "tarragonsill/transport/tarragonsill_directory_log.hpp"
 #include "tarragonsill/transport/tarragonsill_load_status.hpp"
 
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr milliseconds kTickPeriod{ 50 };
+/// The two clocks are not read at the same moment.
+constexpr milliseconds kMaxClockDifference{ 20 };
 
 Member
 MakeSelfMember(NodeSettings const& aSettings, std::uint64_t aIncarnation)
@@ -108,7 +111,7 @@
   {
     Outbox outbox;
     auto const& message = *aReceived.mMessage;
-    mPeers.Handle(Clock::now(), message, outbox);
+    mPeers.Handle(Clock::now(), message, outbox, aReceived.mMaxAge);
     Send(outbox);
     if (message.has_watch()) {
       mArguments.mState->mFreshness.Publish(mPeers.Freshness());
@@ -181,6 +184,7 @@
 
   void Tick()
   {
+    ForgetAgesAfterSuspension();
     auto const now = Clock::now();
     auto const& state = *mArguments.mState;
     auto const stage = state.mIsLeaving    ? MemberStage::Leaving
@@ -406,8 +410,22 @@
     mPeers.SetCompleteTo(mDirectory.CompleteTo());
   }
 
+  /// Ages of answers of the store count by the steady clock, which stops while
+  /// the VM is suspended.
+  void ForgetAgesAfterSuspension()
+  {
+    auto const suspended = TimeSinceBoot() - Clock::now().time_since_epoch();
+    if (suspended > mSuspended + kMaxClockDifference) {
+      mPeers.ForgetConfirmed();
+      mArguments.mState->mFreshness.Publish(mPeers.Freshness());
+      mLastAnswerTimes.fill({});
+    }
+    mSuspended = suspended;
+  }
+
   void Send(Outbox& aOutbox)
   {
+    ForgetAgesAfterSuspension();
     UpdatePeerPositions();
     mPeers.FillCommonFields(Clock::now(), aOutbox);
     auto& counters = mArguments.mState->mCounters;
@@ -447,6 +465,9 @@
   NodePeers mPeers;
   WatchRetry mRetry;
   WatchRole mRole = WatchRole::ReliesOnPeers;
+  /// How long the VM had been suspended since its boot, as last observed.
+  std::chrono::nanoseconds mSuspended =
+    TimeSinceBoot() - Clock::now().time_since_epoch();
   /// Time of the last confirmed position that was reported to peers.
   TimePoint mReportedConfirmation{};
   // Indexed by kind of objects.
--- a/tests/coordination/test_node_peers.cpp
+++ b/tests/coordination/test_node_peers.cpp
@@ -150,6 +150,44 @@
   LONGS_EQUAL(1, mGroup.At(5).AdmittingVms(mGroup.Now()).size());
 }
 
+/// Guards against state that is taken for current by reports that were queued
+/// while this VM was suspended.
+TEST(NodePeers, a_watch_report_is_as_old_as_it_was_queued)
+{
+  StorePosition const position{ 0, 9 };
+  Counters counters;
+  Member self;
+  self.mZone = "a";
+  self.mName = "watcher";
+  NodePeers watcher(self, {}, 1, counters);
+  self.mName = "suspended";
+  NodePeers suspended(self, {}, 2, counters);
+  watcher.SetCompleteTo(position);
+  watcher.RecordConfirmed({ position, kStart });
+  watcher.SetLastWatchAnswer(kStart);
+  Outbox report;
+  (void)AddMessage(report, {});
+  watcher.FillCommonFields(kStart, report);
+  Outbox answers;
+  auto const handledAt = kStart + seconds{ 3 };
+  suspended.Handle(handledAt, report.front().mMessage, answers, seconds{ 2 });
+  CHECK(suspended.Freshness().CurrentAsOf(position) == kStart + seconds{ 1 });
+}
+
+/// Guards against reports with too low an age, as the steady clock stopped.
+TEST(NodePeers, a_vm_that_was_suspended_does_not_report_confirmed_positions)
+{
+  auto& vm = mGroup.At(0);
+  vm.RecordConfirmed({ { 0, 9 }, kStart });
+  vm.SetLastWatchAnswer(kStart);
+  vm.ForgetConfirmed();
+  CHECK_FALSE(vm.Freshness().Newest().has_value());
+  Outbox report;
+  (void)AddMessage(report, {});
+  vm.FillCommonFields(kStart, report);
+  CHECK_FALSE(report.front().mMessage.has_watch());
+}
+
 /// Guards against review/8 with two VMs that start at once: neither can tell
 /// the other which zones returned before.
 TEST(NodePeers, a_vm_that_may_miss_returns_of_zones_queries_the_oldest_peers)
