--- a/tools/soak-tests.sh
+++ b/tools/soak-tests.sh
@@ -17,11 +17,8 @@
   --without store_rollback --without suspend_upstream
 # 15: a VM was paused and then processed the opening packets that had queued up;
 # the stand-in upstreams treated them as new flows.
-status=0
 soak --seed 15 --seconds 25 --entries 6 --network 4 \
-  --without store_rollback --without suspend_upstream || status=$?
-[ "$status" -ne 1 ] || echo "KNOWN-RED 15: seed 15 broke"
-[ "$status" -le 1 ] || { echo "seed 15 ended with $status"; exit 1; }
+  --without store_rollback --without suspend_upstream
 # 514: upstreams stood still for up to 2.5 s, and their open flows were reset.
 soak --seed 514 --seconds 25 --entries 12 --network 7 --only suspend_upstream
 # Six store rollbacks in 32 s, among them two in a row.
