Apply a peer's returns of zones before the lists that complete a view

Cause: the returns of zones were applied after the lists of the same reply. For a moment the packet thread could use a complete view in which the upstreams of a zone that had just returned did not count as cold.

Change: the returns come first. Since when they are known is therefore no longer reset by any list of evacuations, but by one of this VM's own watch, which is what loses that knowledge.

Conclusion: no view is complete before the returns are in it.

--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -113,10 +113,6 @@
   if (aUpdate.mIsWholeList) {
     RemoveUnlisted(aNow, aUpdate, changes);
   }
-  if (aUpdate.mIsWholeList && aUpdate.mKind == ObjectKind::Evacuations) {
-    // A list does not show evacuations that have ended.
-    mReturnsKnownSince = aNow;
-  }
   if (aUpdate.mKind == ObjectKind::Upstreams) {
     UpdateMaxChangePositions(changes, aUpdate.mUpTo);
   }
--- a/src/tarragonsill/coordination/tarragonsill_directory.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.hpp
@@ -81,6 +81,9 @@
   /// something was listed, returns the rollback; earlier lists no longer count
   /// as complete.
   std::optional<StoreRollback> ObserveEra(std::uint64_t aEra);
+  /// Forgets since when all returns of zones are known; must be called when
+  /// evacuations were listed in the store, which shows none that has ended.
+  void ForgetReturnsKnown(TimePoint aNow) { mReturnsKnownSince = aNow; }
   /// Applies the returns of zones that a peer knows. Returns the changes.
   std::vector<DirectoryChange> ApplyReturns(TimePoint aNow,
                                             ZoneReturns const& aReturns);
@@ -236,7 +239,7 @@
   StorePosition mForgottenRemovalsTo;
   std::map<std::string, KnownZone> mZones;
   /// The time from which on this VM knows of all returns of zones; unset until
-  /// evacuations were listed.
+  /// the store or a peer has sent evacuations.
   TimePoint mReturnsKnownSince{};
   StorePosition mConfigurationPosition;
   std::uint64_t mEra = 0;
--- a/src/tarragonsill/coordination/tarragonsill_directory_returns.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_returns.cpp
@@ -64,10 +64,10 @@
         "was taken back " + std::to_string(returned.mAge.count()) + " ms ago",
         zone.mPosition });
   }
-  if (mReturnsKnownSince != TimePoint{}) {
-    mReturnsKnownSince =
-      std::min(mReturnsKnownSince, aNow - aReturns.mKnownFor);
-  }
+  auto const knownSince = aNow - aReturns.mKnownFor;
+  mReturnsKnownSince = mReturnsKnownSince == TimePoint{}
+                         ? knownSince
+                         : std::min(mReturnsKnownSince, knownSince);
   mIsDirty = mIsDirty || !changes.empty();
   return changes;
 }
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -61,6 +61,9 @@
   void HandleOwnUpdate(StoreUpdate const& aUpdate, bool aIsConfirmation)
   {
     auto const* const source = aIsConfirmation ? "confirmation" : "watch";
+    if (aUpdate.mIsWholeList && aUpdate.mKind == ObjectKind::Evacuations) {
+      mDirectory.ForgetReturnsKnown(Clock::now());
+    }
     ApplyUpdate(aUpdate, aUpdate.mIsWholeList ? "list" : source);
     if (aUpdate.mIsWholeList && aUpdate.mKind == kFirstListedKind) {
       StartDeferredLists(aUpdate.mUpTo);
@@ -99,11 +102,12 @@
       }
     };
     auto const& lists = *aFetched.mLists;
+    // Before the lists that may complete the view.
+    auto const returns = mDirectory.ApplyReturns(Clock::now(), lists.mReturns);
+    WriteDirectoryChanges(Log(), {}, returns, source);
     applyPage(ObjectKind::Configuration, lists.mConfiguration, {});
     applyPage(ObjectKind::Upstreams, lists.mUpstreams, lists.mUpstreamsAfter);
     applyPage(ObjectKind::Evacuations, lists.mEvacuations, {});
-    auto const returns = mDirectory.ApplyReturns(Clock::now(), lists.mReturns);
-    WriteDirectoryChanges(Log(), {}, returns, source);
     PublishIfChanged();
   }
 
--- a/tests/coordination/test_directory_returns.cpp
+++ b/tests/coordination/test_directory_returns.cpp
@@ -22,9 +22,7 @@
 
   void setup() override
   {
-    mWatching.ListAll(mNow);
-    mWatching.Configure(mNow, SampleConfiguration());
-    mWatching.Register(mNow, SampleUpstream("b1", "b"));
+    List(mWatching);
     mNow += seconds{ 20 };
     mWatching.Evacuate(mNow, "b", true);
     mNow += seconds{ 10 };
@@ -36,6 +34,7 @@
   {
     auto const lists =
       FromMessage(ToMessage(aPeer.NewerThan(aVm.GaplessDigest(), mNow)));
+    (void)aVm.ApplyReturns(mNow, lists.mReturns);
     auto const apply =
       [&](ObjectKind aKind, ObjectPage const& aPage, StorePosition aAfter) {
         if (aPage.mPosition.IsSet()) {
@@ -47,7 +46,15 @@
     apply(ObjectKind::Configuration, lists.mConfiguration, {});
     apply(ObjectKind::Upstreams, lists.mUpstreams, lists.mUpstreamsAfter);
     apply(ObjectKind::Evacuations, lists.mEvacuations, {});
-    (void)aVm.ApplyReturns(mNow, lists.mReturns);
+  }
+
+  /// Lists all kinds in the store.
+  void List(SampleStore & aVm)
+  {
+    aVm.ListAll(mNow);
+    aVm.TargetDirectory().ForgetReturnsKnown(mNow);
+    aVm.Configure(mNow, SampleConfiguration());
+    aVm.Register(mNow, SampleUpstream("b1", "b"));
   }
 
   TimePoint ColdUntil(Directory & aVm)
@@ -71,9 +78,7 @@
 {
   mNow += milliseconds{ 300 };
   SampleStore listed;
-  listed.ListAll(mNow);
-  listed.Configure(mNow, SampleConfiguration());
-  listed.Register(mNow, SampleUpstream("b1", "b"));
+  List(listed);
   auto& peer = listed.TargetDirectory();
   mNow += milliseconds{ 300 };
   Directory started(SampleSettings());
@@ -87,23 +92,20 @@
 TEST(DirectoryReturns, a_vm_knows_by_itself_once_it_has_watched_long_enough)
 {
   SampleStore listed;
-  listed.ListAll(mNow);
-  listed.Configure(mNow, SampleConfiguration());
+  List(listed);
   auto& vm = listed.TargetDirectory();
   CHECK_FALSE(vm.KnowsReturns(mNow + kReturnColdTime - milliseconds{ 1 }));
   CHECK(vm.KnowsReturns(mNow + kReturnColdTime));
   // A list shows no evacuation that began and ended since the last watch.
   mNow += seconds{ 10 };
-  listed.ListAll(mNow);
+  List(listed);
   CHECK_FALSE(vm.KnowsReturns(mNow));
 }
 
 TEST(DirectoryReturns, the_end_of_an_evacuation_that_was_never_seen_counts)
 {
   SampleStore listed;
-  listed.ListAll(mNow);
-  listed.Configure(mNow, SampleConfiguration());
-  listed.Register(mNow, SampleUpstream("b1", "b"));
+  List(listed);
   listed.Evacuate(mNow, "b", false);
   CHECK(ColdUntil(listed.TargetDirectory()) == mNow + kReturnColdTime);
 }
