Notice the loss of a datagram that holds nothing but removals

Cause: changes of one answer are relayed in datagrams of ten, each naming the positions after which and up to which it is complete. Removals may carry the revision of the change before them, so a datagram of removals alone could begin and end at the same position. If it was lost, the next one continued the chain, and the removals were missed for good.

Change: such a datagram advances by one. A removal counts with the position up to which its answer is complete, so the chain shows the loss, and a query after any position within it still gets all of its removals.

Figures: DirectoryGaps, a_lost_datagram_with_removals_alone_is_noticed: fails before, holds after. Not seen with real processes.

Conclusion: each datagram of a chain has a range of its own.

--- a/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
+++ b/src/tarragonsill/protocol/tarragonsill_knowledge_message.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <span>
 
 namespace tarragonsill {
 
@@ -99,7 +100,7 @@
 
 /// With about 90 bytes per object and the other fields of the message, a
 /// datagram stays below the usual MTU.
-constexpr int kObjectsPerUpdate = 10;
+constexpr std::size_t kObjectsPerUpdate = 10;
 
 void
 AddRemoval(ObjectChange const& aChange, wire::KnownRemoval& aRemoval)
@@ -148,22 +149,28 @@
   if (aKind == ObjectKind::Configuration) {
     return updates;
   }
-  int count = 0;
-  auto position = aRange.mAfter;
-  for (auto const& change : aChanges) {
-    if (count++ % kObjectsPerUpdate == 0) {
-      updates.emplace_back().set_after_revision(position.mRevision);
-      updates.back().set_store_era(position.mEra);
+  auto after = aRange.mAfter;
+  for (std::size_t first = 0; first < aChanges.size();
+       first += kObjectsPerUpdate) {
+    auto const rest = std::span(aChanges).subspan(first);
+    auto const part = rest.first(std::min(kObjectsPerUpdate, rest.size()));
+    auto& update = updates.emplace_back();
+    auto upTo = after;
+    for (auto const& change : part) {
+      AddChange(aKind, change, update);
+      upTo = std::max(upTo, change.mPosition);
     }
-    AddChange(aKind, change, updates.back());
-    // A removal may have the revision of the object's previous change, so
-    // revisions do not always increase.
-    position = std::max(position, change.mPosition);
-    updates.back().set_up_to_revision(position.mRevision);
-  }
-  if (!updates.empty()) {
-    updates.back().set_up_to_revision(
-      std::max(position, aRange.mUpTo).mRevision);
+    // A removal may have the revision of the object's previous change. If all
+    // changes are such removals, a step of one still shows the update's loss.
+    if (upTo == after) {
+      upTo = std::min(aRange.mUpTo, { after.mEra, after.mRevision + 1 });
+    }
+    bool const isLast = part.size() == rest.size();
+    upTo = isLast ? std::max(upTo, aRange.mUpTo) : upTo;
+    update.set_store_era(after.mEra);
+    update.set_after_revision(after.mRevision);
+    update.set_up_to_revision(upTo.mRevision);
+    after = upTo;
   }
   return updates;
 }
--- a/tests/coordination/test_directory_gaps.cpp
+++ b/tests/coordination/test_directory_gaps.cpp
@@ -207,3 +207,26 @@
   mRelying.Query(mWatcher);
   CHECK(mRelying.AvailabilityOf("a1") == UpstreamAvailability::Gone);
 }
+
+TEST(DirectoryGaps, a_lost_datagram_with_removals_alone_is_noticed)
+{
+  // Many registrations lapse at once; each removal carries the revision of the
+  // change before it, and the changes fill several datagrams.
+  constexpr std::size_t kRemovals = 30;
+  std::vector<ObjectChange> removals(kRemovals, Removed("a2", kListed));
+  removals[kRemovals / 2] = Removed("a1", kListed - 1);
+  mWatcher.Update(kListed, kListed + kRemovals, removals);
+  auto const updates = ToUpdates(
+    ObjectKind::Upstreams, removals, { At(kListed), At(kListed + kRemovals) });
+  LONGS_EQUAL(3, updates.size());
+  for (auto const index : { 0, 2 }) {
+    auto const range = RangeOf(updates[index]);
+    mRelying.Update(range.mAfter.mRevision,
+                    range.mUpTo.mRevision,
+                    ChangesOf(ObjectKind::Upstreams, updates[index]));
+  }
+  mRelying.HearWatcher(mWatcher, kListed + kRemovals);
+  CHECK(mRelying.IsBehind(mWatcher));
+  mRelying.Query(mWatcher);
+  CHECK(mRelying.AvailabilityOf("a1") == UpstreamAvailability::Gone);
+}
