Vouch for no returns of zones while changes of evacuations are missing

Cause: a VM that had a gap in the changes of evacuations told a peer that it knew of all returns of zones.

Change: it states no time for which it knows them until the gap is closed.

Read, not seen.

Conclusion: a peer that starts then asks others.

--- a/src/tarragonsill/coordination/tarragonsill_directory_returns.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_returns.cpp
@@ -40,7 +40,8 @@
         { name, std::chrono::duration_cast<milliseconds>(age) });
     }
   }
-  if (mReturnsKnownSince != TimePoint{}) {
+  bool const isBehind = MissingChanges(ObjectKind::Evacuations).has_value();
+  if (mReturnsKnownSince != TimePoint{} && !isBehind) {
     returns.mKnownFor =
       std::chrono::duration_cast<milliseconds>(aNow - mReturnsKnownSince);
   }
