Compare names of upstreams by the macro for texts in tests

Cause: the linter rejects CHECK_EQUAL with a text literal.

Change: STRCMP_EQUAL in CookieOpeningCopies; the expectations are the same.

Conclusion: no check changes.

--- a/tests/coordination/test_cookie_opening_copies.cpp
+++ b/tests/coordination/test_cookie_opening_copies.cpp
@@ -47,7 +47,7 @@
   ConfigureShares({ { "label", 1 } });
   auto const copy = SendCopy(flow);
   CHECK(copy.mAction == SteeringAction::Forward);
-  CHECK_EQUAL("l1", UpstreamOf(copy));
+  STRCMP_EQUAL("l1", UpstreamOf(copy).c_str());
 }
 
 /// Guards against review/9 with a service that keeps a share without weight.
@@ -56,7 +56,7 @@
   SampleFlow flow;
   (void)Offer(flow);
   ConfigureShares({ { "web", 0 }, { "label", 1 } });
-  CHECK_EQUAL("l1", UpstreamOf(SendCopy(flow)));
+  STRCMP_EQUAL("l1", UpstreamOf(SendCopy(flow)).c_str());
 }
 
 TEST(CookieOpeningCopies, a_copy_keeps_its_upstream_while_the_route_has_it)
