--- a/review/stand-ins-3/standin.hpp
+++ b/review/stand-ins-3/standin.hpp
@@ -465,8 +465,13 @@
       auto const& objects = mObjects[kind];
       auto next = objects.upper_bound(query["after"]);
       int count = 0;
+      // "about 500 or 1 MB at most"
       for (; next != objects.end() && count < 500; ++next, ++count) {
-        items += (count > 0 ? "," : "") + Json(next->first, next->second);
+        auto const item = Json(next->first, next->second);
+        if (count > 0 && items.size() + item.size() > 1'048'576) {
+          break;
+        }
+        items += (count > 0 ? "," : "") + item;
       }
       return Http(200, "{\"items\":[" + items + "],\"more\":" +
                          (next != objects.end() ? "true" : "false") +
