--- a/review/stand-ins-3/standin.cpp
+++ b/review/stand-ins-3/standin.cpp
@@ -69,10 +69,11 @@
 class ColdJudge
 {
 public:
-  static constexpr double kRate = 10, kFactor = 1.5, kSlack = 5;
+  static constexpr double kFactor = 1.5, kSlack = 5;
 
-  explicit ColdJudge(Record& aRecord)
+  ColdJudge(Record& aRecord, double aRate)
     : mRecord(aRecord)
+    , mRate(aRate)
   {
   }
   void Sent(Clients& aClients, u16 aPort, u32 aRoute)
@@ -117,7 +118,7 @@
     mRecord.Line("requests that a cold host had taken and that were not "
                  "answered within their time budget: %d",
                  late);
-    auto const limit = kRate * kFactor + kSlack;
+    auto const limit = mRate * kFactor + kSlack;
     bool isBroken = false;
     for (auto const& [host, openings] : mOpenings) {
       u64 begin = 0;
@@ -144,6 +145,7 @@
 
 private:
   Record& mRecord;
+  double mRate;
   std::map<FlowId, std::pair<std::string, u64>> mSent;
   std::map<FlowId, std::string> mFlows;
   std::map<std::string, std::vector<Opening>> mOpenings;
@@ -482,6 +484,7 @@
 int
 ColdZone(Record& aRecord)
 {
+  constexpr double kColdRate = 10;
   auto& deployment = Deployment::Begin(aRecord);
   deployment.zones = { "hofud-a", "hofud-b", "hofud-c" };
   Loop loop;
@@ -505,8 +508,8 @@
     Configuration(7,
                   Route("order-change", deployment.RouteIp(),
                         Deployment::kRoutePort, "unsafe", "askrift"),
-                  { "askrift" }, ColdJudge::kRate));
-  ColdJudge judge(aRecord);
+                  { "askrift" }, kColdRate));
+  ColdJudge judge(aRecord, kColdRate);
   std::vector<std::unique_ptr<Host>> hosts;
   std::mt19937 random(std::random_device{}());
   for (u32 index = 0; index < 14; ++index) {
@@ -583,6 +586,104 @@
   return judge.Judge(allClients, deployment.RouteIp()) ? 1 : 0;
 }
 
+/// FAILBACK: a host starts again under its id while the store is down.
+int
+RestartInOutage(Record& aRecord)
+{
+  constexpr double kColdRate = 4;
+  auto& deployment = Deployment::Begin(aRecord);
+  deployment.zones = { "hofud-a", "hofud-b", "hofud-c" };
+  Loop loop;
+  std::vector<std::string> seeds;
+  std::map<std::string, int> const counts = { { "hofud-a", 3 },
+                                              { "hofud-b", 2 },
+                                              { "hofud-c", 2 } };
+  for (auto const& zone : deployment.zones) {
+    for (int number = 1; number <= counts.at(zone); ++number) {
+      auto& vm = deployment.AddVm(zone, number, {}, true);
+      if (number == 1) {
+        seeds.push_back(Deployment::Control(vm));
+      }
+    }
+  }
+  for (auto const& vm : deployment.vms) {
+    vm->seeds = seeds;
+  }
+  deployment.store->Put(
+    "config", "main",
+    Configuration(7,
+                  Route("order-change", deployment.RouteIp(),
+                        Deployment::kRoutePort, "unsafe", "askrift"),
+                  { "askrift" }, kColdRate));
+  ColdJudge judge(aRecord, kColdRate);
+  std::vector<std::unique_ptr<Host>> hosts;
+  std::mt19937 random(std::random_device{}());
+  for (u32 index = 0; index < 14; ++index) {
+    Host::Options options;
+    options.ip = deployment.block | (100 + index);
+    char id[32];
+    std::snprintf(id, sizeof(id), "i-51c0%04x", unsigned(0x1000 + index * 77));
+    options.id = id;
+    options.service = "askrift";
+    options.zone = deployment.zones[index % 3];
+    options.workMs = 55;
+    options.coldWorkMs = 88; // A cold host is slower.
+    hosts.push_back(std::make_unique<Host>(loop, deployment, options));
+    auto& host = *hosts.back();
+    judge.Observe(host);
+    host.Beat();
+  }
+  for (auto const& vm : deployment.vms) {
+    deployment.Start(*vm);
+  }
+  deployment.StartRouters();
+  if (!deployment.WaitUntilReady(15)) {
+    CannotRun("the entry VMs are not ready");
+  }
+  u32 clientIp = 200;
+  std::map<std::string, std::unique_ptr<Clients>> clients;
+  std::vector<Clients*> allClients;
+  // 200 requests a second in each zone, over a flow each; the hosts can run
+  // 1,000 a second.
+  std::function<void(std::string)> request = [&](std::string aZone) {
+    auto const port =
+      clients[aZone]->Send("POST", 5000, Deployment::kRoutePort);
+    judge.Sent(*clients[aZone], port, deployment.RouteIp());
+    loop.After(1000.0 / 200, [&request, aZone] { request(aZone); });
+  };
+  for (auto const& zone : deployment.zones) {
+    clients[zone] = std::make_unique<Clients>(loop, deployment, zone,
+                                              deployment.block | clientIp++);
+    allClients.push_back(clients[zone].get());
+    request(zone);
+  }
+  for (auto const& host : hosts) {
+    loop.After(double(random() % 1200), [&host] { host->KeepBeating(1200); });
+  }
+  loop.After(6000, [&] {
+    if (Trouble()) {
+      deployment.store->SetDown(true);
+      aRecord.Line("the store is down");
+    }
+  });
+  loop.After(7000, [&] {
+    // The first two hosts of zone hofud-a, one after the other.
+    aRecord.Line("host %s ends and starts again", hosts[0]->Id().c_str());
+    hosts[0]->Restart(500, 2000);
+  });
+  loop.After(9000, [&] {
+    aRecord.Line("host %s ends and starts again", hosts[3]->Id().c_str());
+    hosts[3]->Restart(500, 2000);
+  });
+  loop.After(11000, [&] {
+    deployment.store->SetDown(false);
+    aRecord.Line("the store is up");
+  });
+  loop.After(18000, [&] { loop.Stop(); });
+  loop.Run();
+  return judge.Judge(allClients, deployment.RouteIp()) ? 1 : 0;
+}
+
 /// RECOVER: an entry of another writer, and the final fault.
 int
 OddEntry(Record& aRecord)
@@ -712,6 +813,7 @@
     { "moved-store", MovedStore },
     { "cold-zone", ColdZone },
     { "odd-entry", OddEntry },
+    { "restart-in-outage", RestartInOutage },
   };
   auto const found = cases.find(name);
   if (found == cases.end()) {
--- a/review/stand-ins-3/standin.hpp
+++ b/review/stand-ins-3/standin.hpp
@@ -349,6 +349,11 @@
     mIsDown = aIsDown;
     mChanged.notify_all();
   }
+  bool IsDown()
+  {
+    std::lock_guard const lock(mMutex);
+    return mIsDown;
+  }
   u64 Calls() const { return mCalls; }
 
 private:
@@ -951,23 +956,28 @@
   {
     mIdentity = std::strtoull(
       mOptions.id.substr(mOptions.id.rfind('-') + 1).c_str(), nullptr, 16);
-    mUdp = BindUdp(mOptions.ip, Deployment::kHostPort);
-    mTcp = ListenTcp(mOptions.ip, Deployment::kHostPort, true);
-    mLoop.OnReadable(mUdp, [this] { Read(); });
-    mLoop.OnReadable(mTcp, [this] {
-      int const fd = ::accept4(mTcp, nullptr, nullptr, SOCK_CLOEXEC);
-      if (fd >= 0) {
-        ::close(fd);
-      }
+    Listen();
+  }
+  ~Host() { Close(); }
+
+  /// Ends the process; it starts again under the same id, and knows nothing of
+  /// before.
+  void Restart(double aDownMs, double aColdMs)
+  {
+    Close();
+    mFlows.clear();
+    mQueue.clear();
+    isDown = true;
+    mLoop.After(aDownMs, [this, aColdMs] {
+      isDown = false;
+      mBorn = UnixMs();
+      mBeats = 0;
+      mBusy = 0;
+      TurnCold(aColdMs);
+      Listen();
+      Beat();
     });
   }
-  ~Host()
-  {
-    mLoop.Forget(mUdp);
-    mLoop.Forget(mTcp);
-    ::close(mUdp);
-    ::close(mTcp);
-  }
 
   std::string const& Id() const { return mOptions.id; }
   Options const& Settings() const { return mOptions; }
@@ -987,6 +997,9 @@
   /// Writes its entry; a host does so about each heartbeat.
   void Beat()
   {
+    if (isDown || mDeployment.store->IsDown()) {
+      return;
+    }
     mDeployment.store->Put(
       "servers", mOptions.id,
       "{\"service\":\"" + mOptions.service + "\",\"address\":\"" +
@@ -1009,6 +1022,7 @@
 
   bool isDraining = false;
   bool isSilent = false;
+  bool isDown = false;
   /// The work of the next request in ms, if it differs from request to request.
   std::function<double()> drawWorkMs;
   /// Called when a flow has opened at this host.
@@ -1037,10 +1051,33 @@
     u64 generation = 0;
   };
 
+  void Listen()
+  {
+    mUdp = BindUdp(mOptions.ip, Deployment::kHostPort);
+    mTcp = ListenTcp(mOptions.ip, Deployment::kHostPort, true);
+    mLoop.OnReadable(mUdp, [this] { Read(); });
+    mLoop.OnReadable(mTcp, [this] {
+      int const fd = ::accept4(mTcp, nullptr, nullptr, SOCK_CLOEXEC);
+      if (fd >= 0) {
+        ::close(fd);
+      }
+    });
+  }
+  void Close()
+  {
+    for (int* fd : { &mUdp, &mTcp }) {
+      if (*fd >= 0) {
+        mLoop.Forget(*fd);
+        ::close(*fd);
+        *fd = -1;
+      }
+    }
+  }
+
   void Read()
   {
     std::array<u8, 2048> bytes{};
-    while (true) {
+    while (mUdp >= 0) {
       auto const size = ::recv(mUdp, bytes.data(), bytes.size(), 0);
       if (size < 0) {
         return;
@@ -1167,7 +1204,10 @@
                             ? mOptions.coldWorkMs
                           : drawWorkMs ? drawWorkMs()
                                        : mOptions.workMs;
-      mLoop.After(workMs, [this, id = id, request = request] {
+      mLoop.After(workMs, [this, id = id, request = request, born = mBorn] {
+        if (born != mBorn) {
+          return; // The process that ran it has ended.
+        }
         --mBusy;
         auto const found = mFlows.find(id);
         if (found != mFlows.end()) {
