--- a/review/stand-ins-3/standin.cpp
+++ b/review/stand-ins-3/standin.cpp
@@ -156,9 +156,9 @@
 LateAnswer(Record& aRecord)
 {
   // "Datagrams are lost occasionally": here the first answers to the opening
-  // packets of eight flows, some seconds before each restart, so that no other
+  // packets of 14 flows, some seconds before each restart, so that no other
   // loss plays a part, and each host is calm again by then.
-  constexpr int kLossesPerRestart = 8;
+  constexpr int kLossesPerRestart = 14;
   constexpr u64 kStabilityUs = 4'000'000;
   auto& deployment = Deployment::Begin(aRecord);
   deployment.zones = { "hofud-a", "hofud-b", "hofud-c" };
