Correct the cookie of upstreams that answer an opening packet late

Cause: the caller's copy of an opening packet goes to a second upstream when the first one is suspected, and both answer. The flow opens at one of them. The other repeats its answer for 9.4 s with its own cookie, which the caller echoes. Only the VM that saw the handshake knows better; after a change of routers the next VM forwards the flow to the wrong upstream, which resets it.

Change: a VM that knows which upstream holds a flow that was offered to several sends the others a copy of the caller's own opening packet with the holder's cookie (OfferedOpenings). Upstreams answer with the cookie that they received last, so that their late answers name the holder at every VM. A copy follows again if a late answer shows up nevertheless, also for an upstream that another VM chose. Hedged openings take the same way. A VM that took over an open flow keeps its upstream once that would have reset it. New: log line steer late_answer, a counter, the mechanism late_answers. The types of steering decisions move to a header of their own.

Conclusion: the class is fixed where the cookie arises.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -62,6 +62,7 @@
       mCrashDetectors[slot] = {};
       mChecker.ForgetUpstream(static_cast<std::uint32_t>(slot));
       mHedger.ForgetUpstream(static_cast<std::uint32_t>(slot));
+      mOfferedOpenings.ForgetUpstream(static_cast<std::uint32_t>(slot));
       replaced.push_back(static_cast<std::uint32_t>(slot));
     }
   }
@@ -223,6 +224,7 @@
   std::optional<std::uint32_t> avoid;
   if (isRetransmission) {
     auto const slot = known->mSlot;
+    mOfferedOpenings.RecordOffer(aNow, key, aPacket, slot);
     auto const health = mLoads[slot].mPassiveHealth.Health(aNow);
     // A hedge was the second choice already.
     bool const isHedged =
@@ -265,6 +267,9 @@
   }
   bool const isSecondChoice = isRetransmission && selection->mSlot != *avoid;
   EraseFlow(key);
+  if (aPacket.mOpeningRetransmissions > 0) {
+    mOfferedOpenings.RecordOffer(aNow, key, aPacket, selection->mSlot);
+  }
   auto& flow = TrackFlow(aNow, aPacket, selection->mSlot);
   flow.mIsOpening = true;
   flow.mIsOpenedHere = true;
@@ -300,17 +305,17 @@
   bool const isOpen = continues && !known->mIsOpening;
   bool const hasAdvanced = isOpen && Detail::HasAdvanced(aPacket, *known);
   bool const isPinned = isOpen && known->mIsPinned;
-  bool const isHeld = isPinned || (isOpen && !hasAdvanced);
+  bool const isHeld =
+    isPinned || (isOpen && (!hasAdvanced || IsShownToHold(*known)));
   if (!isHeld && found == mView->mSlotByCookie.end()) {
     return NotForwarded(SteeringAction::Drop, SteeringCause::UnknownCookie);
   }
   auto const slot = isHeld ? known->mSlot : found->second;
+  auto const namedSlot = found == mView->mSlotByCookie.end()
+                           ? std::nullopt
+                           : std::optional(found->second);
   if (continues) {
-    ObserveHedge(aNow,
-                 *known,
-                 found == mView->mSlotByCookie.end()
-                   ? std::nullopt
-                   : std::optional(found->second));
+    ObserveHedge(aNow, *known, namedSlot);
   }
   bool const isAnswered = hasAdvanced && known->mSlot == slot;
   if (aPacket.mResets) {
@@ -329,6 +334,9 @@
     }
   }
   known->mIsPinned = isPinned || isFirstPacket || isAnswered;
+  if (known->mIsPinned) {
+    CorrectLateAnswers(aNow, aPacket, { slot, namedSlot });
+  }
   ObservePacket(aNow, aPacket, *known);
   if (auto const proof = FindLossProof(aNow, *known)) {
     AddLossLogEntry(aNow, *known, *proof);
@@ -350,6 +358,7 @@
 CookieSteering::Sweep(TimePoint aNow)
 {
   mChecker.ReviewUpstreams(aNow, *mView, mLoads);
+  mOfferedOpenings.RemoveExpired(aNow);
   ReviewOutboundReach(aNow);
   mFlows.EraseIf([&](Detail::TrackedFlow& aFlow) {
     if (aNow > aFlow.mLastSeen + kOpeningTimeout) {
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -5,21 +5,19 @@
 #include "tarragonsill/coordination/tarragonsill_answer_observer.hpp"
 #include "tarragonsill/coordination/tarragonsill_crash_detector.hpp"
 #include "tarragonsill/coordination/tarragonsill_expected_delay.hpp"
+#include "tarragonsill/coordination/tarragonsill_offered_openings.hpp"
 #include "tarragonsill/coordination/tarragonsill_opening_hedger.hpp"
 #include "tarragonsill/coordination/tarragonsill_outbound_reach.hpp"
 #include "tarragonsill/coordination/tarragonsill_service_admission.hpp"
+#include "tarragonsill/coordination/tarragonsill_steering_decision.hpp"
 #include "tarragonsill/coordination/tarragonsill_upstream_selector.hpp"
 #include "tarragonsill/protocol/tarragonsill_flow_packet.hpp"
-#include "tarragonsill/state/tarragonsill_counters.hpp"
 #include "tarragonsill/state/tarragonsill_flow_table.hpp"
-#include "tarragonsill/state/tarragonsill_latency_histogram.hpp"
 #include "tarragonsill/state/tarragonsill_shared_load.hpp"
 
 #include <cstdint>
 #include <optional>
 #include <span>
-#include <string>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -27,113 +25,6 @@
 /// cookie. Any VM can forward later packets of a flow without shared state.
 namespace tarragonsill {
 
-enum class SteeringAction : std::uint8_t
-{
-  Forward,
-  Reset,
-  Drop,
-};
-
-/// The reason for a steering action.
-enum class SteeringCause : std::uint8_t
-{
-  NewFlow,
-  OpenFlow,
-  OpeningCopy,
-  SecondChoice, ///< A retransmitted opening packet is sent to another upstream.
-  NoConfiguration,
-  UnknownRoute,
-  RemovedRoute,
-  NoUpstream,
-  UnknownCookie,
-  NotFromCaller,
-  SilentUpstream,
-  /// An opening packet was queued for too long, for instance while this VM was
-  /// paused, or overtaken.
-  LateOpening,
-  StaleRoute, ///< The route was removed, but this VM may be behind.
-  /// A late opening packet is offered to a second upstream as well.
-  HedgedOpening,
-  /// The upstreams in reach have no room for the flow.
-  Overload,
-};
-
-std::string_view ToText(SteeringCause aCause);
-
-/// Returns the counter of a cause; packets of open flows have none.
-std::optional<Counter> CounterOf(SteeringCause aCause);
-
-/// Latencies of the upstreams as observed by this VM.
-struct SteeringLatencies
-{
-  /// From the opening packet to the caller's next packet.
-  LatencyHistogram mHandshake;
-  /// From the last packet of a request to the first packet that acknowledges
-  /// its answer.
-  LatencyHistogram mAnswer;
-};
-
-struct SteeringVerdict
-{
-  SteeringAction mAction = SteeringAction::Drop;
-  SteeringCause mCause = SteeringCause::UnknownRoute;
-  std::uint32_t mSlot = 0;   ///< The upstream, if the packet is forwarded.
-  std::uint32_t mCookie = 0; ///< The cookie to write before forwarding.
-  /// Whether the upstream of a new flow was chosen by the expected delay.
-  bool mIsByDelay = false;
-};
-
-/// A reset that is not an answer to a packet.
-struct UnsolicitedReset
-{
-  Endpoint mCaller;
-  Endpoint mRoute;
-  std::uint32_t mSequence = 0;
-};
-
-/// A zone whose upstreams have stopped answering or answer again.
-struct ZoneChange
-{
-  std::string mZone;
-  bool mIsSilent = false;
-};
-
-/// The upstream that was offered a hedged opening packet first.
-struct HedgeOrigin
-{
-  std::uint32_t mSlot = 0;
-  milliseconds mWaited{ 0 }; ///< Until the packet was offered again.
-};
-
-/// An opening packet to be forwarded to a second upstream.
-struct HedgedOpening
-{
-  SteeringVerdict mVerdict;
-  std::vector<std::byte> mBytes;
-};
-
-/// A steering decision to be written to the log.
-struct SteeringLogEntry
-{
-  SteeringCause mCause = SteeringCause::NewFlow;
-  Endpoint mCaller;
-  Endpoint mRoute;
-  std::uint32_t mSlot = 0; ///< The upstream, if `mHasUpstream`.
-  double mCost = 0.0;      ///< The cost of the selected upstream.
-  std::uint32_t mCandidates = 0;
-  bool mHasUpstream = false;
-  UpstreamHealth mHealth = UpstreamHealth::Answering;
-  /// Of a flow that is given up.
-  std::optional<FlowLossProof> mProof;
-  ConnectResult mLastProbe = ConnectResult::Accepted;
-  std::uint32_t mRetransmissions = 0;
-  milliseconds mAnswerAge{ 0 }; ///< Since the last answer to any flow.
-  /// Of a hedged opening; `mSlot` is the second upstream, and `mHealth` that
-  /// of the first one.
-  std::optional<HedgeOrigin> mHedge{};
-  bool mIsByDelay = false; ///< Whether the cost is the expected delay.
-};
-
 namespace Detail {
 
 /// A flow whose packets pass through this VM.
@@ -147,6 +38,8 @@
   std::uint32_t mDataEnd = 0; ///< The sequence number after the last byte seen.
   std::uint32_t mAcknowledged = 0;
   TimePoint mTrackedSince{}; ///< When its first packet passed through this VM.
+  /// When the first packet after the opening one was forwarded.
+  TimePoint mOpenSince{};
   TimePoint mLastSeen{};
   TimePoint mDataSent{};   ///< When the newest data was first forwarded.
   TimePoint mRepeatedAt{}; ///< When the caller last retransmitted data.
@@ -210,7 +103,7 @@
   /// Sets the maximum share of opening packets that are offered to a second
   /// upstream when they are late; 0 switches that off.
   void SetMaxHedgeShare(double aShare);
-  /// Keeps an opening packet that was just steered, if it may be hedged.
+  /// Keeps an opening packet that was just steered, if it may be needed again.
   void KeepOpening(TimePoint aNow,
                    FlowPacket const& aPacket,
                    SteeringVerdict const& aVerdict,
@@ -219,11 +112,15 @@
   std::optional<TimePoint> NextHedgeDue();
   /// Decides about the opening packets that are due. Packets that have arrived
   /// must be steered first.
-  std::vector<HedgedOpening> TakeHedgedOpenings(TimePoint aNow);
+  std::vector<KeptOpening> TakeHedgedOpenings(TimePoint aNow);
   /// Returns how many flows have opened at their second upstream by a hedge
   /// since the last call.
   std::uint64_t TakeHedgesAnsweredFirst();
 
+  /// Returns copies of opening packets for upstreams that may answer although
+  /// their flow is open at another one.
+  std::vector<KeptOpening> TakeOpeningCopies();
+
   std::vector<UnsolicitedReset> TakeResets();
   std::vector<SteeringLogEntry> TakeLogEntries();
   /// Returns the zones that have become silent or answer again since the last
@@ -331,6 +228,18 @@
   void ObserveHedge(TimePoint aNow,
                     Detail::TrackedFlow const& aFlow,
                     std::optional<std::uint32_t> aCookieSlot);
+  /// Whether a flow would have been reset by now if the upstream to which this
+  /// VM forwards it did not hold it.
+  bool IsShownToHold(Detail::TrackedFlow const& aFlow) const;
+  /// Makes the late answers of other upstreams to a flow's opening packet name
+  /// the upstream that holds the flow.
+  void CorrectLateAnswers(TimePoint aNow,
+                          FlowPacket const& aPacket,
+                          OfferedOpenings::Holder const& aHolder);
+  /// Whether an upstream may still get the opening packet that it was offered.
+  bool MayGetCopy(TimePoint aNow,
+                  Endpoint aRoute,
+                  OfferedOpenings::LateAnswerer const& aUpstream) const;
   /// Records the requests of a flow that its caller closes.
   void RecordFlowEnd(Detail::TrackedFlow const& aFlow);
   /// The mean number of requests of a route's flows.
@@ -378,6 +287,7 @@
   UpstreamSelector mSelector;
   ActiveHealthChecker mChecker;
   OpeningHedger mHedger;
+  OfferedOpenings mOfferedOpenings;
   std::uint64_t mHedgesAnsweredFirst = 0;
   OutboundReachDetector mOutboundReach;
   std::vector<CrashDetector> mCrashDetectors; ///< By slot.
@@ -388,6 +298,7 @@
     std::make_shared<tarragonsill::SharedLoads>();
   TimePoint mResumedAt{};
   std::vector<UnsolicitedReset> mResets;
+  std::vector<KeptOpening> mOpeningCopies;
   std::vector<SteeringLogEntry> mLogEntries;
 };
 
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -102,6 +102,8 @@
       return "hedged_opening";
     case SteeringCause::Overload:
       return "overload";
+    case SteeringCause::LateAnswer:
+      return "late_answer";
   }
   return "unknown";
 }
@@ -137,6 +139,8 @@
       return Counter::OpeningsHedged;
     case SteeringCause::Overload:
       return Counter::OpeningsRejected;
+    case SteeringCause::LateAnswer:
+      return Counter::LateAnswersCorrected;
     case SteeringCause::OpenFlow:
       break;
   }
@@ -150,6 +154,7 @@
 {
   auto& load = mLoads[aFlow.mSlot];
   bool const isFresh = aNow < aFlow.mLastSeen + kAnswerSightingMaxAge;
+  aFlow.mOpenSince = aFlow.mOpenSince == TimePoint{} ? aNow : aFlow.mOpenSince;
   aFlow.mLastSeen = aNow;
   bool const hasAdvanced = Detail::HasAdvanced(aPacket, aFlow);
   bool const answered = aFlow.mIsOpening || (hasAdvanced && isFresh);
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_hedges.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_hedges.cpp
@@ -17,6 +17,9 @@
                             SteeringVerdict const& aVerdict,
                             std::span<std::byte const> aBytes)
 {
+  if (aPacket.mOpens && aVerdict.mAction == SteeringAction::Forward) {
+    mOfferedOpenings.KeepPacket(Detail::KeyOf(aPacket), aPacket, aBytes);
+  }
   bool const isFirstCopy = aVerdict.mCause == SteeringCause::NewFlow &&
                            aPacket.mOpeningRetransmissions == 0;
   if (!mHedger.IsEnabled() || !isFirstCopy) {
@@ -60,10 +63,10 @@
   return std::nullopt;
 }
 
-std::vector<HedgedOpening>
+std::vector<KeptOpening>
 CookieSteering::TakeHedgedOpenings(TimePoint aNow)
 {
-  std::vector<HedgedOpening> hedges;
+  std::vector<KeptOpening> hedges;
   for (auto& opening : mHedger.TakeDue(aNow)) {
     auto const* const service = HedgedServiceOf(opening);
     if (service == nullptr || !IsUnanswered(opening) ||
@@ -142,7 +145,12 @@
                            UpstreamSelection const& aSecond)
 {
   auto const& packet = aOpening.mPacket;
-  EraseFlow(Detail::KeyOf(packet));
+  auto const key = Detail::KeyOf(packet);
+  EraseFlow(key);
+  for (auto const slot : { aOpening.mSlot, aSecond.mSlot }) {
+    mOfferedOpenings.RecordOffer(aNow, key, packet, slot);
+  }
+  mOfferedOpenings.KeepPacket(key, packet, aOpening.mBytes);
   auto& flow = TrackFlow(aNow, packet, aSecond.mSlot);
   flow.mDataSent = aOpening.mOpenedAt;
   flow.mIsOpening = true;
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_log.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_log.cpp
@@ -15,6 +15,7 @@
   bool const hasUpstream = aCause == SteeringCause::NewFlow ||
                            aCause == SteeringCause::SecondChoice ||
                            aCause == SteeringCause::HedgedOpening ||
+                           aCause == SteeringCause::LateAnswer ||
                            aCause == SteeringCause::SilentUpstream;
   mLogEntries.push_back({ aCause,
                           aCaller,
--- a/src/tarragonsill/state/tarragonsill_counters.cpp
+++ b/src/tarragonsill/state/tarragonsill_counters.cpp
@@ -83,6 +83,7 @@
   "tarragonsill_openings_rejected_total",
   "tarragonsill_openings_hedged_total",
   "tarragonsill_hedges_answered_first_total",
+  "tarragonsill_late_answers_corrected_total",
 };
 
 } // namespace
--- a/src/tarragonsill/state/tarragonsill_counters.hpp
+++ b/src/tarragonsill/state/tarragonsill_counters.hpp
@@ -90,6 +90,7 @@
   OpeningsRejected,
   OpeningsHedged,
   HedgesAnsweredFirst,
+  LateAnswersCorrected,
   Count,
 };
 
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -158,6 +158,7 @@
         HandleDatagram(now, datagram.mBytes);
       }
       Flush();
+      SendOpeningCopies();
       // Otherwise answers may still be in the receive queue.
       if (isQueueEmpty) {
         SendHedges(now);
@@ -193,13 +194,24 @@
   /// Offers late opening packets to a second upstream.
   void SendHedges(TimePoint aNow)
   {
-    auto hedges = mSteering.TakeHedgedOpenings(aNow);
-    for (auto& hedge : hedges) {
+    ForwardKept(mSteering.TakeHedgedOpenings(aNow), Counter::OpeningsHedged);
+  }
+
+  /// Corrects the cookie of upstreams that may answer late.
+  void SendOpeningCopies()
+  {
+    ForwardKept(mSteering.TakeOpeningCopies(), Counter::LateAnswersCorrected);
+  }
+
+  /// Forwards packets that were kept, each with the verdict on it.
+  void ForwardKept(std::vector<KeptOpening> aPackets, Counter aCounter)
+  {
+    for (auto& packet : aPackets) {
       if (mUsedHeaders == mHeaders.size()) {
         Flush();
       }
-      mCounters.Add(Counter::OpeningsHedged);
-      Forward(hedge.mVerdict, hedge.mBytes, mHeaders[mUsedHeaders++]);
+      mCounters.Add(aCounter);
+      Forward(packet.mVerdict, packet.mBytes, mHeaders[mUsedHeaders++]);
     }
     // Queued datagrams refer to the bytes of the packets.
     Flush();
--- a/src/tarragonsill/transport/tarragonsill_steering_log.cpp
+++ b/src/tarragonsill/transport/tarragonsill_steering_log.cpp
@@ -26,6 +26,10 @@
     fields.emplace_back(
       "waited_ms", static_cast<std::int64_t>(aEntry.mHedge->mWaited.count()));
   }
+  if (aEntry.mHolder) {
+    auto const& holder = aView.mUpstreams[*aEntry.mHolder].mRegistration;
+    fields.emplace_back("holder", holder.mName);
+  }
   if (!aEntry.mProof) {
     fields.emplace_back("basis",
                         std::string(aEntry.mIsByDelay ? "shared" : "own"));
--- a/tests/coordination/test_cookie_hedged_opening.cpp
+++ b/tests/coordination/test_cookie_hedged_opening.cpp
@@ -9,7 +9,7 @@
 /// Opening packets that the VM offers to a second upstream by itself.
 TEST_GROUP_BASE(CookieHedgedOpening, CookieFixture)
 {
-  using Hedges = std::vector<HedgedOpening>;
+  using Hedges = std::vector<KeptOpening>;
 
   void setup() override
   {
--- a/tests/transport/test_node_runs.cpp
+++ b/tests/transport/test_node_runs.cpp
@@ -252,6 +252,25 @@
   CheckAllFlowsIntact();
 }
 
+// Guards against resets by upstreams that answer an opening packet late, when
+// the flow is open at another one and routers have just sent it to another VM
+// (review/11).
+TEST(NodeRuns, flows_survive_a_change_of_routers_after_late_answers)
+{
+  constexpr milliseconds kStandstill{ 600 };
+  for (std::size_t const index : { 0, 2 }) {
+    mUpstreams[index].Suspend(Clock::now() + kStandstill);
+  }
+  for (int flow = 0; flow < 40; ++flow) {
+    mCallers->Open(Clock::now(), kRoute);
+  }
+  RunFor(kStandstill);
+  LONGS_EQUAL(kFlows + 40, mCallers->Report().mOpened);
+  SetRotation({ 2 });
+  RunFor(milliseconds{ 1500 });
+  LONGS_EQUAL(0, mCallers->Report().mResets);
+}
+
 TEST(NodeRuns, removing_a_route_resets_its_flows_and_refuses_new_ones)
 {
   PutConfiguration(2, false);
