Read recent returns of zones from the store's history at a start

Cause: upstreams report that they are cold with their next heartbeat; until then only VMs that have watched the evacuation end, or their peers, know it. A list of evacuations shows none that has ended, so that VMs that all start at once took the upstreams for warm.

Evidence: each VM is ready 60 ms after its start with the zone's upstreams as serving, not cold, and no line names the zone.

Change: with its list of evacuations a starting VM reads the changes since the oldest registration that it holds, from the store's history; a zone that was removed since then counts as just returned. All upstreams have reported since any earlier return, so the VM knows all returns that matter and vouches for them. Without that history, or with state from a peer that does not know, each upstream counts as cold until it registers again, for a bounded time. One more call of VMs that list evacuations; none in a first start. The list of evacuations now follows that of upstreams.

Tests: on the code before, NodeRuns all_vms_that_start_as_a_zone_returns_keep_the_limit_of_cold_ones and all_vms_that_start_without_history_keep_the_limit_of_cold_ones fail, each with more than 8 flows at an upstream; now they hold.

Conclusion: what a VM must know at a start is in the store already, for as long as the store keeps its history; otherwise it is careful.

--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -267,6 +267,8 @@
   if (isNew && !evacuated) {
     // The evacuation began and ended before this VM had listed any.
     zone.mReturnedAt = aNow;
+    aChanges.push_back(
+      { "zone", aChange.mName, "was taken back before", aChange.mPosition });
   }
   // A removal may carry the revision of the change before it.
   bool const isBeforeRemoval =
--- a/src/tarragonsill/coordination/tarragonsill_directory_returns.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_returns.cpp
@@ -4,7 +4,8 @@
 
 /// Zones whose evacuation has ended: for some time their upstreams may be cold
 /// without having reported it. The store does not show that an evacuation has
-/// ended, so a VM that has not watched it learns of its end from peers only.
+/// ended, so a VM that has not watched it learns of its end from peers or from
+/// the store's history.
 namespace tarragonsill {
 
 milliseconds
@@ -27,6 +28,35 @@
          aNow >= mReturnsKnownSince + MaxReturnColdTime();
 }
 
+void
+Directory::RecordEvacuationList(TimePoint aNow, ListHistory aHistory)
+{
+  mReturnsKnownSince =
+    aHistory == ListHistory::Read ? aNow - MaxReturnColdTime() : aNow;
+}
+
+StorePosition
+Directory::OldestRegistration() const
+{
+  StorePosition oldest;
+  for (auto const& upstream : mUpstreams) {
+    if (!upstream.mIsRegistered) {
+      continue;
+    }
+    oldest = oldest.IsSet() ? std::min(oldest, upstream.mPosition)
+                            : upstream.mPosition;
+  }
+  return oldest;
+}
+
+void
+Directory::DoubtRegistrations(TimePoint aNow)
+{
+  mDoubtedUpTo = CompleteTo(ObjectKind::Upstreams);
+  mDoubtedSince = aNow;
+  mIsDirty = true;
+}
+
 ZoneReturns
 Directory::RecentReturns(TimePoint aNow) const
 {
@@ -65,11 +95,12 @@
         "was taken back " + std::to_string(returned.mAge.count()) + " ms ago",
         zone.mPosition });
   }
+  bool const knewReturns = KnowsReturns(aNow);
   auto const knownSince = aNow - aReturns.mKnownFor;
   mReturnsKnownSince = mReturnsKnownSince == TimePoint{}
                          ? knownSince
                          : std::min(mReturnsKnownSince, knownSince);
-  mIsDirty = mIsDirty || !changes.empty();
+  mIsDirty = mIsDirty || !changes.empty() || knewReturns != KnowsReturns(aNow);
   return changes;
 }
 
--- a/src/tarragonsill/coordination/tarragonsill_directory_view.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_view.cpp
@@ -15,18 +15,23 @@
 } // namespace
 
 TimePoint
-Directory::ColdUntil(KnownUpstream const& aUpstream) const
+Directory::ColdUntil(TimePoint aNow, KnownUpstream const& aUpstream) const
 {
-  auto const zone = mZones.find(aUpstream.mRegistration.mZone);
-  if (zone == mZones.end() || zone->second.mReturnedAt == TimePoint{}) {
-    return aUpstream.mColdUntil;
-  }
+  auto const* rule = FindRule(aUpstream.mRegistration.mService);
+  auto const returnColdTime =
+    ReturnColdTime(rule != nullptr ? rule->mColdTime : milliseconds{ 0 });
+  auto coldUntil = aUpstream.mColdUntil;
   // The zone's upstreams may have become cold shortly before its return, and
   // may not have reported it yet.
-  auto const* rule = FindRule(aUpstream.mRegistration.mService);
-  auto const cold = rule != nullptr ? rule->mColdTime : milliseconds{ 0 };
-  return std::max(aUpstream.mColdUntil,
-                  zone->second.mReturnedAt + ReturnColdTime(cold));
+  auto const zone = mZones.find(aUpstream.mRegistration.mZone);
+  if (zone != mZones.end() && zone->second.mReturnedAt != TimePoint{}) {
+    coldUntil = std::max(coldUntil, zone->second.mReturnedAt + returnColdTime);
+  }
+  bool const isDoubted = mDoubtedSince != TimePoint{} &&
+                         aUpstream.mPosition <= mDoubtedUpTo &&
+                         !KnowsReturns(aNow);
+  return isDoubted ? std::max(coldUntil, mDoubtedSince + returnColdTime)
+                   : coldUntil;
 }
 
 milliseconds
@@ -108,7 +113,7 @@
     auto const evacuation = mZones.find(known.mRegistration.mZone);
     upstream.mEvacuated =
       evacuation != mZones.end() && evacuation->second.mIsEvacuated;
-    upstream.mColdUntil = ColdUntil(known);
+    upstream.mColdUntil = ColdUntil(aNow, known);
     if (auto const* rule = FindRule(known.mRegistration.mService)) {
       upstream.mColdLimit =
         rule->mColdFlowsPerSecond * mSettings.mBounds.mColdFactor +
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -62,10 +62,10 @@
   {
     auto const* const source = aIsConfirmation ? "confirmation" : "watch";
     if (aUpdate.mIsWholeList && aUpdate.mKind == ObjectKind::Evacuations) {
-      mDirectory.ForgetReturnsKnown(Clock::now());
+      mDirectory.RecordEvacuationList(Clock::now(), aUpdate.mHistory);
     }
     ApplyUpdate(aUpdate, aUpdate.mIsWholeList ? "list" : source);
-    if (aUpdate.mIsWholeList && aUpdate.mKind == kFirstListedKind) {
+    if (aUpdate.mIsWholeList) {
       StartDeferredLists(aUpdate.mUpTo);
     }
     Outbox outbox;
@@ -199,9 +199,7 @@
     UpdateWatchRole(now);
     UpdateFreshness();
     RetryWatches(now);
-    if (!IsFirstListMissing()) {
-      StartDeferredLists({});
-    }
+    StartDeferredLists({});
     WriteDirectoryChanges(
       Log(), {}, mDirectory.ExpireUnconfirmedEvacuations(now), "time");
     UpdateCanServe(now);
@@ -331,17 +329,32 @@
   /// the store less.
   static constexpr auto kFirstListedKind = ObjectKind::Configuration;
 
-  bool IsFirstListMissing() const
+  /// Whether the list of a kind needs another one first. The registrations tell
+  /// from where the history of evacuations matters; in the first start of a
+  /// deployment there is none.
+  bool NeedsAnotherList(ObjectKind aKind) const
+  {
+    auto const isMissing = [&](ObjectKind aOther) {
+      return !mDirectory.CompleteTo(aOther).IsSet();
+    };
+    bool const needsHistory =
+      aKind == ObjectKind::Evacuations && !IsFirstStart();
+    return aKind != kFirstListedKind &&
+           (isMissing(kFirstListedKind) ||
+            (needsHistory && isMissing(ObjectKind::Upstreams)));
+  }
+
+  bool IsFirstStart() const
   {
-    return !mDirectory.CompleteTo(kFirstListedKind).IsSet();
+    return mArguments.mState->mSettings.mIsFirstStart;
   }
 
-  /// Starts the watches that were deferred until the first list.
+  /// Starts the watches that were deferred until another list, if it is there.
   void StartDeferredLists(StorePosition aMinListPosition)
   {
     for (auto const kind : kObjectKinds) {
-      auto& isDeferred = mIsListDeferred[static_cast<std::size_t>(kind)];
-      if (std::exchange(isDeferred, false)) {
+      if (mIsListDeferred[static_cast<std::size_t>(kind)] &&
+          !NeedsAnotherList(kind)) {
         SendWatchRole(kind, aMinListPosition);
       }
     }
@@ -360,16 +373,19 @@
     auto const completeTo = mDirectory.CompleteTo(aKind);
     bool const isWatching = mRole != WatchRole::ReliesOnPeers;
     auto& isDeferred = mIsListDeferred[index];
-    isDeferred = isWatching && aKind != kFirstListedKind &&
-                 !completeTo.IsSet() && IsFirstListMissing();
+    isDeferred = isWatching && !completeTo.IsSet() && NeedsAnotherList(aKind);
     if (mWatches[index] && !isDeferred) {
       auto const& times = mPeers.Times();
+      bool const readsHistory =
+        aKind == ObjectKind::Evacuations && !IsFirstStart();
       mSelf->send(mWatches[index],
                   SetWatchRole{ mRole,
                                 completeTo,
                                 times.mWait,
                                 times.ConfirmAfter(mRole, aKind),
                                 aMinListPosition,
+                                readsHistory ? mDirectory.OldestRegistration()
+                                             : StorePosition{},
                                 mDirectory.Era() });
     }
   }
@@ -447,6 +463,7 @@
     if (!mDirectory.HasChanged(now)) {
       return;
     }
+    DoubtRegistrationsIfNeeded(now);
     mArguments.mPublishView(mDirectory.BuildView(now));
     UpdatePeerPositions();
     if (!mDirectory.IsComplete() || mArguments.mState->mIsComplete) {
@@ -463,6 +480,18 @@
           static_cast<std::int64_t>(mDirectory.ConfigurationVersion()) } });
   }
 
+  /// A VM that starts may have missed the return of a zone whose upstreams are
+  /// cold and have not reported it yet.
+  void DoubtRegistrationsIfNeeded(TimePoint aNow)
+  {
+    if (mArguments.mState->mIsComplete || !mDirectory.IsComplete() ||
+        IsFirstStart() || mDirectory.KnowsReturns(aNow)) {
+      return;
+    }
+    mDirectory.DoubtRegistrations(aNow);
+    Log().Write("entry", "returns_of_zones_unknown", {});
+  }
+
   caf::event_based_actor* mSelf;
   NodeActorArguments mArguments;
   Directory mDirectory;
--- a/src/tarragonsill/transport/tarragonsill_store_watch.hpp
+++ b/src/tarragonsill/transport/tarragonsill_store_watch.hpp
@@ -9,7 +9,11 @@
 
 #include <algorithm>
 #include <atomic>
+#include <optional>
+#include <set>
+#include <string>
 #include <utility>
+#include <vector>
 
 /// Watches one kind of objects in an object store: lists the objects, then
 /// polls for changes. Lists again if the store no longer has the changes since
@@ -89,6 +93,10 @@
     }
   }
 
+  /// Sets the position after which the next list also has the removals before
+  /// it; unset if it needs none.
+  void SetHistoryFrom(StorePosition aPosition) { mHistoryFrom = aPosition; }
+
   /// Observes the store's era. If it has risen, there was a store rollback:
   /// earlier positions are invalid, and the watch starts over with a list.
   void ObserveEra(std::uint64_t aEra)
@@ -135,7 +143,8 @@
     // The minimum position is outdated for any list after this watch.
     mMinListPosition = isWatch ? StorePosition{} : mMinListPosition;
     auto const sentAt = Clock::now();
-    mIsConfirming = isWatch && sentAt - CurrentAsOf() >= mConfirmAfter;
+    mIsConfirming = mListed.has_value() ||
+                    (isWatch && sentAt - CurrentAsOf() >= mConfirmAfter);
     mCounters.Add(Counter::StoreConfirmations, mIsConfirming ? 1 : 0);
     mQuery.mWait = isWatch && !mIsConfirming ? mWait : milliseconds{ 0 };
     // A list without a minimum position must be current.
@@ -161,6 +170,9 @@
     if (!isHistoryGone && response->mStatus != HttpConnection::kStatusOk) {
       return RecordFailure("status " + std::to_string(response->mStatus));
     }
+    if (isHistoryGone && mListed) {
+      return FinishList(ListHistory::Gone, {});
+    }
     // A lagging replica may not have the position of a confirming call yet.
     mIsReplicaStale = mIsReplicaStale || (isHistoryGone && mQuery.mMayBeStale);
     if (isHistoryGone || (isNewEra && !isFirstPage)) {
@@ -175,6 +187,9 @@
       mConfirmed = ConfirmedPosition{ page.Value().mPosition, sentAt };
       mOwnFreshness.RecordAnswer(*mConfirmed);
     }
+    if (mListed) {
+      return FinishList(ListHistory::Read, page.Take());
+    }
     return isWatch ? HandleEvents(page.Take()) : HandleListPage(page.Take());
   }
 
@@ -240,10 +255,39 @@
     };
     mMinListPosition = {};
     Restart();
+    bool const needsHistory =
+      mHistoryFrom.mEra == position.mEra && mHistoryFrom < position;
+    if (mHistoryFrom.IsSet() && needsHistory) {
+      mListed = std::move(update);
+      mQuery.mWatchFrom = mHistoryFrom;
+      return { true, {}, {}, milliseconds{ 0 } };
+    }
     mQuery.mWatchFrom = position;
     return { true, {}, std::move(update), milliseconds{ 0 } };
   }
 
+  /// Adds the removals before a list to it. Changes after the list come with
+  /// the next watch.
+  WatchPollResult FinishList(ListHistory aHistory, ObjectPage aPage)
+  {
+    auto update = std::move(*mListed);
+    Restart();
+    mQuery.mWatchFrom = update.mUpTo;
+    update.mHistory = aHistory;
+    std::set<std::string> names;
+    for (auto const& change : update.mChanges) {
+      names.insert(change.mName);
+    }
+    for (auto& change : aPage.mChanges) {
+      if (!change.mRemoved || names.count(change.mName) > 0) {
+        continue;
+      }
+      names.insert(change.mName);
+      update.mChanges.push_back(std::move(change));
+    }
+    return { true, {}, std::move(update), milliseconds{ 0 } };
+  }
+
   /// Returns the name of the last object that has one. Objects of other writers
   /// may have a name that cannot be read.
   static std::string LastName(ObjectPage const& aPage)
@@ -261,6 +305,7 @@
     mQuery.mAfter.clear();
     mListedChanges.clear();
     mListPosition = {};
+    mListed.reset();
   }
 
   WatchPollResult RecordFailure(std::string aReason)
@@ -279,7 +324,10 @@
   std::vector<ObjectChange> mListedChanges;
   StorePosition mListPosition;
   StorePosition mMinListPosition; ///< Applies to the next list only.
-  std::uint64_t mEra = 0;         ///< The highest observed era.
+  StorePosition mHistoryFrom;
+  /// A list whose history is to be read.
+  std::optional<StoreUpdate> mListed;
+  std::uint64_t mEra = 0; ///< The highest observed era.
   /// Whether the last answer that was allowed to be stale came from a replica
   /// in an older era or without the watch's position. The next watch is
   /// answered with current data.
--- a/tests/transport/test_node_runs.cpp
+++ b/tests/transport/test_node_runs.cpp
@@ -200,23 +200,28 @@
     SetRotation(aVms);
   }
 
-  void CheckFewFlowsToReturnedZone()
+  /// Opens flows, of which each of the given upstreams may get only few.
+  void CheckFewFlowsTo(std::vector<std::size_t> const& aUpstreams)
   {
     // `coldRateS` times the default factor, plus the default allowance.
     constexpr std::uint64_t kColdLimit = 8;
-    constexpr std::size_t kZoneUpstreams[] = { 0, 2 };
-    std::array<std::uint64_t, 2> before{};
-    for (std::size_t index = 0; index < before.size(); ++index) {
-      before[index] = mUpstreams[kZoneUpstreams[index]].OpenedFlows();
+    std::vector<std::uint64_t> before;
+    for (auto const index : aUpstreams) {
+      before.push_back(mUpstreams[index].OpenedFlows());
     }
     for (int flow = 0; flow < 40; ++flow) {
       mCallers->Open(Clock::now(), kRoute);
     }
     RunFor(milliseconds{ 700 });
     for (std::size_t index = 0; index < before.size(); ++index) {
-      auto const after = mUpstreams[kZoneUpstreams[index]].OpenedFlows();
+      auto const after = mUpstreams[aUpstreams[index]].OpenedFlows();
       CHECK(after - before[index] <= kColdLimit);
     }
+  }
+
+  void CheckFewFlowsToReturnedZone()
+  {
+    CheckFewFlowsTo({ 0, 2 });
     LONGS_EQUAL(kFlows + 40, mCallers->Report().mOpened);
   }
 };
@@ -271,6 +276,42 @@
   LONGS_EQUAL(0, mCallers->Report().mResets);
 }
 
+// Guards against floods of cold upstreams by VMs that all start as a zone
+// returns, so that no peer knows of the return (review/14).
+TEST(NodeRuns, all_vms_that_start_as_a_zone_returns_keep_the_limit_of_cold_ones)
+{
+  RestartAsZoneReturns({ 0, 1, 2 });
+  CheckFewFlowsToReturnedZone();
+}
+
+// The same if the store has lost its history: any upstream may be cold.
+TEST(NodeRuns, all_vms_that_start_without_history_keep_the_limit_of_cold_ones)
+{
+  mStore->Put("evacuations", "a", nlohmann::json::object());
+  RunFor(milliseconds{ 600 });
+  mVms.clear();
+  mVms.resize(3);
+  mStore->Remove("evacuations", "a");
+  mStore->CompactHistory();
+  for (std::size_t index = 0; index < mVms.size(); ++index) {
+    StartVm(index);
+  }
+  RunFor(milliseconds{ 400 });
+  CheckFewFlowsTo({ 0, 1, 2, 3 });
+  // The upstreams report that they are warm.
+  for (std::size_t index = 0; index < mUpstreams.size(); ++index) {
+    PutRegistration(index, "draining");
+    PutRegistration(index, "ready");
+  }
+  RunFor(milliseconds{ 2000 });
+  auto const before = mCallers->Report().mOpened;
+  for (int flow = 0; flow < 40; ++flow) {
+    mCallers->Open(Clock::now(), kRoute);
+  }
+  RunFor(milliseconds{ 700 });
+  LONGS_EQUAL(before + 40, mCallers->Report().mOpened);
+}
+
 TEST(NodeRuns, removing_a_route_resets_its_flows_and_refuses_new_ones)
 {
   PutConfiguration(2, false);
--- a/tests/transport/test_store_watch.cpp
+++ b/tests/transport/test_store_watch.cpp
@@ -51,6 +51,46 @@
   }
 };
 
+// Guards against review/14: a list does not show what was removed before it.
+TEST(StoreWatch, a_list_with_history_has_earlier_removals)
+{
+  auto const before = mStore->Position();
+  PutEvacuations(3);
+  mStore->Remove("evacuations", "zone-1");
+  mWatch->SetHistoryFrom(before);
+  CHECK_FALSE(mWatch->Poll().mUpdate.has_value());
+  auto const listed = mStore->Position();
+  mStore->Remove("evacuations", "zone-2");
+  auto const result = mWatch->Poll();
+  CHECK(result.mUpdate.has_value());
+  CHECK(result.mUpdate->mIsWholeList);
+  CHECK(result.mUpdate->mHistory == ListHistory::Read);
+  CHECK(result.mUpdate->mUpTo == listed);
+  LONGS_EQUAL(3, result.mUpdate->mChanges.size());
+  CHECK(result.mUpdate->mChanges.back().mName == "zone-1");
+  CHECK(result.mUpdate->mChanges.back().mRemoved);
+  // What happened after the list follows.
+  auto const next = mWatch->Poll();
+  CHECK(next.mUpdate.has_value());
+  LONGS_EQUAL(1, next.mUpdate->mChanges.size());
+  CHECK(next.mUpdate->mAfter == listed);
+}
+
+TEST(StoreWatch, a_list_tells_that_its_history_is_gone)
+{
+  auto const before = mStore->Position();
+  PutEvacuations(2);
+  mStore->Remove("evacuations", "zone-1");
+  mStore->CompactHistory();
+  mWatch->SetHistoryFrom(before);
+  CHECK_FALSE(mWatch->Poll().mUpdate.has_value());
+  auto const result = mWatch->Poll();
+  CHECK(result.mUpdate.has_value());
+  CHECK(result.mUpdate->mHistory == ListHistory::Gone);
+  LONGS_EQUAL(1, result.mUpdate->mChanges.size());
+  CHECK(result.mUpdate->mUpTo == mStore->Position());
+}
+
 TEST(StoreWatch, accepts_a_list_from_an_up_to_date_replica)
 {
   PutEvacuations(2);
