Count an upstream that was lost and runs again as cold

Cause: a new process tells that it is cold in its registration, which it cannot write in an outage. VMs hold that of the former process. They had seen the upstream refuse connections and accept them again, and used that for its reachability alone.

Evidence: each VM of the zone writes probe_failed with refused within 0.3 s of the end, and new_flow soon after a probe is accepted; belief_changed for the upstream comes only after the outage.

Change: RestartDetector counts an upstream that accepted no connection as cold until its service's cold time after it was seen to run again, unless an answer to a flow from before or a registration written since shows the same process. VMs tell each other of refused connections (RestartRelay, a new field that older programs ignore); a VM that starts gets the time with its peer's list. New: log line steer upstream_may_be_new, the mechanism restart_signs.

Tests: on the code before, NodeRuns an_upstream_that_restarts_in_an_outage_of_the_store_counts_as_cold and a_vm_that_starts_after_an_upstream_did_counts_it_as_cold fail.

Conclusion: what an upstream does tells of a new process before its entry can.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -60,6 +60,7 @@
       mLoads[slot].mAnswerTime = {};
       mAnswerObserver.Forget(static_cast<std::uint32_t>(slot));
       mCrashDetectors[slot] = {};
+      mRestarts[slot] = {};
       mChecker.ForgetUpstream(static_cast<std::uint32_t>(slot));
       mHedger.ForgetUpstream(static_cast<std::uint32_t>(slot));
       mOfferedOpenings.ForgetUpstream(static_cast<std::uint32_t>(slot));
@@ -74,6 +75,11 @@
   mView = std::move(aView);
   mLoads.resize(mView->mUpstreams.size(), NewLoad());
   mCrashDetectors.resize(mView->mUpstreams.size());
+  mRestarts.resize(mView->mUpstreams.size());
+  for (std::uint32_t slot = 0; slot < mRestarts.size(); ++slot) {
+    mRestarts[slot].RecordRegistration(mView->mUpstreams[slot].mPosition);
+    UpdateMayBeCold(slot);
+  }
   mZoneSilence.resize(mView->mZones.size() + 1);
   for (auto const slot : replaced) {
     ZoneSilenceOf(slot).RecordRegistration();
@@ -359,6 +365,7 @@
 {
   mChecker.ReviewUpstreams(aNow, *mView, mLoads);
   mOfferedOpenings.RemoveExpired(aNow);
+  ReviewRestarts();
   ReviewOutboundReach(aNow);
   mFlows.EraseIf([&](Detail::TrackedFlow& aFlow) {
     if (aNow > aFlow.mLastSeen + kOpeningTimeout) {
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -8,12 +8,14 @@
 #include "tarragonsill/coordination/tarragonsill_offered_openings.hpp"
 #include "tarragonsill/coordination/tarragonsill_opening_hedger.hpp"
 #include "tarragonsill/coordination/tarragonsill_outbound_reach.hpp"
+#include "tarragonsill/coordination/tarragonsill_restart_detector.hpp"
 #include "tarragonsill/coordination/tarragonsill_service_admission.hpp"
 #include "tarragonsill/coordination/tarragonsill_steering_decision.hpp"
 #include "tarragonsill/coordination/tarragonsill_upstream_selector.hpp"
 #include "tarragonsill/protocol/tarragonsill_flow_packet.hpp"
 #include "tarragonsill/state/tarragonsill_flow_table.hpp"
 #include "tarragonsill/state/tarragonsill_shared_load.hpp"
+#include "tarragonsill/state/tarragonsill_upstream_restart.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -121,6 +123,10 @@
   /// their flow is open at another one.
   std::vector<KeptOpening> TakeOpeningCopies();
 
+  /// Returns the upstreams that were shown to have ended under the start mark
+  /// that is known, and whose new process may be cold.
+  UpstreamRestarts Restarts(TimePoint aNow) const;
+
   std::vector<UnsolicitedReset> TakeResets();
   std::vector<SteeringLogEntry> TakeLogEntries();
   /// Returns the zones that have become silent or answer again since the last
@@ -188,6 +194,17 @@
   void ObserveData(TimePoint aNow,
                    FlowPacket const& aPacket,
                    Detail::TrackedFlow& aFlow);
+  /// Records that an upstream accepted no connection: its process may have
+  /// ended.
+  void RecordLost(TimePoint aNow, std::uint32_t aSlot, bool aIsRefused);
+  /// Records an answer to a flow: the upstream runs, perhaps as another
+  /// process.
+  void ObserveRunning(TimePoint aNow, Detail::TrackedFlow const& aFlow);
+  /// Compares registrations with the state that was current when upstreams were
+  /// lost.
+  void ReviewRestarts();
+  /// Updates until when an upstream may be cold.
+  void UpdateMayBeCold(std::uint32_t aSlot);
   /// Whether an upstream is known to be serving, and not leaving.
   bool IsKnownToServe(TimePoint aNow, std::uint32_t aSlot) const;
   /// Returns what proves that a flow is lost because its upstream has ended, if
@@ -291,6 +308,7 @@
   std::uint64_t mHedgesAnsweredFirst = 0;
   OutboundReachDetector mOutboundReach;
   std::vector<CrashDetector> mCrashDetectors; ///< By slot.
+  std::vector<RestartDetector> mRestarts;     ///< By slot.
   ServiceAdmission mAdmission;
   SteeringLatencies mLatencies;
   AnswerObserver mAnswerObserver;
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_flows.cpp
@@ -161,6 +161,7 @@
   if (answered) {
     load.mPassiveHealth.RecordAnswer(aNow);
     mCrashDetectors[aFlow.mSlot].RecordAnswer();
+    ObserveRunning(aNow, aFlow);
     ZoneSilenceOf(aFlow.mSlot).RecordAnswer(aNow);
     mHedger.RecordAnswer(aNow);
   }
@@ -339,7 +340,7 @@
   mLatencies.mAnswer.Record(time);
   auto const& upstream = mView->mUpstreams[aFlow.mSlot];
   if (upstream.mService >= mView->mServices.size() ||
-      aNow < upstream.mColdUntil) {
+      UpstreamSelector::IsCold(aNow, upstream, mLoads[aFlow.mSlot])) {
     return;
   }
   auto const kind = SaturationKey(upstream.mService, aFlow.mRoute);
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_hedges.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_hedges.cpp
@@ -127,7 +127,8 @@
     auto const health = mLoads[slot].mPassiveHealth.Health(aNow);
     bool const isServing =
       upstream.mAvailability == UpstreamAvailability::Serving &&
-      !upstream.mEvacuated && aNow >= upstream.mColdUntil;
+      !upstream.mEvacuated &&
+      !UpstreamSelector::IsCold(aNow, upstream, mLoads[slot]);
     if (slot == aOpening.mSlot || !isServing ||
         health != UpstreamHealth::Answering ||
         mZoneSilence[upstream.mZone].IsSilent(aNow)) {
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_probes.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_probes.cpp
@@ -36,6 +36,10 @@
   if (aResult == ConnectResult::Reset) {
     mLoads[aSlot].mPassiveHealth.RecordTurnedAway(aNow);
   }
+  if (IsRunning(aResult)) {
+    mRestarts[aSlot].RecordRunning(aNow);
+    UpdateMayBeCold(aSlot);
+  }
   RecordProbeReach(aNow, aSlot, aResult);
   mLoads[aSlot].mIsInSilentZone = mMechanisms.Uses(Mechanism::SilentZones) &&
                                   ZoneSilenceOf(aSlot).IsSilent(aNow);
@@ -44,6 +48,9 @@
   if (mChecker.IsProbing(aSlot) && !isAnswered) {
     mCrashDetectors[aSlot].RecordProbe(
       mChecker.RoundStarted(), aResult, IsKnownToServe(aNow, aSlot));
+    if (aResult == ConnectResult::Refused) {
+      RecordLost(aNow, aSlot, true);
+    }
   }
   std::vector<std::uint32_t> newlyUnreachable;
   for (auto const slot : mChecker.HandleResult(aNow, aSlot, aResult, mLoads)) {
@@ -52,6 +59,7 @@
       newlyUnreachable.push_back(slot);
     }
     tracker.RecordUnreachable();
+    RecordLost(aNow, slot, false);
   }
   return newlyUnreachable;
 }
--- a/src/tarragonsill/coordination/tarragonsill_directory.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.cpp
@@ -194,11 +194,15 @@
   }
   mEarlyRemovals.erase(aChange.mName);
   auto& upstream = mUpstreams[SlotFor(aNow, aChange.mName)];
+  bool const isSameProcess =
+    upstream.mRegistration.mStartMark == registration->mStartMark;
   upstream.mRegistration = *registration;
   upstream.mPosition = aChange.mPosition;
   upstream.mIsRegistered = true;
   upstream.mUnconfirmedUntil = EndOf(aNow, aChange.mUnconfirmedFor);
   upstream.mColdUntil = EndOf(aNow, registration->mRemainingColdTime);
+  upstream.mRestartColdUntil =
+    isSameProcess ? upstream.mRestartColdUntil : TimePoint{};
   AddUpstreamChange(aChange, *registration, aChanges);
 }
 
--- a/src/tarragonsill/coordination/tarragonsill_directory.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory.hpp
@@ -5,6 +5,7 @@
 #include "tarragonsill/protocol/tarragonsill_knowledge_message.hpp"
 #include "tarragonsill/state/tarragonsill_node_settings.hpp"
 #include "tarragonsill/state/tarragonsill_routing_view.hpp"
+#include "tarragonsill/state/tarragonsill_upstream_restart.hpp"
 
 #include <map>
 #include <optional>
@@ -106,6 +107,14 @@
                                             ZoneReturns const& aReturns);
   /// Whether this VM misses no return of a zone that still matters.
   bool KnowsReturns(TimePoint aNow) const;
+  /// Reports of a restart that reach a VM by several ways differ by less.
+  static constexpr milliseconds kMinRestartExtension{ 500 };
+  /// Records that another process may run under an upstream's name. Returns
+  /// whether that was not known: the upstream counts as cold for longer by
+  /// `kMinRestartExtension` or more.
+  bool RecordRestart(TimePoint aNow, UpstreamRestart const& aRestart);
+  /// The zone of an upstream; empty if it is not known.
+  std::string ZoneOf(std::string const& aUpstream) const;
   /// Ends evacuations that were not written again in time after a store
   /// rollback. Returns the changes; must be called periodically.
   std::vector<DirectoryChange> ExpireUnconfirmedEvacuations(TimePoint aNow);
@@ -156,6 +165,8 @@
     /// carry the revision of the change before it.
     StorePosition mMaxChangePosition;
     TimePoint mColdUntil{};
+    /// Until when it may be cold because another process may run.
+    TimePoint mRestartColdUntil{};
     bool mIsRegistered = true;
     TimePoint mRemovedAt{};
     /// The upstream was gone, but a store rollback restored its registration:
--- a/src/tarragonsill/coordination/tarragonsill_directory_sync.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_sync.cpp
@@ -129,7 +129,8 @@
 Directory::ToChange(KnownUpstream const& aUpstream, TimePoint aNow) const
 {
   auto registration = aUpstream.mRegistration;
-  registration.mRemainingColdTime = TimeLeft(aUpstream.mColdUntil, aNow);
+  registration.mRemainingColdTime =
+    TimeLeft(std::max(aUpstream.mColdUntil, aUpstream.mRestartColdUntil), aNow);
   return { registration.mName,
            aUpstream.mPosition,
            !aUpstream.mIsRegistered,
--- a/src/tarragonsill/coordination/tarragonsill_directory_view.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_directory_view.cpp
@@ -20,7 +20,7 @@
   auto const* rule = FindRule(aUpstream.mRegistration.mService);
   auto const returnColdTime =
     ReturnColdTime(rule != nullptr ? rule->mColdTime : milliseconds{ 0 });
-  auto coldUntil = aUpstream.mColdUntil;
+  auto coldUntil = std::max(aUpstream.mColdUntil, aUpstream.mRestartColdUntil);
   // The zone's upstreams may have become cold shortly before its return, and
   // may not have reported it yet.
   auto const zone = mZones.find(aUpstream.mRegistration.mZone);
@@ -106,6 +106,7 @@
     ResolvedUpstream upstream;
     upstream.mRegistration = known.mRegistration;
     upstream.mCookie = CookieOf(known.mRegistration.mName);
+    upstream.mPosition = known.mPosition;
     upstream.mAvailability = AvailabilityOf(aNow, known);
     auto const zone = std::find(
       aView.mZones.begin(), aView.mZones.end(), known.mRegistration.mZone);
@@ -118,6 +119,7 @@
       upstream.mColdLimit =
         rule->mColdFlowsPerSecond * mSettings.mBounds.mColdFactor +
         mSettings.mBounds.mColdAllowance;
+      upstream.mColdTime = rule->mColdTime;
     }
     auto const [owner, isNew] =
       aView.mSlotByCookie.try_emplace(upstream.mCookie, slot);
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -9,6 +9,7 @@
 #include "tarragonsill/coordination/tarragonsill_store_freshness.hpp"
 #include "tarragonsill/coordination/tarragonsill_watch_relay.hpp"
 #include "tarragonsill/coordination/tarragonsill_zone_reach.hpp"
+#include "tarragonsill/state/tarragonsill_upstream_restart.hpp"
 
 #include <map>
 #include <optional>
@@ -96,6 +97,11 @@
   void ReportNow() { mNextReport = {}; }
   /// Relays an update from this VM's own watches to the VMs that rely on them.
   void RelayUpdate(StoreUpdate const& aUpdate, Outbox& aOutbox);
+  /// Reports upstreams whose process may have ended, and which are new to this
+  /// VM, to the VMs that tell others or need to know.
+  void ReportRestart(UpstreamRestart const& aRestart,
+                     std::string const& aZone,
+                     Outbox& aOutbox);
   /// Whether this VM may leave: with fewer than half of the zone's VMs ready,
   /// routers also use VMs that are down.
   bool MayLeave() const;
--- a/src/tarragonsill/coordination/tarragonsill_service_admission.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_service_admission.cpp
@@ -30,7 +30,8 @@
   auto const health = aLoad.mPassiveHealth.Health(aNow);
   return UpstreamSelector::CanTakeNewFlows(aUpstream) &&
          aUpstream.mAvailability == UpstreamAvailability::Serving &&
-         aNow >= aUpstream.mColdUntil && health != UpstreamHealth::Silent &&
+         !UpstreamSelector::IsCold(aNow, aUpstream, aLoad) &&
+         health != UpstreamHealth::Silent &&
          health != UpstreamHealth::Unreachable;
 }
 
--- a/src/tarragonsill/coordination/tarragonsill_upstream_selector.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_selector.cpp
@@ -220,7 +220,7 @@
   std::uint32_t ties = 0;
   for (auto const slot : aService.mUpstreams) {
     auto const& upstream = aView.mUpstreams[slot];
-    bool const isCold = aNow < upstream.mColdUntil;
+    bool const isCold = IsCold(aNow, upstream, loads[slot]);
     if (!CanTakeNewFlows(upstream) ||
         (isCold && !CanTakeColdFlow(aNow, aView, upstream, loads[slot]))) {
       continue;
@@ -251,7 +251,7 @@
   if (zoneSilence.IsTrialFlowDue(aNow)) {
     zoneSilence.RecordTrialFlow(aNow);
   }
-  if (aNow < aView.mUpstreams[best->mSlot].mColdUntil) {
+  if (IsCold(aNow, aView.mUpstreams[best->mSlot], chosen)) {
     chosen.mColdFlowTimes.push_back(aNow);
   }
   if (chosen.mPassiveHealth.Health(aNow) != UpstreamHealth::Answering) {
--- a/src/tarragonsill/coordination/tarragonsill_upstream_selector.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_upstream_selector.hpp
@@ -33,6 +33,8 @@
   RelativeAnswerTime mAnswerTime;
   /// When this VM admitted flows to the cold upstream within the last second.
   std::deque<TimePoint> mColdFlowTimes;
+  /// Until when it may be cold although its registration does not tell.
+  TimePoint mMayBeColdUntil{};
 };
 
 /// Detects from answer times whether requests are queued at a service's
@@ -100,6 +102,13 @@
                                         ResolvedService const& aService,
                                         SelectionContext const& aContext);
 
+  /// Whether an upstream is cold, or may be.
+  static bool IsCold(TimePoint aNow,
+                     ResolvedUpstream const& aUpstream,
+                     UpstreamLoad const& aLoad)
+  {
+    return aNow < aUpstream.mColdUntil || aNow < aLoad.mMayBeColdUntil;
+  }
   /// Whether an upstream may get new flows.
   static bool CanTakeNewFlows(ResolvedUpstream const& aUpstream);
 
--- a/src/tarragonsill/state/tarragonsill_mechanisms.cpp
+++ b/src/tarragonsill/state/tarragonsill_mechanisms.cpp
@@ -20,7 +20,7 @@
   "watch_scout",        "gathered_changes", "replica_lists",
   "missing_patience",   "load_reports",     "expected_delay",
   "priority_admission", "hedged_openings",  "outbound_reach",
-  "late_answers",
+  "restart_signs",      "late_answers",
 };
 
 std::string
--- a/src/tarragonsill/state/tarragonsill_mechanisms.hpp
+++ b/src/tarragonsill/state/tarragonsill_mechanisms.hpp
@@ -44,6 +44,7 @@
   PriorityAdmission, ///< Reject openings by priority during a shortage.
   HedgedOpenings,    ///< Offer a late opening to a second upstream.
   OutboundReach,     ///< Leave callers to other zones if no packet gets out.
+  RestartSigns,      ///< Count upstreams that were lost and run again as cold.
   LateAnswers,       ///< Correct the cookie of upstreams that answer late.
   Count,
 };
--- a/src/tarragonsill/state/tarragonsill_routing_view.hpp
+++ b/src/tarragonsill/state/tarragonsill_routing_view.hpp
@@ -2,6 +2,7 @@
 #define TARRAGONSILL_ROUTING_VIEW_HPP_INCLUDED
 
 #include "tarragonsill/state/tarragonsill_routing.hpp"
+#include "tarragonsill/state/tarragonsill_store_position.hpp"
 
 #include <cstdint>
 #include <map>
@@ -38,9 +39,12 @@
   std::uint32_t mService = 0;
   UpstreamAvailability mAvailability = UpstreamAvailability::Gone;
   bool mEvacuated = false; ///< Its zone must get no new work.
+  StorePosition mPosition; ///< Of its registration.
   TimePoint mColdUntil{};
   /// The maximum of new flows per second from all entry VMs while it is cold.
   double mColdLimit = 0.0;
+  /// How long a process of its service stays cold after its start.
+  milliseconds mColdTime{ 0 };
 };
 
 /// A service with its upstreams.
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -94,6 +94,13 @@
     return std::atomic_load(&mObservations);
   }
 
+  /// The upstreams whose process was shown to have ended, as of the last sweep;
+  /// null if there was none yet. Thread-safe.
+  UpstreamRestartsPointer Restarts() const
+  {
+    return std::atomic_load(&mRestarts);
+  }
+
   /// Thread-safe.
   SteeringLatencies const& Latencies() const { return mSteering.Latencies(); }
 
@@ -170,6 +177,7 @@
         mOwnZoneReach = mSteering.OwnZoneReach(now);
         mServicesShort = mSteering.ServicesShort();
         PublishObservations(now);
+        PublishRestarts(now);
         mOutboundReach = mSteering.OutboundReach();
         SendResets();
         WriteZoneChanges(now);
@@ -245,6 +253,16 @@
                         mSteering.TakeObservations()));
   }
 
+  void PublishRestarts(TimePoint aNow)
+  {
+    auto restarts = mSteering.Restarts(aNow);
+    if (!restarts.empty() || (mRestarts && !mRestarts->empty())) {
+      std::atomic_store(
+        &mRestarts,
+        std::make_shared<UpstreamRestarts const>(std::move(restarts)));
+    }
+  }
+
   /// Handles the results of finished probes and starts due ones.
   void RunProbes(TimePoint aNow)
   {
@@ -448,6 +466,7 @@
   RoutingViewPointer mCurrentView;
   SharedLoadsPointer mPostedLoads;
   ObservationsPointer mObservations;
+  UpstreamRestartsPointer mRestarts;
   TimePoint mNextObservation{};
   /// Headers of the queued datagrams.
   std::array<Header, UdpSocket::kBatch> mHeaders{};
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -1,6 +1,7 @@
 #include "tarragonsill/transport/tarragonsill_node_actor.hpp"
 
 #include "tarragonsill/coordination/tarragonsill_node_peers.hpp"
+#include "tarragonsill/coordination/tarragonsill_restart_relay.hpp"
 #include "tarragonsill/coordination/tarragonsill_watch_retry.hpp"
 #include "tarragonsill/transport/tarragonsill_boot_time.hpp"
 #include "tarragonsill/transport/tarragonsill_directory_log.hpp"
@@ -129,6 +130,7 @@
         { message.watch().complete_to_era(),
           message.watch().complete_to_revision() });
     }
+    HandleRestarts(message, aReceived.mMaxAge);
     if (!message.has_knowledge()) {
       return;
     }
@@ -206,6 +208,7 @@
     Outbox outbox;
     mPeers.Tick(now, outbox);
     ExchangeLoads(now, outbox);
+    ReportRestarts(now, outbox);
     Send(outbox);
     mPeers.SetKnowsReturns(!mDirectory.IsComplete() ||
                            mDirectory.KnowsReturns(now));
@@ -317,6 +320,58 @@
     }
   }
 
+  /// Reports upstreams that this VM has seen to refuse connections.
+  void ReportRestarts(TimePoint aNow, Outbox& aOutbox)
+  {
+    auto const observed = mArguments.mRestarts();
+    if (!observed || observed == mLastRestarts) {
+      return;
+    }
+    mLastRestarts = observed;
+    for (auto const& restart : mRestartRelay.TakeNew(*observed)) {
+      if (mDirectory.RecordRestart(aNow, restart)) {
+        WriteRestart(restart, "own probe");
+        mPeers.ReportRestart(
+          restart, mDirectory.ZoneOf(restart.mUpstream), aOutbox);
+      }
+    }
+  }
+
+  /// Applies what a peer reports, and tells others if that falls to this VM.
+  void HandleRestarts(wire::PeerMessage const& aMessage, Duration aMaxAge)
+  {
+    Outbox outbox;
+    for (auto const& reported : aMessage.restarts()) {
+      auto const age = std::chrono::duration_cast<milliseconds>(aMaxAge);
+      UpstreamRestart const restart{
+        reported.name(),
+        reported.start_mark(),
+        reported.running(),
+        std::max(milliseconds{ reported.cold_left_ms() } - age,
+                 milliseconds{ 0 })
+      };
+      if (!mDirectory.RecordRestart(Clock::now(), restart)) {
+        continue;
+      }
+      WriteRestart(restart, "peer " + aMessage.sender().name());
+      mPeers.ReportRestart(
+        restart, mDirectory.ZoneOf(restart.mUpstream), outbox);
+    }
+    Send(outbox);
+    PublishIfChanged();
+  }
+
+  void WriteRestart(UpstreamRestart const& aRestart, std::string const& aSource)
+  {
+    Log().Write(
+      "steer",
+      "upstream_may_be_new",
+      { { "upstream", aRestart.mUpstream },
+        { "running", std::string(aRestart.mIsRunning ? "yes" : "no") },
+        { "cold_ms", std::int64_t{ aRestart.mRemainingColdTime.count() } },
+        { "source", aSource } });
+  }
+
   void RetryWatches(TimePoint aNow)
   {
     for (auto const kind : mRetry.Due(aNow)) {
@@ -511,6 +566,8 @@
   std::array<bool, kObjectKinds.size()> mHasMissingChanges{};
   ObservationsPointer mLastObservations;
   LoadStatus mLoadStatus;
+  UpstreamRestartsPointer mLastRestarts;
+  RestartRelay mRestartRelay;
 };
 
 } // namespace
--- a/src/tarragonsill/transport/tarragonsill_node_actor.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.hpp
@@ -28,6 +28,8 @@
   std::function<void(SharedLoadsPointer)> mPublishLoads;
   /// Returns whether other zones answer this VM.
   std::function<ZoneReach()> mOutboundReach;
+  /// Returns the upstreams whose process may have ended; may be null.
+  std::function<UpstreamRestartsPointer()> mRestarts;
   caf::actor mFetchActor;
   std::uint64_t mIncarnation = 1;
 };
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -170,6 +170,7 @@
                                          std::string const& aBytes) {
     link->Send(aTo, aBytes);
   };
+  arguments.mRestarts = [worker = mWorker.get()] { return worker->Restarts(); };
   arguments.mFetchActor = mSystem.spawn<caf::detached>(KnowledgeFetchActor);
   arguments.mIncarnation = NewIncarnation();
   mActors.push_back(arguments.mFetchActor);
--- a/tests/transport/test_node_runs.cpp
+++ b/tests/transport/test_node_runs.cpp
@@ -6,7 +6,8 @@
 #include "support/loopback_network.hpp"
 #include "tarragonsill/transport/tarragonsill_node_daemon.hpp"
 
-#include <array>
+#include <algorithm>
+#include <deque>
 #include <memory>
 #include <thread>
 
@@ -200,6 +201,46 @@
     SetRotation(aVms);
   }
 
+  /// Opens a flow every 10 ms.
+  void OpenFlowsFor(milliseconds aTime)
+  {
+    constexpr milliseconds kInterval{ 10 };
+    for (auto left = aTime; left > milliseconds{ 0 }; left -= kInterval) {
+      mCallers->Open(Clock::now(), kRoute);
+      RunFor(kInterval);
+    }
+  }
+
+  /// Opens flows until a time; returns the most that an upstream gets in one
+  /// second.
+  std::uint64_t MostInOneSecond(std::size_t aUpstream, TimePoint aUntil)
+  {
+    std::deque<std::pair<TimePoint, std::uint64_t>> lastSecond;
+    std::uint64_t most = 0;
+    while (Clock::now() < aUntil) {
+      auto const now = Clock::now();
+      lastSecond.emplace_back(now, mUpstreams[aUpstream].OpenedFlows());
+      while (lastSecond.front().first + seconds{ 1 } < now) {
+        lastSecond.pop_front();
+      }
+      most =
+        std::max(most, lastSecond.back().second - lastSecond.front().second);
+      OpenFlowsFor(milliseconds{ 10 });
+    }
+    return most;
+  }
+
+  /// Ends an upstream while callers go on, and starts it again under its name.
+  /// Returns until when it is cold.
+  TimePoint RestartUpstream(std::size_t aIndex)
+  {
+    mUpstreams[aIndex].Crash();
+    OpenFlowsFor(milliseconds{ 600 });
+    mUpstreams[aIndex] = TakeOrFail(Lab::PlatformUpstream::Start(
+      UpstreamAddress(aIndex), 0xA0 + aIndex, kPacketPort));
+    return Clock::now() + seconds{ 2 };
+  }
+
   /// Opens flows, of which each of the given upstreams may get only few.
   void CheckFewFlowsTo(std::vector<std::size_t> const& aUpstreams)
   {
@@ -312,6 +353,38 @@
   LONGS_EQUAL(before + 40, mCallers->Report().mOpened);
 }
 
+// Guards against a flood of an upstream that starts again under its name while
+// the store does not answer, so that its registration is that of its former
+// process (review/15).
+TEST(NodeRuns,
+     an_upstream_that_restarts_in_an_outage_of_the_store_counts_as_cold)
+{
+  constexpr std::uint64_t kColdLimit = 8;
+  RunFor(milliseconds{ 1500 });
+  mStore->SetDown(true);
+  auto const coldUntil = RestartUpstream(0);
+  CHECK(MostInOneSecond(0, coldUntil) <= kColdLimit);
+  // All VMs send to it again once its process is not cold any more.
+  OpenFlowsFor(milliseconds{ 1000 });
+  CHECK(MostInOneSecond(0, Clock::now() + seconds{ 1 }) > kColdLimit);
+}
+
+// The same if the flows of that time pass through a VM that has just started,
+// and has not seen that the upstream refused connections.
+TEST(NodeRuns, a_vm_that_starts_after_an_upstream_did_counts_it_as_cold)
+{
+  constexpr std::uint64_t kColdLimit = 8;
+  RunFor(milliseconds{ 1500 });
+  mStore->SetDown(true);
+  SetRotation({ 0, 2 });
+  mVms[1].reset();
+  auto const coldUntil = RestartUpstream(0);
+  StartVm(1);
+  RunFor(milliseconds{ 250 });
+  SetRotation({ 1 });
+  CHECK(MostInOneSecond(0, coldUntil) <= kColdLimit);
+}
+
 TEST(NodeRuns, removing_a_route_resets_its_flows_and_refuses_new_ones)
 {
   PutConfiguration(2, false);
