Tell the zone's VMs where a flow with several offers is open

Cause: one VM offered the flow to an upstream that stood still, and another VM, which got the caller's copy, offered it to a second one and saw it open there. It did not know of the first offer, so it corrected nothing, and all VMs were killed before the first upstream went on. What only one VM knows died with it.

Change: the VM that sees where a flow opens whose opening packet was repeated or hedged tells the other VMs of its zone, with the packet (HeldOpening, a new field that older programs ignore; at most 64 datagrams a second). A VM that made another offer sends that upstream its copy; a VM that gets the flow's next packets keeps it at its upstream.

Tests: CookieLateAnswer, a_vm_that_offered_a_flow_first_corrects_its_upstream and a_vm_that_was_told_of_a_flow_keeps_it_at_its_upstream; the interfaces are new, so they could not run before.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -311,12 +311,17 @@
   bool const isOpen = continues && !known->mIsOpening;
   bool const hasAdvanced = isOpen && Detail::HasAdvanced(aPacket, *known);
   bool const isPinned = isOpen && known->mIsPinned;
+  // Another VM may have seen where the flow opened.
+  auto const reported =
+    isPinned ? std::nullopt : mOfferedOpenings.HolderOf(key, aPacket);
   bool const isHeld =
     isPinned || (isOpen && (!hasAdvanced || IsShownToHold(*known)));
-  if (!isHeld && found == mView->mSlotByCookie.end()) {
+  if (!isHeld && !reported && found == mView->mSlotByCookie.end()) {
     return NotForwarded(SteeringAction::Drop, SteeringCause::UnknownCookie);
   }
-  auto const slot = isHeld ? known->mSlot : found->second;
+  auto const slot = reported ? *reported
+                    : isHeld ? known->mSlot
+                             : found->second;
   auto const namedSlot = found == mView->mSlotByCookie.end()
                            ? std::nullopt
                            : std::optional(found->second);
@@ -339,7 +344,8 @@
       known->mIsOpenedHere = opening.mIsOpenedHere;
     }
   }
-  known->mIsPinned = isPinned || isFirstPacket || isAnswered;
+  known->mIsPinned =
+    isPinned || reported.has_value() || isFirstPacket || isAnswered;
   if (known->mIsPinned) {
     CorrectLateAnswers(aNow, aPacket, { slot, namedSlot });
   }
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -14,6 +14,7 @@
 #include "tarragonsill/coordination/tarragonsill_upstream_selector.hpp"
 #include "tarragonsill/protocol/tarragonsill_flow_packet.hpp"
 #include "tarragonsill/state/tarragonsill_flow_table.hpp"
+#include "tarragonsill/state/tarragonsill_held_opening.hpp"
 #include "tarragonsill/state/tarragonsill_shared_load.hpp"
 #include "tarragonsill/state/tarragonsill_upstream_restart.hpp"
 
@@ -123,6 +124,15 @@
   /// their flow is open at another one.
   std::vector<KeptOpening> TakeOpeningCopies();
 
+  /// Returns the flows that other VMs of the zone are to be told of.
+  HeldOpenings TakeHeldOpenings();
+  /// Records where another VM has seen a flow open that several upstreams may
+  /// answer. `aBytes` is the opening packet.
+  void RecordHeldOpening(TimePoint aNow,
+                         FlowPacket const& aOpening,
+                         std::span<std::byte const> aBytes,
+                         std::uint32_t aCookie);
+
   /// Returns the upstreams that were shown to have ended under the start mark
   /// that is known, and whose new process may be cold.
   UpstreamRestarts Restarts(TimePoint aNow) const;
@@ -317,6 +327,7 @@
   TimePoint mResumedAt{};
   std::vector<UnsolicitedReset> mResets;
   std::vector<KeptOpening> mOpeningCopies;
+  HeldOpenings mHeldOpenings;
   std::vector<SteeringLogEntry> mLogEntries;
 };
 
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering_offers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering_offers.cpp
@@ -49,6 +49,11 @@
     return;
   }
   auto const key = Detail::KeyOf(aPacket);
+  auto const holderCookie = mView->mUpstreams[aHolder.mSlot].mCookie;
+  if (auto opening =
+        mOfferedOpenings.RecordHolder(key, aPacket, aHolder.mSlot)) {
+    mHeldOpenings.push_back({ std::move(*opening), holderCookie });
+  }
   for (auto const& other :
        mOfferedOpenings.FindDue(aNow, key, aPacket, aHolder)) {
     if (!MayGetCopy(aNow, aPacket.mDestination, other)) {
@@ -57,7 +62,7 @@
     SteeringVerdict const verdict{ SteeringAction::Forward,
                                    SteeringCause::LateAnswer,
                                    other.mSlot,
-                                   mView->mUpstreams[aHolder.mSlot].mCookie };
+                                   holderCookie };
     mOpeningCopies.push_back(
       { verdict, mOfferedOpenings.TakeCopy(aNow, key, other.mSlot) });
     if (mLogEntries.size() >= kMaxLogEntries) {
@@ -72,6 +77,39 @@
   }
 }
 
+HeldOpenings
+CookieSteering::TakeHeldOpenings()
+{
+  return std::exchange(mHeldOpenings, {});
+}
+
+void
+CookieSteering::RecordHeldOpening(TimePoint aNow,
+                                  FlowPacket const& aOpening,
+                                  std::span<std::byte const> aBytes,
+                                  std::uint32_t aCookie)
+{
+  auto const holder = mView->mSlotByCookie.find(aCookie);
+  if (holder == mView->mSlotByCookie.end() ||
+      !mMechanisms.Uses(Mechanism::LateAnswers)) {
+    return;
+  }
+  auto const key = Detail::KeyOf(aOpening);
+  auto const* const known = mFlows.Find(key);
+  bool const isOfferedElsewhere = known != nullptr && known->mIsOpening &&
+                                  known->mFirstSequence == aOpening.mSequence &&
+                                  known->mSlot != holder->second;
+  if (isOfferedElsewhere) {
+    mOfferedOpenings.RecordOffer(
+      known->mTrackedSince, key, aOpening, known->mSlot);
+    EraseFlow(key);
+  }
+  mOfferedOpenings.RecordReport(aNow, key, aOpening, aBytes, holder->second);
+  auto next = aOpening;
+  ++next.mSequence;
+  CorrectLateAnswers(aNow, next, { holder->second, std::nullopt });
+}
+
 std::vector<KeptOpening>
 CookieSteering::TakeOpeningCopies()
 {
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.cpp
@@ -17,6 +17,9 @@
 /// Messages from VMs of other zones arrive several times a second. If none
 /// arrives for this long, the zone is cut off.
 constexpr milliseconds kCutOffTimeout{ 1200 };
+/// Datagrams about flows that several upstreams may answer.
+constexpr double kHeldOpeningMessagesPerSecond = 64.0;
+constexpr double kHeldOpeningMessagesBurst = 256.0;
 /// Peers that may have started together with this VM cannot tell it which zones
 /// returned before, so a few are queried.
 constexpr std::size_t kMaxReturnsQueries = 3;
@@ -87,6 +90,8 @@
   , mUsesLoadReports(aMechanisms.Uses(Mechanism::LoadReports))
   , mLoadExchange(
       { mMembership.Self().NameHash(), mMembership.Self().mIncarnation })
+  , mHeldOpeningsBudget(kHeldOpeningMessagesPerSecond,
+                        kHeldOpeningMessagesBurst)
 {
 }
 
--- a/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_node_peers.hpp
@@ -9,6 +9,8 @@
 #include "tarragonsill/coordination/tarragonsill_store_freshness.hpp"
 #include "tarragonsill/coordination/tarragonsill_watch_relay.hpp"
 #include "tarragonsill/coordination/tarragonsill_zone_reach.hpp"
+#include "tarragonsill/state/tarragonsill_held_opening.hpp"
+#include "tarragonsill/state/tarragonsill_token_bucket.hpp"
 #include "tarragonsill/state/tarragonsill_upstream_restart.hpp"
 
 #include <map>
@@ -102,6 +104,11 @@
   void ReportRestart(UpstreamRestart const& aRestart,
                      std::string const& aZone,
                      Outbox& aOutbox);
+  /// Tells the other VMs of the zone where flows are open whose opening packet
+  /// several upstreams may answer. What exceeds the budget is left out.
+  void ReportHeldOpenings(TimePoint aNow,
+                          HeldOpenings const& aOpenings,
+                          Outbox& aOutbox);
   /// Whether this VM may leave: with fewer than half of the zone's VMs ready,
   /// routers also use VMs that are down.
   bool MayLeave() const;
@@ -193,6 +200,7 @@
   /// The peers that were queried for returns since they were last known.
   std::set<std::string> mQueriedForReturns;
   TimePoint mNextReturnsQuery{};
+  TokenBucket mHeldOpeningsBudget;
 };
 
 } // namespace tarragonsill
--- a/src/tarragonsill/coordination/tarragonsill_offered_openings.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_offered_openings.cpp
@@ -29,31 +29,80 @@
   return found != offers.end() ? *found : offers.emplace_back(Offer{ aSlot });
 }
 
+OfferedOpenings::Opening*
+OfferedOpenings::FindOrAdd(std::uint64_t aFlow, FlowPacket const& aOpening)
+{
+  auto found = mOpenings.find(aFlow);
+  if (found == mOpenings.end() && mOpenings.size() >= kMaxOpenings) {
+    return nullptr;
+  }
+  bool const isKnown =
+    found != mOpenings.end() && found->second.mSequence == aOpening.mSequence;
+  if (!isKnown) {
+    found = mOpenings.insert_or_assign(aFlow, Opening{}).first;
+    found->second.mSequence = aOpening.mSequence;
+  }
+  return &found->second;
+}
+
 void
 OfferedOpenings::RecordOffer(TimePoint aNow,
                              std::uint64_t aFlow,
                              FlowPacket const& aOpening,
                              std::uint32_t aSlot)
 {
-  auto found = mOpenings.find(aFlow);
-  if (found == mOpenings.end()) {
-    if (mOpenings.size() >= kMaxOpenings) {
-      return;
-    }
-    found = mOpenings.emplace(aFlow, Opening{}).first;
-    found->second.mSequence = aOpening.mSequence;
+  auto* const opening = FindOrAdd(aFlow, aOpening);
+  if (opening == nullptr) {
+    return;
   }
-  auto& opening = found->second;
-  if (opening.mSequence != aOpening.mSequence) {
-    opening = {};
-    opening.mSequence = aOpening.mSequence;
-  }
-  opening.mOfferedAt = aNow;
-  auto& offer = OfferTo(opening, aSlot);
+  opening->mOfferedAt = aNow;
+  auto& offer = OfferTo(*opening, aSlot);
   offer.mOfferedAt = aNow;
   offer.mIsObsolete = false;
 }
 
+std::optional<std::vector<std::byte>>
+OfferedOpenings::RecordHolder(std::uint64_t aFlow,
+                              FlowPacket const& aPacket,
+                              std::uint32_t aSlot)
+{
+  auto const found = mOpenings.find(aFlow);
+  if (found == mOpenings.end() || found->second.mHolder ||
+      found->second.mBytes.empty() ||
+      !MayFollow(aPacket, found->second.mSequence)) {
+    return std::nullopt;
+  }
+  found->second.mHolder = aSlot;
+  return found->second.mBytes;
+}
+
+void
+OfferedOpenings::RecordReport(TimePoint aNow,
+                              std::uint64_t aFlow,
+                              FlowPacket const& aOpening,
+                              std::span<std::byte const> aBytes,
+                              std::uint32_t aHolder)
+{
+  auto* const opening = FindOrAdd(aFlow, aOpening);
+  if (opening == nullptr || opening->mHolder) {
+    return;
+  }
+  opening->mOfferedAt = aNow;
+  opening->mHolder = aHolder;
+  if (opening->mBytes.empty() && aBytes.size() <= kMaxPacketBytes) {
+    opening->mBytes.assign(aBytes.begin(), aBytes.end());
+  }
+}
+
+std::optional<std::uint32_t>
+OfferedOpenings::HolderOf(std::uint64_t aFlow, FlowPacket const& aPacket) const
+{
+  auto const found = mOpenings.find(aFlow);
+  bool const isKnown =
+    found != mOpenings.end() && MayFollow(aPacket, found->second.mSequence);
+  return isKnown ? found->second.mHolder : std::nullopt;
+}
+
 void
 OfferedOpenings::KeepPacket(std::uint64_t aFlow,
                             FlowPacket const& aOpening,
@@ -115,6 +164,9 @@
 OfferedOpenings::ForgetUpstream(std::uint32_t aSlot)
 {
   for (auto& [flow, opening] : mOpenings) {
+    if (opening.mHolder == aSlot) {
+      opening.mHolder.reset();
+    }
     for (auto& offer : opening.mOffers) {
       offer.mIsObsolete = offer.mIsObsolete || offer.mSlot == aSlot;
     }
--- a/src/tarragonsill/coordination/tarragonsill_offered_openings.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_offered_openings.hpp
@@ -18,7 +18,8 @@
 /// it received last, so a VM that has never seen the flow would forward it to
 /// one of them. An upstream answers with the cookie that it received last:
 /// after a copy of the opening packet that carries the cookie of the flow's
-/// upstream, its late answers name that one.
+/// upstream, its late answers name that one. Other VMs of the zone may have
+/// offered the flow as well, or may get its next packets, so they are told.
 namespace tarragonsill {
 
 class OfferedOpenings
@@ -71,6 +72,21 @@
                                   std::uint64_t aFlow,
                                   std::uint32_t aSlot);
 
+  /// Records at which upstream a flow is open. Returns the opening packet when
+  /// other VMs are to be told, once for each flow.
+  std::optional<std::vector<std::byte>> RecordHolder(std::uint64_t aFlow,
+                                                     FlowPacket const& aPacket,
+                                                     std::uint32_t aSlot);
+  /// Records what another VM told.
+  void RecordReport(TimePoint aNow,
+                    std::uint64_t aFlow,
+                    FlowPacket const& aOpening,
+                    std::span<std::byte const> aBytes,
+                    std::uint32_t aHolder);
+  /// The upstream at which a packet's flow is open, if that is known.
+  std::optional<std::uint32_t> HolderOf(std::uint64_t aFlow,
+                                        FlowPacket const& aPacket) const;
+
   /// Drops the offers to the upstream that was in a slot before: another
   /// process would take a copy for a new flow.
   void ForgetUpstream(std::uint32_t aSlot);
@@ -91,9 +107,12 @@
     TimePoint mOfferedAt{}; ///< The last time.
     std::vector<Offer> mOffers;
     std::vector<std::byte> mBytes;
+    std::optional<std::uint32_t> mHolder; ///< Where the flow is open.
   };
 
   static Offer& OfferTo(Opening& aOpening, std::uint32_t aSlot);
+  /// Returns the entry of a flow; null if there is no room for it.
+  Opening* FindOrAdd(std::uint64_t aFlow, FlowPacket const& aOpening);
 
   std::unordered_map<std::uint64_t, Opening> mOpenings;
 };
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -16,7 +16,9 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <iterator>
 #include <memory>
+#include <mutex>
 #include <thread>
 #include <utility>
 
@@ -94,6 +96,23 @@
     return std::atomic_load(&mObservations);
   }
 
+  /// Returns the flows that other VMs of the zone are to be told of since the
+  /// last call. Thread-safe.
+  HeldOpenings TakeHeldOpenings()
+  {
+    std::lock_guard const lock(mHeldMutex);
+    return std::exchange(mHeldToReport, {});
+  }
+  /// Hands over flows that another VM of the zone told of. Thread-safe.
+  void PostHeldOpenings(HeldOpenings aOpenings)
+  {
+    std::lock_guard const lock(mHeldMutex);
+    auto const room = kMaxHeldOpenings - mPostedHeld.size();
+    aOpenings.resize(std::min(aOpenings.size(), room));
+    std::move(
+      aOpenings.begin(), aOpenings.end(), std::back_inserter(mPostedHeld));
+  }
+
   /// The upstreams whose process was shown to have ended, as of the last sweep;
   /// null if there was none yet. Thread-safe.
   UpstreamRestartsPointer Restarts() const
@@ -113,6 +132,8 @@
   /// An iteration that takes longer than this means that the VM was paused or
   /// the thread was starved.
   static constexpr milliseconds kPauseThreshold{ 150 };
+  /// Bounds what waits for the packet thread or the other VMs.
+  static constexpr std::size_t kMaxHeldOpenings = 1024;
   /// The maximum number of log lines for ordinary decisions per sweep period.
   static constexpr std::size_t kMaxOrdinaryLogEntries = 2;
 
@@ -160,6 +181,7 @@
       mSteering.SetCurrentAsOf(mCurrentAsOf);
       UsePostedView();
       UsePostedLoads();
+      ExchangeHeldOpenings(now);
       HandleEarlyPackets(now);
       for (auto const& datagram : batch) {
         HandleDatagram(now, datagram.mBytes);
@@ -242,6 +264,28 @@
     }
   }
 
+  /// Takes over what other VMs know of flows that several upstreams may answer,
+  /// and provides what this one knows.
+  void ExchangeHeldOpenings(TimePoint aNow)
+  {
+    auto toReport = mSteering.TakeHeldOpenings();
+    HeldOpenings posted;
+    {
+      std::lock_guard const lock(mHeldMutex);
+      posted.swap(mPostedHeld);
+      auto const room = kMaxHeldOpenings - mHeldToReport.size();
+      toReport.resize(std::min(toReport.size(), room));
+      std::move(
+        toReport.begin(), toReport.end(), std::back_inserter(mHeldToReport));
+    }
+    for (auto const& held : posted) {
+      auto const opening = Format::Read(held.mPacket);
+      if (opening && opening->mOpens && !opening->mAcknowledges) {
+        mSteering.RecordHeldOpening(aNow, *opening, held.mPacket, held.mCookie);
+      }
+    }
+  }
+
   void PublishObservations(TimePoint aNow)
   {
     if (aNow < mNextObservation) {
@@ -467,6 +511,9 @@
   SharedLoadsPointer mPostedLoads;
   ObservationsPointer mObservations;
   UpstreamRestartsPointer mRestarts;
+  std::mutex mHeldMutex;
+  HeldOpenings mHeldToReport;
+  HeldOpenings mPostedHeld;
   TimePoint mNextObservation{};
   /// Headers of the queued datagrams.
   std::array<Header, UdpSocket::kBatch> mHeaders{};
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -8,6 +8,7 @@
 #include "tarragonsill/transport/tarragonsill_load_status.hpp"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace tarragonsill {
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr milliseconds kTickPeriod{ 50 };
+/// Older messages about flows that several upstreams may answer are ignored.
+constexpr milliseconds kMaxHeldOpeningAge{ 500 };
 /// The two clocks are not read at the same moment.
 constexpr milliseconds kMaxClockDifference{ 20 };
 
@@ -131,6 +134,7 @@
           message.watch().complete_to_revision() });
     }
     HandleRestarts(message, aReceived.mMaxAge);
+    HandleHeldOpenings(message, aReceived.mMaxAge);
     if (!message.has_knowledge()) {
       return;
     }
@@ -209,6 +213,7 @@
     mPeers.Tick(now, outbox);
     ExchangeLoads(now, outbox);
     ReportRestarts(now, outbox);
+    mPeers.ReportHeldOpenings(now, mArguments.mTakeHeldOpenings(), outbox);
     Send(outbox);
     mPeers.SetKnowsReturns(!mDirectory.IsComplete() ||
                            mDirectory.KnowsReturns(now));
@@ -361,6 +366,19 @@
     PublishIfChanged();
   }
 
+  void HandleHeldOpenings(wire::PeerMessage const& aMessage, Duration aMaxAge)
+  {
+    if (aMessage.held_openings().empty() || aMaxAge > kMaxHeldOpeningAge) {
+      return;
+    }
+    HeldOpenings openings;
+    for (auto const& held : aMessage.held_openings()) {
+      auto const bytes = std::as_bytes(std::span(held.packet()));
+      openings.push_back({ { bytes.begin(), bytes.end() }, held.cookie() });
+    }
+    mArguments.mPostHeldOpenings(std::move(openings));
+  }
+
   void WriteRestart(UpstreamRestart const& aRestart, std::string const& aSource)
   {
     Log().Write(
--- a/src/tarragonsill/transport/tarragonsill_node_actor.hpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.hpp
@@ -2,7 +2,9 @@
 #define TARRAGONSILL_NODE_ACTOR_HPP_INCLUDED
 
 #include "tarragonsill/coordination/tarragonsill_zone_reach.hpp"
+#include "tarragonsill/state/tarragonsill_held_opening.hpp"
 #include "tarragonsill/state/tarragonsill_shared_load.hpp"
+#include "tarragonsill/state/tarragonsill_upstream_restart.hpp"
 #include "tarragonsill/transport/tarragonsill_node_messages.hpp"
 #include "tarragonsill/transport/tarragonsill_node_state.hpp"
 
@@ -30,6 +32,10 @@
   std::function<ZoneReach()> mOutboundReach;
   /// Returns the upstreams whose process may have ended; may be null.
   std::function<UpstreamRestartsPointer()> mRestarts;
+  /// Returns the flows that other VMs of the zone are to be told of.
+  std::function<HeldOpenings()> mTakeHeldOpenings;
+  /// Hands flows that other VMs of the zone told of to the packet thread.
+  std::function<void(HeldOpenings)> mPostHeldOpenings;
   caf::actor mFetchActor;
   std::uint64_t mIncarnation = 1;
 };
--- a/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_daemon.cpp
@@ -171,6 +171,13 @@
     link->Send(aTo, aBytes);
   };
   arguments.mRestarts = [worker = mWorker.get()] { return worker->Restarts(); };
+  arguments.mTakeHeldOpenings = [worker = mWorker.get()] {
+    return worker->TakeHeldOpenings();
+  };
+  arguments.mPostHeldOpenings = [worker =
+                                   mWorker.get()](HeldOpenings aOpenings) {
+    worker->PostHeldOpenings(std::move(aOpenings));
+  };
   arguments.mFetchActor = mSystem.spawn<caf::detached>(KnowledgeFetchActor);
   arguments.mIncarnation = NewIncarnation();
   mActors.push_back(arguments.mFetchActor);
--- a/tests/coordination/test_cookie_late_answer.cpp
+++ b/tests/coordination/test_cookie_late_answer.cpp
@@ -153,6 +153,66 @@
   LONGS_EQUAL(0, SendCopies().size());
 }
 
+/// Guards against a late answer of an upstream that another VM chose, which the
+/// VM that saw the flow open does not know (seed 649 of the soak).
+TEST(CookieLateAnswer, a_vm_that_offered_a_flow_first_corrects_its_upstream)
+{
+  SampleFlow flow;
+  auto const first = Steer(flow.Opening());
+  CookieSteering otherVm(2);
+  otherVm.SetView(mStore.View(mNow));
+  mNow += milliseconds{ 200 };
+  auto const cookie =
+    mSteering.View().mUpstreams[SlotOf(mSteering.View(), "b1")].mCookie;
+  auto const copy = flow.Opening(1);
+  otherVm.KeepOpening(mNow, copy, otherVm.Steer(mNow, copy), mBytes);
+  mNow += milliseconds{ 8 };
+  (void)otherVm.Steer(mNow, flow.FirstData(cookie));
+  auto const held = otherVm.TakeHeldOpenings();
+  LONGS_EQUAL(1, held.size());
+  CHECK(held.front().mPacket == mBytes);
+  mSteering.RecordHeldOpening(
+    mNow, copy, held.front().mPacket, held.front().mCookie);
+  CHECK(SendCopies() == std::vector{ first.mSlot });
+  LONGS_EQUAL(cookie, mAnswerCookies[first.mSlot]);
+  // It is told once.
+  (void)otherVm.Steer(mNow, flow.Data(cookie));
+  LONGS_EQUAL(0, otherVm.TakeHeldOpenings().size());
+}
+
+TEST(CookieLateAnswer, a_vm_that_was_told_of_a_flow_keeps_it_at_its_upstream)
+{
+  SampleFlow flow;
+  auto const [first, second] = OfferTwice(flow);
+  (void)Steer(flow.FirstData(second.mCookie));
+  auto const held = mSteering.TakeHeldOpenings();
+  CookieSteering otherVm(2);
+  otherVm.SetView(mStore.View(mNow));
+  otherVm.RecordHeldOpening(
+    mNow, flow.Opening(1), held.front().mPacket, held.front().mCookie);
+  auto const verdict = otherVm.Steer(mNow, flow.Data(first.mCookie));
+  LONGS_EQUAL(second.mSlot, verdict.mSlot);
+  LONGS_EQUAL(second.mCookie, verdict.mCookie);
+  // The late answer shows that the upstream needs another copy.
+  auto const copies = otherVm.TakeOpeningCopies();
+  LONGS_EQUAL(1, copies.size());
+  LONGS_EQUAL(first.mSlot, copies.front().mVerdict.mSlot);
+}
+
+TEST(CookieLateAnswer,
+     a_report_of_an_earlier_flow_from_the_same_port_is_ignored)
+{
+  SampleFlow flow;
+  auto earlier = flow.Opening(1);
+  earlier.mSequence += 1000000000U;
+  auto const other = SlotOf(mSteering.View(), "b1");
+  mSteering.RecordHeldOpening(
+    mNow, earlier, mBytes, mSteering.View().mUpstreams[other].mCookie);
+  auto const opened = Steer(flow.Opening());
+  CHECK(opened.mSlot != other);
+  LONGS_EQUAL(opened.mSlot, Steer(flow.FirstData(opened.mCookie)).mSlot);
+}
+
 TEST(CookieLateAnswer, a_flow_that_goes_on_through_a_vm_is_kept_there)
 {
   // Guards against a late cookie at a VM that has not seen the flow open.
