Ask for probes of overdue upstreams every 20 ms

By then the upstream accepted connections again, and nothing told of the new process.

Change: upstreams are reviewed for probes every 20 ms; probes of one upstream keep their intervals.

--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.cpp
@@ -369,7 +369,7 @@
 void
 CookieSteering::Sweep(TimePoint aNow)
 {
-  mChecker.ReviewUpstreams(aNow, *mView, mLoads);
+  ReviewUpstreams(aNow);
   mOfferedOpenings.RemoveExpired(aNow);
   ReviewRestarts();
   ReviewOutboundReach(aNow);
--- a/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_cookie_steering.hpp
@@ -88,6 +88,12 @@
   /// Removes expired flows and resets those of upstreams that have ended.
   /// Must be called several times a second.
   void Sweep(TimePoint aNow);
+  /// Requests probes of upstreams whose answers are overdue. An upstream that
+  /// starts again refuses connections for a short time only.
+  void ReviewUpstreams(TimePoint aNow)
+  {
+    mChecker.ReviewUpstreams(aNow, *mView, mLoads);
+  }
   /// Starts a round of probes if any are due; returns the slots to probe.
   std::vector<std::uint32_t> StartProbeRound(TimePoint aNow);
   /// The slot of the reference upstream of the current round, if there is any.
--- a/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
+++ b/src/tarragonsill/transport/tarragonsill_cookie_worker.hpp
@@ -128,6 +128,7 @@
   static constexpr std::size_t kIdentityBytes = 8;
   static constexpr milliseconds kReceiveTimeout{ 50 };
   static constexpr milliseconds kSweepPeriod{ 100 };
+  static constexpr milliseconds kReviewPeriod{ 20 };
   static constexpr milliseconds kObservationPeriod{ 500 };
   /// An iteration that takes longer than this means that the VM was paused or
   /// the thread was starved.
@@ -192,6 +193,10 @@
       if (isQueueEmpty) {
         SendHedges(now);
       }
+      if (now >= mNextReview) {
+        mNextReview = now + kReviewPeriod;
+        mSteering.ReviewUpstreams(now);
+      }
       RunProbes(now);
       if (now >= mNextSweep) {
         mNextSweep = now + kSweepPeriod;
@@ -519,6 +524,7 @@
   std::array<Header, UdpSocket::kBatch> mHeaders{};
   std::size_t mUsedHeaders = 0;
   TimePoint mNextSweep{};
+  TimePoint mNextReview{};
   bool mIsOutboundLost = false; ///< As last written to the log.
   std::atomic<ZoneReach> mOwnZoneReach{ ZoneReach::Unknown };
   std::atomic<double> mMaxHedgeShare{ 0.0 };
