Read history for the first list only, and vouch for a whole search only

Found by reading the diff: a watcher that lists evacuations again, after the store lost its history, searched it once more and then vouched for all returns, although the store had dropped some. So did a search that had ended for time.

Change: only the next list after a start reads history, and a search that is not complete vouches for nothing; such a VM asks its peers, as before.

--- a/src/tarragonsill/coordination/tarragonsill_history_search.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_history_search.cpp
@@ -5,23 +5,36 @@
 
 namespace tarragonsill {
 
+std::uint64_t
+HistorySearch::AllChanges() const
+{
+  return std::max<std::uint64_t>(mListed.mRevision, 1) - 1;
+}
+
+bool
+HistorySearch::IsEndFound() const
+{
+  return mGone && *mGone == mFound + 1;
+}
+
+bool
+HistorySearch::IsComplete() const
+{
+  return mFound >= AllChanges() || (IsEndFound() && !mMayBeStale);
+}
+
 std::optional<HistorySearch::Query>
 HistorySearch::Next(TimePoint aNow)
 {
   mStarted = mStarted == TimePoint{} ? aNow : mStarted;
-  auto const all = std::max<std::uint64_t>(mListed.mRevision, 1) - 1;
-  if (mFound >= all || aNow >= mStarted + kMaxTime) {
-    return std::nullopt;
-  }
-  bool const isFound = mGone && *mGone == mFound + 1;
-  if (isFound && !mMayBeStale) {
+  if (IsComplete() || aNow >= mStarted + kMaxTime) {
     return std::nullopt;
   }
-  mMayBeStale = mMayBeStale && !isFound;
+  mMayBeStale = mMayBeStale && !IsEndFound();
   auto const further = kStepFactor * std::max<std::uint64_t>(mFound, 1);
-  mAsked = isFound ? *mGone
-           : mGone ? mFound + (*mGone - mFound) / 2
-                   : std::min(all, further);
+  mAsked = IsEndFound() ? *mGone
+           : mGone      ? mFound + (*mGone - mFound) / 2
+                        : std::min(AllChanges(), further);
   return Query{ { mListed.mEra, mListed.mRevision - mAsked }, mMayBeStale };
 }
 
--- a/src/tarragonsill/coordination/tarragonsill_history_search.hpp
+++ b/src/tarragonsill/coordination/tarragonsill_history_search.hpp
@@ -39,6 +39,8 @@
   };
   /// Returns the next query; nothing if the search has ended.
   std::optional<Query> Next(TimePoint aNow);
+  /// Whether all that the store has was found.
+  bool IsComplete() const;
   /// Records the answer to the last query.
   void RecordChanges(ObjectPage aPage);
   /// Records that the store no longer has the history of the last query.
@@ -52,6 +54,11 @@
 private:
   static constexpr std::uint64_t kStepFactor = 16;
 
+  /// Whether the store has no more changes than those that were found.
+  bool IsEndFound() const;
+  /// The number of changes up to the list.
+  std::uint64_t AllChanges() const;
+
   StorePosition mListed;
   TimePoint mStarted{};
   std::uint64_t mAsked = 0; ///< The number of changes of the last query.
--- a/src/tarragonsill/transport/tarragonsill_store_watch.hpp
+++ b/src/tarragonsill/transport/tarragonsill_store_watch.hpp
@@ -94,8 +94,8 @@
     }
   }
 
-  /// Sets whether the next list also has the removals before it that the store
-  /// still knows of.
+  /// Sets whether the next list, but none after it, also has the removals
+  /// before it that the store still knows of.
   void SetReadsHistory(bool aReads) { mReadsHistory = aReads; }
 
   /// Observes the store's era. If it has risen, there was a store rollback:
@@ -266,7 +266,7 @@
     auto& search = mListed->second;
     auto const next = search.Next(Clock::now());
     if (!next) {
-      return FinishList(true);
+      return FinishList(search.IsComplete());
     }
     mCounters.Add(Counter::StoreCalls);
     mIsConfirming = false;
@@ -307,6 +307,8 @@
     Restart();
     mQuery.mWatchFrom = update.mUpTo;
     update.mHasHistory = aHasHistory;
+    // Later lists follow a watch, which showed what was removed.
+    mReadsHistory = false;
     std::set<std::string> names;
     for (auto const& change : update.mChanges) {
       names.insert(change.mName);
