--- a/tests/coordination/test_history_search.cpp
+++ b/tests/coordination/test_history_search.cpp
@@ -9,27 +9,31 @@
 constexpr TimePoint kNow{ seconds{ 100 } };
 constexpr StorePosition kListed{ 1, 5000 };
 
-} // namespace
-
-TEST_GROUP(HistorySearch){
-  /// Searches in a store that has the last changes; returns the oldest position
-  /// from which it answered, and counts the queries.
-  static std::uint64_t Search(std::uint64_t aChanges,
-                              int& aQueries){ HistorySearch search(kListed);
-std::uint64_t found = 0;
-for (aQueries = 0; auto const query = search.Next(kNow); ++aQueries) {
-  auto const asked = kListed.mRevision - query->mFrom.mRevision;
-  if (asked > aChanges) {
-    search.RecordGone();
-    continue;
+/// Searches in a store that has the last changes; returns the number of changes
+/// that it was asked for at most and had, and counts the queries.
+std::uint64_t
+Search(std::uint64_t aChanges, int& aQueries)
+{
+  HistorySearch search(kListed);
+  std::uint64_t found = 0;
+  aQueries = 0;
+  while (auto const query = search.Next(kNow)) {
+    ++aQueries;
+    auto const asked = kListed.mRevision - query->mFrom.mRevision;
+    if (asked > aChanges) {
+      search.RecordGone();
+      continue;
+    }
+    found = std::max(found, asked);
+    search.RecordChanges({ {}, false, kListed });
   }
-  found = std::max(found, asked);
-  search.RecordChanges({ {}, false, kListed });
-}
-return found;
+  CHECK(search.IsComplete());
+  return found;
 }
-}
-;
+
+} // namespace
+
+TEST_GROUP(HistorySearch){};
 
 TEST(HistorySearch, all_changes_that_the_store_has_are_found)
 {
@@ -72,4 +76,5 @@
   HistorySearch search(kListed);
   CHECK(search.Next(kNow).has_value());
   CHECK_FALSE(search.Next(kNow + HistorySearch::kMaxTime).has_value());
+  CHECK_FALSE(search.IsComplete());
 }
--- a/tests/transport/test_store_watch.cpp
+++ b/tests/transport/test_store_watch.cpp
@@ -105,6 +105,20 @@
     }));
 }
 
+// Guards against a VM that takes what the store dropped meanwhile for known.
+TEST(StoreWatch, a_list_after_a_lost_history_has_none)
+{
+  PutEvacuations(2);
+  mWatch->SetReadsHistory(true);
+  CHECK(PollUntilUpdate().mUpdate->mHasHistory);
+  mStore->Remove("evacuations", "zone-1");
+  PutEvacuations(3);
+  mStore->CompactHistory();
+  auto const again = PollUntilUpdate();
+  CHECK(again.mUpdate->mIsWholeList);
+  CHECK_FALSE(again.mUpdate->mHasHistory);
+}
+
 TEST(StoreWatch, a_list_without_an_answer_about_its_history_is_complete)
 {
   PutEvacuations(2);
