Skip messages without reports of restarts; a set for the other zones

Found by reading the diff. Cause: NodeActor ran a send with an empty outbox and a check of its view for each datagram that reports no restart, which nearly none does. RestartRelay kept a map of zones to a flag where a set does.

Change: an early return, and the set. Behaviour stays.

Conclusion: less work for each message.

--- a/src/tarragonsill/coordination/tarragonsill_restart_relay.cpp
+++ b/src/tarragonsill/coordination/tarragonsill_restart_relay.cpp
@@ -3,6 +3,7 @@
 #include "tarragonsill/state/tarragonsill_placement.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace tarragonsill {
 
@@ -65,19 +66,19 @@
   };
   if (std::any_of(recipients.begin(), recipients.end(), isSelf)) {
     recipients.clear();
-    std::map<std::string, bool> isOtherZone;
+    std::set<std::string> otherZones;
     for (auto const& member : aMembers) {
-      isOtherZone[member.mZone] = member.mZone != aZone;
+      if (member.mZone != aZone) {
+        otherZones.insert(member.mZone);
+        continue;
+      }
       // Also VMs that are starting: they may already have taken a list from a
       // peer that did not know yet.
-      if (member.mZone == aZone && member.mHealth != MemberHealth::Gone) {
+      if (member.mHealth != MemberHealth::Gone) {
         recipients.push_back(member);
       }
     }
-    for (auto const& [zone, isOther] : isOtherZone) {
-      if (!isOther) {
-        continue;
-      }
+    for (auto const& zone : otherZones) {
       for (auto& member : FirstOfZone(aMembers, zone, key, kPerOtherZone)) {
         recipients.push_back(std::move(member));
       }
--- a/src/tarragonsill/transport/tarragonsill_node_actor.cpp
+++ b/src/tarragonsill/transport/tarragonsill_node_actor.cpp
@@ -347,6 +347,9 @@
   /// Applies what a peer reports, and tells others if that falls to this VM.
   void HandleRestarts(wire::PeerMessage const& aMessage, Duration aMaxAge)
   {
+    if (aMessage.restarts().empty()) {
+      return;
+    }
     Outbox outbox;
     for (auto const& reported : aMessage.restarts()) {
       auto const age = std::chrono::duration_cast<milliseconds>(aMaxAge);
